--- /dev/null
+++ b/packages/callers/src/cardamomloft/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' HTTP interface: look-ups and requests."""
--- /dev/null
+++ b/packages/core/src/cardamomloft/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: limits, rules, membership, replication, ledger. No I/O."""
--- /dev/null
+++ b/packages/core/src/cardamomloft/core/document.py
@@ -0,0 +1,183 @@
+"""The configuration document: its types, and the strict check that every reader applies.
+
+The document is plain JSON so that operators can keep it in version control. Types carry their
+ranges; :func:`check_document` reports every mistake at once, each with its path.
+"""
+
+import typing as t
+from typing import NotRequired
+
+from pydantic import ConfigDict, Field, with_config
+from typing_extensions import TypedDict
+
+FORMAT = 1
+
+Name = t.Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Address = t.Annotated[str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+Percent = t.Annotated[float, Field(ge=0, le=100)]
+PriorityName = t.Literal["critical", "normal", "bulk"]
+DrainKind = t.Literal["region", "zone", "upstream", "entry"]
+
+_strict = with_config(ConfigDict(extra="forbid", strict=True))
+
+
+@_strict
+class EntryRow(TypedDict):
+    """One seat of the roster: where callers, peers and operators reach it."""
+
+    zone: Name
+    site: NotRequired[Name]
+    callers: Address
+    peers: Address
+    operators: Address
+
+
+@_strict
+class UpstreamRow(TypedDict):
+    """One upstream endpoint and what it can bear."""
+
+    zone: Name
+    address: Address
+    slots: t.Annotated[int, Field(ge=1, le=10_000)]
+    connections: t.Annotated[int, Field(ge=1, le=100_000)]
+
+
+@_strict
+class ServiceRow(TypedDict):
+    """One service; durations in milliseconds, `prefix` is the path that selects it.
+
+    `shift_cap_percent_per_s` bounds how fast the service's traffic may move between places, in
+    percentage points of its traffic per second. `spill_percent` bounds how much of one region's
+    slots the entries of other regions may use together.
+    """
+
+    prefix: t.Annotated[str, Field(pattern=r"^/[A-Za-z0-9._~/-]*$")]
+    priority: NotRequired[PriorityName]
+    deadline_ms: t.Annotated[int, Field(ge=1, le=600_000)]
+    max_deadline_ms: t.Annotated[int, Field(ge=1, le=600_000)]
+    idempotent_methods: NotRequired[list[str]]
+    max_body_bytes: NotRequired[t.Annotated[int, Field(ge=0)]]
+    shift_cap_percent_per_s: NotRequired[t.Annotated[float, Field(gt=0, le=100)]]
+    spill_percent: NotRequired[Percent]
+    retry_percent: NotRequired[Percent]
+    upstreams: dict[Name, UpstreamRow]
+
+
+@_strict
+class LinkRow(TypedDict):
+    """A link from the entries of one region to the upstreams of another, with its hard limit."""
+
+    origin: Name
+    target: Name
+    bytes_per_s: t.Annotated[int, Field(ge=1)]
+
+
+@_strict
+class ClientsRow(TypedDict):
+    """Which site serves which client block; `chunks` names packed parts kept beside this."""
+
+    default: Name
+    blocks: NotRequired[dict[str, Name]]
+    chunks: NotRequired[list[str]]
+
+
+@_strict
+class When(TypedDict):
+    """Conditions of a rule; all that are given must hold, and an empty one matches everything."""
+
+    service: NotRequired[Name]
+    method: NotRequired[list[str]]
+    path: NotRequired[str]
+    block: NotRequired[str]
+    zone: NotRequired[Name]
+    region: NotRequired[Name]
+    headers: NotRequired[dict[str, str]]
+    priority: NotRequired[PriorityName]
+    idempotent: NotRequired[bool]
+
+
+@_strict
+class PlaceRow(TypedDict):
+    """A region or a zone (exactly one) with its weight."""
+
+    region: NotRequired[Name]
+    zone: NotRequired[Name]
+    weight: t.Annotated[int, Field(ge=0, le=1000)]
+
+
+@_strict
+class Then(TypedDict):
+    """What a rule does: refuse with a text, or choose places and policies."""
+
+    refuse: NotRequired[str]
+    places: NotRequired[list[PlaceRow]]
+    deadline_ms: NotRequired[t.Annotated[int, Field(ge=1, le=600_000)]]
+    priority: NotRequired[PriorityName]
+    attempts: NotRequired[t.Annotated[int, Field(ge=1, le=5)]]
+    spill: NotRequired[list[Name]]
+
+
+@_strict
+class RuleRow(TypedDict):
+    """One when-then rule; the first that matches counts."""
+
+    name: Name
+    when: When
+    then: Then
+
+
+@_strict
+class DrainRow(TypedDict):
+    """A planned drain of a region, zone, upstream or entry; `since` is an ISO 8601 instant."""
+
+    kind: DrainKind
+    since: str
+    reason: NotRequired[str]
+
+
+@_strict
+class MoveRow(TypedDict):
+    """A planned move of part of a service's traffic from one zone to another.
+
+    `percent` of the traffic that the rules send to `origin` goes to `target` instead.
+    """
+
+    service: Name
+    origin: Name
+    target: Name
+    percent: Percent
+    cap_percent_per_s: t.Annotated[float, Field(gt=0, le=100)]
+    since: str
+
+
+@_strict
+class Document(TypedDict):
+    """The whole configuration that operators keep in version control."""
+
+    format: t.Literal[1]
+    deployment: Name
+    regions: dict[Name, list[Name]]
+    entries: dict[Name, EntryRow]
+    services: dict[Name, ServiceRow]
+    clients: ClientsRow
+    rules: list[RuleRow]
+    links: NotRequired[list[LinkRow]]
+    drains: NotRequired[dict[Name, DrainRow]]
+    moves: NotRequired[dict[Name, MoveRow]]
+
+
+class Revision(t.NamedTuple):
+    """A document that the store has recorded under `number`; numbers only go up."""
+
+    number: int
+    document: Document
+
+
+class Mistake(t.NamedTuple):
+    """One fault of a document or settings file; `path` is dotted, from the root."""
+
+    path: str
+    text: str
+
+    def __str__(self) -> str:
+        return f"{self.path or '(root)'}: {self.text}"
--- /dev/null
+++ b/packages/core/src/cardamomloft/core/messages.py
@@ -0,0 +1,105 @@
+"""Messages between entries.
+
+Each is a flat :class:`~typing.NamedTuple` so that the codec can write it as an array. Every
+message is one-way and complete in itself: a lost one is repaired by a later one, a repeated or
+late one is recognised by its numbers.
+"""
+
+import typing as t
+
+
+class LoanRequest(t.NamedTuple):
+    """Ask a holder for part of its share of the limit `key`.
+
+    `number` is unique within the borrower's incarnation. `term_ms` is the duration wanted.
+    """
+
+    number: int
+    key: str
+    amount: int
+    term_ms: int
+
+
+class LoanGrant(t.NamedTuple):
+    """Answer a :class:`LoanRequest`; `amount` 0 is a denial, `retry_ms` when to ask again."""
+
+    number: int
+    key: str
+    amount: int
+    term_ms: int
+    retry_ms: int
+
+
+class LoanReturn(t.NamedTuple):
+    """The borrower gives back the whole loan before its term; sent once no use is left."""
+
+    number: int
+    key: str
+
+
+class LoanRecall(t.NamedTuple):
+    """The lender asks for a loan back early; the borrower returns it as soon as it is idle."""
+
+    number: int
+    key: str
+
+
+class Digest(t.NamedTuple):
+    """What an entry holds, sent to random peers and to the peers that share limits with it.
+
+    `revision` is in force, `settled` is the highest revision whose shares fit all its uses, and
+    `prefix` is the operation-id prefix that look-ups at other entries may hand out for it.
+    `state` is one of starting, ready, leaving.
+    """
+
+    revision: int
+    settled: int
+    state: str
+    prefix: str
+    prefix_left_ms: int
+
+
+class DocumentRequest(t.NamedTuple):
+    """Ask for the configuration if the receiver's revision is above `above`."""
+
+    above: int
+
+
+class DocumentReply(t.NamedTuple):
+    """One accepted-by-the-store configuration: its revision and zlib-compressed JSON."""
+
+    revision: int
+    document: bytes
+
+
+class ChunkRequest(t.NamedTuple):
+    """Ask for one chunk of the client-block map by its digest."""
+
+    digest: str
+
+
+class ChunkReply(t.NamedTuple):
+    """One chunk of the client-block map."""
+
+    digest: str
+    chunk: bytes
+
+
+Message = (
+    LoanRequest
+    | LoanGrant
+    | LoanReturn
+    | LoanRecall
+    | Digest
+    | DocumentRequest
+    | DocumentReply
+    | ChunkRequest
+    | ChunkReply
+)
+
+
+class Outgoing(t.NamedTuple):
+    """A message that decision code wants sent to the entry in `seat`."""
+
+    seat: str
+    message: Message
--- /dev/null
+++ b/packages/entry/src/cardamomloft/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process, cardamomloft."""
--- /dev/null
+++ b/packages/operators/src/cardamomloft/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command, cardamomctl."""
--- /dev/null
+++ b/packages/peers/src/cardamomloft/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Entry-to-entry messages over ZeroMQ."""
--- /dev/null
+++ b/packages/platform/src/cardamomloft/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters for the platform's key-value store and VM list."""
--- /dev/null
+++ b/packages/upstreams/src/cardamomloft/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP client side towards upstream endpoints."""
--- /dev/null
+++ b/standins/src/cardamomloft_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, used by tests, demo and benchmarks only."""
