--- /dev/null
+++ b/packages/callers/src/cardamomloft/callers/app.py
@@ -0,0 +1,214 @@
+"""The callers' HTTP interface: look-ups and requests, routed by klein."""
+
+import socket
+import typing as t
+from collections.abc import Callable
+from http import HTTPStatus
+
+import msgspec
+from cardamomloft.core.model import Refusal, RefusalReason
+from klein import Klein
+from twisted.internet.defer import Deferred, maybeDeferred, succeed
+from twisted.internet.interfaces import IListeningPort
+from twisted.python.failure import Failure
+from twisted.web.http import NO_BODY_CODES as NO_BODY
+from twisted.web.http import parse_qs
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from .body import RequestBody
+from .delivery import AnswerWriter
+from .exchange import Answer, Delivery, RequestHead, broken, to_answer
+from .streaming import CallerFactory, CallerRequest
+
+_CLIENT_QUERY = b"client="
+
+
+class LookupEntry(t.TypedDict):
+    """One entry that the client may use."""
+
+    name: str
+    address: str
+
+
+class LookupAnswer(t.TypedDict):
+    """Which entries a client should use, and how to begin its operation ids."""
+
+    site: str
+    entries: list[LookupEntry]
+    executor: str
+    operation_prefix: str
+    valid_ms: int
+    revision: int
+
+
+Lookup = Callable[[str], LookupAnswer | Refusal]
+Handle = Callable[[RequestHead, RequestBody, "Deferred[None]"], "Deferred[Answer]"]
+
+
+class CallersApp:
+    """Serves callers with two functions.
+
+    Parameters
+    ----------
+    lookup
+        Given a client's IPv4 address, returns the entries to use, or a refusal.
+    handle
+        Given the head, the body and a result that fires if the caller goes away, returns the
+        answer. It should catch its own faults: to an exception, the caller gets 500 with the
+        outcome ``unknown``.
+    on_fault
+        Told of exceptions in `lookup` and `handle`.
+
+    Attributes
+    ----------
+    in_flight
+        How many requests are being handled or answered.
+    """
+
+    def __init__(
+        self, lookup: Lookup, handle: Handle, on_fault: Callable[[Failure], None] | None = None
+    ) -> None:
+        self.in_flight = 0
+        self._lookup = lookup
+        self._handle = handle
+        self._on_fault = on_fault or (lambda failure: None)
+        self._closing = False
+        self._factory: CallerFactory | None = None
+        self._waiting: list[Deferred[None]] = []
+        self._klein = Klein()
+        self._klein.route("/lookup", strict_slashes=False)(self._answer_lookup)
+        self._klein.route("/", strict_slashes=False)(self._answer_request)
+
+    def factory(self, reactor: t.Any) -> CallerFactory:
+        """Return the factory of the callers' connections."""
+        if self._factory is None:
+            self._factory = CallerFactory(reactor, self._klein.resource(), self._on_fault)
+        return self._factory
+
+    def closing(self) -> None:
+        """Answer with ``Connection: close`` from now on."""
+        self._closing = True
+        if self._factory is not None:
+            self._factory.closing = True
+
+    def drained(self) -> "Deferred[None]":
+        """Return a result that fires when no request is in flight."""
+        done: Deferred[None] = Deferred()
+        self._waiting.append(done)
+        self._check_drained()
+        return done
+
+    def disconnect(self) -> "Deferred[None]":
+        """Close the connections, idle ones too; fires when all that was written has been sent."""
+        return succeed(None) if self._factory is None else self._factory.disconnect()
+
+    # Look-ups.
+
+    def _answer_lookup(self, request: CallerRequest) -> bytes | None:
+        client = _client_of(request)
+        found = self._lookup(client) if client is not None else _BAD_CLIENT
+        if isinstance(found, Refusal):
+            answer = to_answer(found)
+        else:
+            age = found["valid_ms"] // 1000
+            headers = (*_LOOKUP_HEADERS, ("Cache-Control", f"max-age={age}"))
+            answer = Answer(HTTPStatus.OK, headers, msgspec.json.encode(found))
+        request.begin_answer(answer)
+        return answer.body
+
+    # Requests.
+
+    def _answer_request(self, request: CallerRequest) -> Resource:
+        return _RequestResource(self)
+
+    def start(self, request: CallerRequest) -> None:
+        """Handle one request; called by its resource."""
+        fault = _fault_of(request)
+        if fault is not None:
+            request.answer_at_once(to_answer(Refusal(RefusalReason.BAD_REQUEST, fault)))
+            return
+        self.in_flight += 1
+        gone: Deferred[None] = Deferred()
+        request.gone.addCallback(lambda _: gone.callback(None))
+        answered = maybeDeferred(self._handle, request.head(), request.body, gone)
+        answered.addErrback(self._fault)
+        answered.addCallback(self._respond, request)
+        answered.addErrback(request.processingFailed)
+        answered.addBoth(lambda _: self._finished())
+
+    def _fault(self, failure: Failure) -> Answer:
+        self._on_fault(failure)
+        return broken("internal error")
+
+    def _respond(self, answer: Answer, request: CallerRequest) -> "Deferred[Delivery] | None":
+        """Answer the request; the result fires when its body has been delivered or given up."""
+        if not isinstance(answer.body, bytes):
+            if not request.over and request.method != b"HEAD" and answer.status not in NO_BODY:
+                return AnswerWriter(request, answer).start()
+            answer.body.abort()
+        request.answer_at_once(answer)
+        return None
+
+    def _finished(self) -> None:
+        self.in_flight -= 1
+        self._check_drained()
+
+    def _check_drained(self) -> None:
+        if self.in_flight:
+            return
+        waiting, self._waiting = self._waiting, []
+        for done in waiting:
+            done.callback(None)
+
+
+class _RequestResource(Resource):
+    """Takes a request over from klein, which would otherwise finish it."""
+
+    isLeaf = True  # noqa: N815  (the name that klein looks for)
+
+    def __init__(self, app: CallersApp) -> None:
+        super().__init__()
+        self._app = app
+
+    def render(self, request: CallerRequest) -> int:
+        self._app.start(request)
+        return NOT_DONE_YET
+
+
+def listen(reactor: t.Any, address: str, app: CallersApp) -> IListeningPort:
+    """Accept callers' connections on `address`, which is ``ip:port``."""
+    host, _, port = address.rpartition(":")
+    return reactor.listenTCP(int(port), app.factory(reactor), interface=host)
+
+
+_LOOKUP_HEADERS = (("Content-Type", "application/json"),)
+_BAD_CLIENT = Refusal(RefusalReason.BAD_REQUEST, "client must be an IPv4 address")
+
+
+def _client_of(request: CallerRequest) -> str | None:
+    """Return the client that a look-up asks for (the caller itself if none), None if malformed."""
+    query = request.query
+    if not query:
+        return request.getClientAddress().host
+    if query.startswith(_CLIENT_QUERY) and b"&" not in query and b"%" not in query:
+        text = query[len(_CLIENT_QUERY) :]
+    else:
+        text = parse_qs(query, 1).get(b"client", [b""])[-1]
+    try:
+        client = text.decode("ascii")
+        socket.inet_pton(socket.AF_INET, client)
+    except (OSError, ValueError):
+        return None
+    return client
+
+
+def _fault_of(request: CallerRequest) -> str | None:
+    """Return why a request cannot be passed on, or None."""
+    if not request.path.startswith(b"/"):
+        return "the request target must be a path"
+    if not all(0x21 <= byte <= 0x7E for byte in request.uri):
+        return "the request target must be percent-encoded"
+    if len(request.requestHeaders.getRawHeaders(b"Host", ())) > 1:
+        return "more than one Host header"
+    return None
--- /dev/null
+++ b/packages/core/src/cardamomloft/core/checking.py
@@ -0,0 +1,351 @@
+"""The check of documents and settings: all mistakes at once, each with its path.
+
+Types come first; names and contradictions are looked at once the types are right, as they could
+not be read before. Warnings are about documents that are valid but hardly meant.
+"""
+
+import functools
+import json
+import typing as t
+from collections import defaultdict
+from collections.abc import Iterator, Mapping
+
+from cardamomloft.core.blocks import parse_block
+from cardamomloft.core.difference import dotted
+from cardamomloft.core.document import Document, Mistake, RuleRow, When
+from cardamomloft.core.model import Priority
+from cardamomloft.core.references import reference_mistakes
+from cardamomloft.core.requests import idempotent_methods, service_priority
+from cardamomloft.core.rules import ANY_VALUE, clean_prefix, is_under, path_prefixes
+from expression import Error, Ok, Result
+from pydantic import TypeAdapter, ValidationError
+from pydantic_core import ErrorDetails
+
+T = t.TypeVar("T")
+Checked = Result[T, tuple[Mistake, ...]]
+_Trait = tuple[t.Any, ...]
+
+_KIND_NAMES = {
+    dict: "an object",
+    list: "a list",
+    str: "text",
+    bool: "true or false",
+    int: "a number",
+    float: "a number",
+    type(None): "null",
+}
+
+_PATTERN_HELP = {
+    "^[a-z0-9][a-z0-9.-]{0,62}$": "must be a name of at most 63 small letters, digits, . and -",
+    r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$": "must be an address like 127.0.0.1:8080",
+}
+
+_TYPE_HELP = {
+    "dict_type": "must be an object",
+    "list_type": "must be a list",
+    "string_type": "must be text",
+    "int_type": "must be a whole number",
+    "int_from_float": "must be a whole number",
+    "float_type": "must be a number",
+    "bool_type": "must be true or false",
+}
+
+_RANGE_HELP = {
+    "greater_than_equal": ("at least", "ge"),
+    "greater_than": ("above", "gt"),
+    "less_than_equal": ("at most", "le"),
+    "less_than": ("below", "lt"),
+}
+
+
+def load_json(text: str | bytes) -> Checked[t.Any]:
+    """Read JSON strictly: no key twice in one object, no NaN or Infinity.
+
+    Errors
+    ------
+    Mistake
+        With line and column where the text is not JSON.
+    """
+    repeated: list[tuple[dict[str, t.Any], list[str]]] = []
+
+    def build(pairs: list[tuple[str, t.Any]]) -> dict[str, t.Any]:
+        built = dict(pairs)
+        if len(built) < len(pairs):
+            keys = [key for key, _ in pairs]
+            repeated.append((built, [key for key in built if keys.count(key) > 1]))
+        return built
+
+    try:
+        raw = json.loads(text, object_pairs_hook=build, parse_constant=_refuse_constant)
+    except json.JSONDecodeError as exc:
+        place = f"line {exc.lineno}, column {exc.colno}"
+        return Error((Mistake("", f"is not JSON at {place}: {exc.msg}"),))
+    except (ValueError, RecursionError) as exc:
+        return Error((Mistake("", f"is not JSON: {exc}"),))
+    if repeated:
+        return Error(tuple(_repeated_keys(raw, repeated)))
+    return Ok(raw)
+
+
+def check_typed(type_: type[T], raw: object) -> Checked[T]:
+    """Check `raw` against a type of strict TypedDicts; nothing is converted or filled in."""
+    try:
+        return Ok(_adapter(type_).validate_python(raw))
+    except ValidationError as exc:
+        return Error(tuple(sorted({_mistake(error, raw) for error in exc.errors()})))
+
+
+def check_document(raw: object) -> Checked[Document]:
+    """Check a whole configuration document."""
+    typed = check_typed(Document, raw)
+    if typed.is_error():
+        return typed
+    mistakes = tuple(dict.fromkeys(reference_mistakes(typed.ok)))
+    return Error(mistakes) if mistakes else typed
+
+
+def warnings(document: Document) -> tuple[Mistake, ...]:
+    """Return what a checked document says that can hardly be meant.
+
+    A rule is reported only where it provably cannot match: because of its own conditions, or
+    because one earlier rule matches all that it does.
+    """
+    dead = dict(_dead_rules(document))
+    return (
+        *(Mistake(dotted("rules", name), why) for name, why in dead.items()),
+        *_unreached_services(document, dead),
+        *_empty_places(document),
+        *_drained_services(document),
+        *_zones_without_entries(document),
+    )
+
+
+@functools.lru_cache(maxsize=64)
+def _adapter(type_: type[T]) -> TypeAdapter[T]:
+    return TypeAdapter(type_)
+
+
+def _refuse_constant(name: str) -> t.NoReturn:
+    raise ValueError(f"{name} is not a number")
+
+
+def _repeated_keys(
+    raw: object, repeated: list[tuple[dict[str, t.Any], list[str]]]
+) -> Iterator[Mistake]:
+    """Yield the keys given twice; an object that a later one replaced has no path."""
+    paths = {id(value): path for path, value in _objects((), raw)}
+    for built, keys in repeated:
+        for key in keys:
+            yield Mistake(dotted(*paths.get(id(built), ()), key), "key is given twice")
+
+
+def _objects(path: tuple[object, ...], raw: object) -> Iterator[tuple[tuple[object, ...], object]]:
+    if isinstance(raw, dict):
+        yield path, raw
+        for key, value in raw.items():
+            yield from _objects((*path, key), value)
+    elif isinstance(raw, list):
+        for at, value in enumerate(raw):
+            yield from _objects((*path, at), value)
+
+
+def _mistake(error: ErrorDetails, raw: object) -> Mistake:
+    parts = [part for part in error["loc"] if part != "[key]"]
+    return Mistake(dotted(*_named_rows(parts, raw)), _text(error))
+
+
+def _named_rows(parts: list[t.Any], raw: t.Any) -> Iterator[object]:
+    """Yield the path with the names of rules in place of their positions, where they have one."""
+    for part in parts:
+        raw = raw[part] if _has_part(raw, part) else None
+        named = isinstance(part, int) and isinstance(raw, dict) and isinstance(raw.get("name"), str)
+        yield raw["name"] if named else part
+
+
+def _has_part(raw: object, part: t.Any) -> bool:
+    if isinstance(raw, list):
+        return isinstance(part, int) and part < len(raw)
+    return isinstance(raw, dict) and part in raw
+
+
+def _text(error: ErrorDetails) -> str:
+    kind, value, ctx = error["type"], error["input"], error.get("ctx", {})
+    if kind == "extra_forbidden":
+        return "unknown key"
+    if kind == "missing":
+        return "missing"
+    if kind in _RANGE_HELP:
+        words, bound = _RANGE_HELP[kind]
+        return f"must be {words} {ctx[bound]}, is {value}"
+    if kind == "literal_error":
+        return f"must be {ctx['expected']}, is {value!r}"
+    if kind == "string_pattern_mismatch":
+        return f"{_PATTERN_HELP.get(ctx['pattern'], 'must match ' + ctx['pattern'])}, is {value!r}"
+    if kind in _TYPE_HELP:
+        shown = (
+            value if isinstance(value, float) else _KIND_NAMES.get(type(value), "something else")
+        )
+        return f"{_TYPE_HELP[kind]}, is {shown}"
+    return error["msg"]
+
+
+def _dead_rules(document: Document) -> Iterator[tuple[str, str]]:
+    earlier: defaultdict[_Trait, list[RuleRow]] = defaultdict(list)
+    for rule in document["rules"]:
+        why = _contradiction(rule["when"], document) or _shadow(rule["when"], earlier, document)
+        if why:
+            yield rule["name"], f"can never match: {why}"
+        else:
+            earlier[_trait(rule["when"])].append(rule)
+
+
+def _contradiction(when: When, document: Document) -> str | None:
+    zone, region = when.get("zone"), when.get("region")
+    if zone is not None and region is not None and zone not in document["regions"][region]:
+        return f"zone {zone} is not in region {region}"
+    if "service" not in when:
+        return None
+    service = document["services"][when["service"]]
+    if "path" in when and not _meet(when["path"], service["prefix"]):
+        return f"path {when['path']} is not one of service {when['service']}"
+    # Callers may lower a priority but not raise it.
+    if "priority" in when and Priority[when["priority"].upper()] < service_priority(service):
+        return f"requests of service {when['service']} have no priority above its own"
+    if "method" in when and "idempotent" in when:
+        methods = idempotent_methods(service)
+        if all((method in methods) != when["idempotent"] for method in when["method"]):
+            return "these methods are " + ("not " if when["idempotent"] else "") + "idempotent"
+    return None
+
+
+def _shadow(when: When, earlier: Mapping[_Trait, list[RuleRow]], document: Document) -> str | None:
+    for trait in _implied_traits(when, document):
+        for other in earlier.get(trait, ()):
+            if _covers(other["when"], when, document):
+                return f"rule {other['name']} comes first and matches all that it does"
+    return None
+
+
+def _trait(when: When) -> _Trait:
+    """Return one condition to file a rule under, so that few rules need to be compared."""
+    if "path" in when:
+        return ("path", clean_prefix(when["path"]))
+    if "block" in when:
+        return ("block", parse_block(when["block"]))
+    if "headers" in when:
+        return ("headers", *next(iter(when["headers"].items()), ()))
+    return ("service", when.get("service"))
+
+
+def _implied_traits(when: When, document: Document) -> Iterator[_Trait]:
+    """Yield the traits of all rules that can match whatever `when` does."""
+    yield from (("service", None), ("service", when.get("service")), ("headers",))
+    for path in _implied_paths(when, document):
+        yield from (("path", prefix) for prefix in path_prefixes(path, path.count("/")))
+    block = parse_block(when.get("block", ""))
+    if block is not None:
+        for length in range(block.length + 1):
+            yield ("block", block.within(length))
+    for name, value in when.get("headers", {}).items():
+        yield from (("headers", name, value), ("headers", name, ANY_VALUE))
+
+
+def _covers(outer: When, inner: When, document: Document) -> bool:
+    """Tell whether `inner` provably implies `outer`, condition by condition."""
+    return all(_implied(condition, wanted, inner, document) for condition, wanted in outer.items())
+
+
+def _implied(condition: str, wanted: t.Any, inner: When, document: Document) -> bool:
+    given = t.cast(Mapping[str, t.Any], inner).get(condition)
+    match condition:
+        case "method":
+            return given is not None and set(given) <= set(wanted)
+        case "path":
+            return _path_implied(wanted, inner, document)
+        case "block":
+            outer, block = parse_block(wanted), parse_block(given or "")
+            return outer is not None and block is not None and outer.covers(block)
+        case "region":
+            return given == wanted or inner.get("zone") in document["regions"][wanted]
+        case "headers":
+            return all(_header_implied(name, value, given or {}) for name, value in wanted.items())
+        case _:
+            return given == wanted
+
+
+def _path_implied(wanted: str, inner: When, document: Document) -> bool:
+    outer = clean_prefix(wanted)
+    return any(is_under(path, outer) for path in _implied_paths(inner, document))
+
+
+def _implied_paths(when: When, document: Document) -> list[str]:
+    """Return prefixes that every path under `when` has."""
+    prefixes = [when["path"]] if "path" in when else []
+    if "service" in when:
+        prefixes.append(document["services"][when["service"]]["prefix"])
+    return [clean_prefix(prefix) for prefix in prefixes or ["/"]]
+
+
+def _header_implied(name: str, value: str, given: Mapping[str, str]) -> bool:
+    return name in given and value in (ANY_VALUE, given[name])
+
+
+def _meet(path: str, prefix: str) -> bool:
+    """Tell whether some request path is under both prefixes."""
+    one, other = clean_prefix(path), clean_prefix(prefix)
+    return is_under(one, other) or is_under(other, one)
+
+
+def _unreached_services(document: Document, dead: Mapping[str, str]) -> Iterator[Mistake]:
+    for name, service in document["services"].items():
+        alive = (rule["when"] for rule in document["rules"] if rule["name"] not in dead)
+        if not any(
+            when.get("service", name) == name and _meet(when.get("path", "/"), service["prefix"])
+            for when in alive
+        ):
+            yield Mistake(dotted("services", name), "no rule can match, so all is refused")
+
+
+def _empty_places(document: Document) -> Iterator[Mistake]:
+    """Yield the places that rules and moves send a service to and that have none of it."""
+    for rule in document["rules"]:
+        service = rule["when"].get("service")
+        for at, place in enumerate(rule["then"].get("places", ())):
+            zones = _zones_of(place.get("region"), place.get("zone"), document)
+            if service is not None and place["weight"] and not zones & _homes(service, document):
+                path = dotted("rules", rule["name"], "then", "places", at)
+                yield Mistake(path, f"there is no upstream of service {service} there")
+    for name, move in document.get("moves", {}).items():
+        if move["target"] not in _homes(move["service"], document):
+            text = f"there is no upstream of service {move['service']} there"
+            yield Mistake(dotted("moves", name, "target"), text)
+
+
+def _zones_of(region: str | None, zone: str | None, document: Document) -> set[str]:
+    return {zone} if zone is not None else set(document["regions"][t.cast(str, region)])
+
+
+def _homes(service: str, document: Document) -> set[str]:
+    return {upstream["zone"] for upstream in document["services"][service]["upstreams"].values()}
+
+
+def _drained_services(document: Document) -> Iterator[Mistake]:
+    drained: dict[str, set[str]] = {"region": set(), "zone": set(), "upstream": set()}
+    for name, drain in document.get("drains", {}).items():
+        drained.setdefault(drain["kind"], set()).add(name)
+    for region in drained["region"]:
+        drained["zone"].update(document["regions"][region])
+    for name, service in document["services"].items():
+        if all(
+            upstream in drained["upstream"] or row["zone"] in drained["zone"]
+            for upstream, row in service["upstreams"].items()
+        ):
+            yield Mistake(dotted("services", name), "has no upstream that is not drained")
+
+
+def _zones_without_entries(document: Document) -> Iterator[Mistake]:
+    served = {row["zone"] for row in document["entries"].values()}
+    for region, zones in document["regions"].items():
+        for zone in zones:
+            if zone not in served:
+                yield Mistake(dotted("regions", region), f"zone {zone} has no entry")
--- /dev/null
+++ b/packages/core/src/cardamomloft/core/shares.py
@@ -0,0 +1,495 @@
+"""The shares of all limits at one entry: what it may use now, lends, borrows and settles.
+
+Every unit of a limit belongs to at most one entry at any time. It moves for a while by loan
+(:mod:`cardamomloft.core.loans`), and for good by a new division in a later revision
+(:mod:`cardamomloft.core.limits`). A restarted entry owns nothing until the uses and loans of its
+predecessor are over (quarantine), and then only as under a new division.
+"""
+
+import itertools
+import typing as t
+from collections.abc import Callable, Iterator, Mapping
+from datetime import timedelta
+
+from cardamomloft.core.clock import Clock
+from cardamomloft.core.limits import CoHolders, Limit, LimitKind, Ownership, base_shares
+from cardamomloft.core.loans import Lendings, Loans, denial, loan_numbers, longest_loan
+from cardamomloft.core.messages import (
+    Digest,
+    LoanGrant,
+    LoanRecall,
+    LoanRequest,
+    LoanReturn,
+    Outgoing,
+)
+from cardamomloft.core.model import Hold, Incarnation, Refusal, RefusalReason
+from expression import Error, Ok, Result
+
+PEAK_WINDOW = timedelta(seconds=1)
+"""How long a peak of own use keeps a lender from lending the units."""
+
+MAX_ASKS = 8
+"""Requests under way at one time for one limit."""
+
+_ZERO = timedelta(0)
+_MILLISECOND = timedelta(milliseconds=1)
+
+LoanMessage = LoanRequest | LoanGrant | LoanReturn | LoanRecall
+
+
+def _refused(reason: RefusalReason, detail: str) -> Result[Hold, Refusal]:
+    return Error(Refusal(reason, detail))
+
+
+_NO_LIMIT = _refused(RefusalReason.NO_PLACE, "no such limit")
+_CLOSED = _refused(RefusalReason.STOPPING, "all shares are handed over")
+_NO_SHARE = _refused(RefusalReason.OVERLOAD, "no share is free")
+_BAD_DEADLINE = _refused(RefusalReason.DEADLINE, "the deadline is past or too far off")
+
+
+class ShareRow(t.NamedTuple):
+    """One limit as this entry sees it, for status pages; all amounts in units of the limit."""
+
+    key: str
+    kind: LimitKind
+    capacity: int
+    base: int
+    own: int
+    used: int
+    lent: int
+    borrowed: int
+    wanted: int
+    complete: bool
+
+
+class _Account:
+    """What this entry owns, uses, lends and borrows of one limit."""
+
+    __slots__ = (
+        "lendings",
+        "limit",
+        "loans",
+        "ownership",
+        "peak",
+        "peak_at",
+        "used",
+        "wanted",
+    )
+
+    def __init__(self, limit: Limit) -> None:
+        self.limit = limit
+        self.ownership = Ownership()
+        self.used = 0
+        self.wanted = 0
+        self.peak = 0
+        self.peak_at = _ZERO
+        self.lendings: Lendings | None = None
+        self.loans: Loans | None = None
+
+    @property
+    def lent(self) -> int:
+        return self.lendings.lent if self.lendings else 0
+
+    @property
+    def is_busy(self) -> bool:
+        return bool(self.used or self.lendings or self.loans)
+
+    def free_own(self) -> int:
+        """Return own units neither used nor lent; negative after a cut."""
+        return self.ownership.own - self.used - self.lent
+
+    def free(self, now: timedelta) -> int:
+        """Return the units that a new use may take."""
+        own = max(self.free_own(), 0)
+        return own + self.loans.free(now) if self.loans else own
+
+    def note_use(self, amount: int, now: timedelta) -> None:
+        """Keep the recent peak of own use."""
+        if amount >= self.peak or now - self.peak_at > PEAK_WINDOW:
+            self.peak = amount
+            self.peak_at = now
+
+    def spare(self, now: timedelta) -> int:
+        """Return what can be lent: all but the recent peak and what is wanted here.
+
+        It is negative if units that are lent are wanted here.
+        """
+        self.note_use(self.used, now)
+        spare = self.free_own() - self.wanted
+        return spare if spare < 0 else max(spare - self.peak + self.used, 0)
+
+
+class Shares:
+    """Every limit at one entry.
+
+    Parameters
+    ----------
+    me
+        This process; another life of the seat never has the same number.
+    drift
+        How far any entry's monotonic clock may be from true time, as a fraction.
+    """
+
+    def __init__(self, me: Incarnation, clock: Clock, *, drift: float = 0.01) -> None:
+        self.before_rate_change: Callable[[str], None] | None = None
+        self._me = me
+        self._clock = clock
+        self._drift = drift
+        self._revision = 0
+        self._settled = 0
+        self._limits: Mapping[str, Limit] = {}
+        self._accounts: dict[str, _Account] = {}
+        self._active: set[str] = set()
+        self._open: set[str] = set()
+        self._holds: set[int] = set()
+        self._others = CoHolders()
+        self._hold_numbers = itertools.count(1)
+        self._loan_numbers = loan_numbers(me)
+        self._turn = 0
+        self._quarantined_at: timedelta | None = None
+        self._stopping = False
+        self._closed = False
+
+    @property
+    def settled(self) -> int:
+        """The highest revision whose division this entry keeps and vouches for; 0 for none."""
+        return self._settled
+
+    @property
+    def partners(self) -> frozenset[str]:
+        """The seats whose digests this entry waits for, or that may wait for its own."""
+        accounts = self._accounts.values()
+        seats = {seat for a in accounts for seat in (*a.limit.holders, *a.ownership.before)}
+        return frozenset(seats - {self._me.seat})
+
+    @property
+    def is_clear(self) -> bool:
+        """Whether after :meth:`hand_over` nothing is used, lent or borrowed any more.
+
+        From then on nothing can be acquired, and a successor may start without quarantine.
+        """
+        accounts = self._accounts.values()
+        if self._stopping and not self._holds and not any(a.lent or a.loans for a in accounts):
+            self._closed = True
+        return self._closed
+
+    def configure(
+        self, revision: int, limits: Mapping[str, Limit], *, quarantine: bool = False
+    ) -> None:
+        """Take the limits of a higher revision; a lower or the same one changes nothing.
+
+        Parameters
+        ----------
+        quarantine
+            At the first call: whether an earlier life of this seat may have left uses or loans
+            behind. False only for the first life, and after a clean hand-over.
+        """
+        if revision <= self._revision:
+            return
+        now = self._clock.monotonic()
+        if not self._revision and quarantine:
+            self._quarantined_at = now
+        known, self._limits, self._revision = self._limits, limits, revision
+        held = {key for key, limit in limits.items() if self._me.seat in limit.holders}
+        for key in sorted(held | set(self._accounts)):
+            self._divide(key, known.get(key), limits.get(key), now)
+        self._review()
+
+    def acquire(self, key: str, amount: int, deadline: timedelta) -> Result[Hold, Refusal]:
+        """Take `amount` units for a use that ends by the monotonic instant `deadline`.
+
+        The units come whole from the own share or whole from one loan.
+        """
+        now = self._clock.monotonic()
+        account = self._accounts.get(key) or self._open_account(key)
+        if account is None:
+            return _NO_LIMIT
+        if self._closed:
+            return _CLOSED
+        if not now < deadline <= now + account.limit.longest_use:
+            return _BAD_DEADLINE
+        loan = None
+        if account.free_own() >= amount:
+            account.used += amount
+            account.note_use(account.used, now)
+        else:
+            loan = account.loans.use(amount, deadline, now) if account.loans else None
+            if loan is None:
+                return _NO_SHARE
+        number = next(self._hold_numbers)
+        self._holds.add(number)
+        return Ok(Hold(number, key, amount, deadline, loan))
+
+    def release(self, hold: Hold) -> None:
+        """Give the units back; releasing twice changes nothing."""
+        if hold.number not in self._holds:
+            return
+        self._holds.remove(hold.number)
+        account = self._accounts[hold.key]
+        if hold.loan is None:
+            account.used -= hold.amount
+        elif account.loans:
+            account.loans.end_use(hold.loan, hold.amount, self._clock.monotonic())
+
+    def free(self, key: str) -> int:
+        """Return the units that a use may take now: of the own share or, if short, of loans."""
+        account = self._accounts.get(key)
+        return account.free(self._clock.monotonic()) if account else 0
+
+    def want(self, key: str, amount: int) -> None:
+        """Say how many units are wanted beyond those in use; 0 when none are any more."""
+        account = self._accounts.get(key) or self._open_account(key)
+        if account:
+            account.wanted = amount
+            self._active.add(key)
+
+    def observe(self, key: str, rate: int) -> None:
+        """Say at what rate a RATE limit is used, so that this much of it is kept."""
+        account = self._accounts.get(key)
+        if account:
+            now = self._clock.monotonic()
+            account.note_use(min(rate, account.ownership.own), now)
+            if account.loans:
+                account.loans.mark_used(rate - account.free_own(), now)
+
+    def rates(self, key: str, since: timedelta) -> Iterator[tuple[timedelta, int]]:
+        """Yield the spans from `since` until now with the rate that was this entry's in each.
+
+        Right only if nothing but loans running out has changed the rate since then; see
+        `before_rate_change`, which is called with the key before anything else does.
+        """
+        account = self._accounts.get(key) or self._open_account(key)
+        now = self._clock.monotonic()
+        if account is None or now <= since:
+            return
+        loans = [loan for _, loan in account.loans.live(since)] if account.loans else []
+        ends = {loan.expires for loan in loans if loan.expires < now}
+        start = since
+        for end in sorted({*ends, now}):
+            borrowed = sum(loan.amount for loan in loans if loan.expires >= end)
+            yield end - start, max(account.free_own(), 0) + borrowed
+            start = end
+
+    def on_digest(self, sender: Incarnation, digest: Digest) -> None:
+        """Take a peer's report of the revision that it has in force and has settled."""
+        self._others.on_digest(sender, digest, self._clock.monotonic())
+        self._review()
+
+    def on_gone(self, seat: str) -> None:
+        """Take from the platform's list that the seat's VM is gone."""
+        self._others.on_gone(seat, self._clock.monotonic())
+
+    def on_listed(self, seat: str) -> None:
+        """Take from the platform's list that the seat has a VM that is not gone."""
+        self._others.on_listed(seat)
+
+    def hand_over(self) -> list[Outgoing]:
+        """Begin a planned stop: return and recall loans; go on with tick until `is_clear`."""
+        self._stopping = True
+        return self.tick()
+
+    def rows(self) -> list[ShareRow]:
+        """Return the state of every limit that this entry holds or uses, for status pages."""
+        return [_row(key, account) for key, account in sorted(self._accounts.items())]
+
+    def on_message(self, sender: Incarnation, message: LoanMessage) -> list[Outgoing]:
+        """Take a loan message from another entry and return the answers."""
+        account = self._accounts.get(message.key)
+        now = self._clock.monotonic()
+        if account:
+            self._touch(account)
+        match message:
+            case LoanRequest():
+                answer = self._lend(account, sender, message, now) if account else denial(message)
+            case LoanGrant():
+                answer = self._take(account, sender, message, now)
+            case LoanReturn():
+                answer = self._close(account, sender, message)
+            case LoanRecall():
+                known = account and account.loans and account.loans.recall(sender, message.number)
+                answer = None if known else LoanReturn(message.number, message.key)
+        return [Outgoing(sender.seat, answer)] if answer else []
+
+    def tick(self) -> list[Outgoing]:
+        """Let loans run out, and send what is due; call it every 20 to 50 ms."""
+        now = self._clock.monotonic()
+        self._review()
+        outgoing: list[Outgoing] = []
+        for key in sorted(self._active):
+            account = self._accounts[key]
+            self._touch(account)
+            outgoing += self._tick_lender(key, account, now)
+            outgoing += self._tick_borrower(key, account, now)
+            if not account.wanted and not account.lendings and not account.loans:
+                self._active.discard(key)
+        return outgoing
+
+    def _divide(self, key: str, old: Limit | None, new: Limit | None, now: timedelta) -> None:
+        """Move one account to the new revision's limit; `old` is the last revision's, if any."""
+        me = self._me.seat
+        account = self._accounts.get(key)
+        if account is None:
+            account = self._accounts[key] = _Account(new)
+        else:
+            old = account.limit
+        limit = account.limit = new or old._replace(capacity=0, holders=())
+        owned = account.ownership
+        holds = me in limit.holders or (old is not None and me in old.holders)
+        if not holds and owned.complete and owned.settled:
+            if not account.is_busy:
+                self._active.discard(key)
+                del self._accounts[key]
+            return
+        self._touch(account)
+        owned.overhang = max(owned.overhang, self._overhang(limit))
+        if old is None or (old.capacity, old.holders) != (limit.capacity, limit.holders):
+            before = [seat for seat in old.holders if seat != me] if old else ()
+            owned.divide(base_shares(limit).get(me, 0), before, self._revision, now)
+        self._delay(account, old, now)
+        self._open.add(key)
+
+    def _delay(self, account: _Account, old: Limit | None, now: timedelta) -> None:
+        """Let what may last longer than the new limit's longest use end first."""
+        owned = account.ownership
+        if self._quarantined_at is not None:
+            until = self._quarantined_at + owned.overhang
+            owned.wait_until = max(owned.wait_until, until)
+        if old and account.limit.longest_use < old.longest_use and account.is_busy:
+            owned.wait_until = max(owned.wait_until, now + owned.overhang)
+            owned.settled = False
+
+    def _review(self) -> None:
+        now = self._clock.monotonic()
+        settled = True
+        for key in sorted(self._open):
+            account = self._accounts[key]
+            owned = account.ownership
+            self._touch(account)
+            holders = [seat for seat in account.limit.holders if seat != self._me.seat]
+            occupied = account.used + account.lent
+            owned.review(occupied, holders, self._others, self._revision, now)
+            settled = settled and owned.settled
+            if owned.settled and owned.complete:
+                self._open.discard(key)
+        if settled:
+            self._settled = self._revision
+
+    def _overhang(self, limit: Limit) -> timedelta:
+        """Return after what time all that began under the limit is over, by any clock."""
+        longest = limit.longest_use + longest_loan(limit, self._drift)
+        return longest * (1 + 3 * self._drift)
+
+    def _open_account(self, key: str) -> _Account | None:
+        """Return a new account of a limit of which this entry holds nothing."""
+        limit = self._limits.get(key)
+        if limit is None:
+            return None
+        account = self._accounts[key] = _Account(limit)
+        return account
+
+    def _touch(self, account: _Account) -> None:
+        if account.limit.kind is LimitKind.RATE and self.before_rate_change:
+            self.before_rate_change(account.limit.key)
+
+    def _lend(
+        self, account: _Account, borrower: Incarnation, req: LoanRequest, now: timedelta
+    ) -> LoanGrant | None:
+        if account.lendings is None:
+            account.lendings = Lendings(self._drift)
+        self._active.add(req.key)
+        spare = -1 if self._stopping else account.spare(now)
+        longest = longest_loan(account.limit, self._drift)
+        return account.lendings.answer(borrower, req, spare, longest, now)
+
+    def _take(
+        self, account: _Account | None, lender: Incarnation, grant: LoanGrant, now: timedelta
+    ) -> LoanReturn | None:
+        loans = account.loans if account else None
+        if not grant.amount:
+            if loans is not None:
+                loans.refuse(lender, grant, now)
+            return None
+        if loans is not None and loans.take(lender, grant, now):
+            return None
+        return LoanReturn(grant.number, grant.key)
+
+    def _close(self, account: _Account | None, borrower: Incarnation, msg: LoanReturn) -> None:
+        lendings = account.lendings if account else None
+        lending = lendings.find(borrower, msg.number) if lendings is not None else None
+        if lending:
+            lendings.close(lending)
+
+    def _tick_lender(self, key: str, account: _Account, now: timedelta) -> Iterator[Outgoing]:
+        lendings = account.lendings
+        if lendings is None:
+            return
+        lendings.expire(now)
+        if not lendings:
+            account.lendings = None
+        short = lendings.lent if self._stopping else account.wanted - account.free_own()
+        for seat, number in lendings.recall(short, now):
+            yield Outgoing(seat, LoanRecall(number, key))
+
+    def _tick_borrower(self, key: str, account: _Account, now: timedelta) -> Iterator[Outgoing]:
+        loans = account.loans
+        if loans is not None:
+            limit = account.limit
+            for seat, number in loans.drop_idle(now, at_once=self._stopping):
+                yield Outgoing(seat, LoanReturn(number, key))
+            for loan in loans.due_renewals(limit.longest_use, now):
+                yield Outgoing(loan.lender.seat, self._request(limit, loan.number, loan.amount))
+            for ask, again in loans.repeat(now, give_up=self._stopping):
+                request = self._request(limit, ask.number, ask.amount)
+                yield Outgoing(ask.seat, request if again else LoanReturn(ask.number, key))
+        if account.wanted and not self._stopping:
+            yield from self._borrow(account, now)
+        elif not account.loans:
+            account.loans = None
+
+    def _borrow(self, account: _Account, now: timedelta) -> Iterator[Outgoing]:
+        """Ask for what is wanted, and for more the more is borrowed already."""
+        if account.loans is None:
+            account.loans = Loans(self._drift)
+        loans, limit = account.loans, account.limit
+        short = account.wanted - account.free(now) - loans.asked()
+        if short <= 0:
+            return
+        short = max(short, loans.borrowed() // 2)
+        for seat, base in self._lenders(limit):
+            if short <= 0 or len(loans.asks) >= MAX_ASKS:
+                return
+            if loans.may_ask(seat, now):
+                amount = min(base, short)
+                short -= amount
+                number = loans.ask(next(self._loan_numbers), seat, amount, now)
+                yield Outgoing(seat, self._request(limit, number, amount))
+
+    def _lenders(self, limit: Limit) -> list[tuple[str, int]]:
+        """Return the other seats with a base share, another one first each time."""
+        lenders = [
+            (seat, base)
+            for seat, base in base_shares(limit).items()
+            if base and seat != self._me.seat and not self._others.is_gone(seat)
+        ]
+        self._turn += 1
+        start = self._turn % max(len(lenders), 1)
+        return lenders[start:] + lenders[:start]
+
+    def _request(self, limit: Limit, number: int, amount: int) -> LoanRequest:
+        term = longest_loan(limit, self._drift) // _MILLISECOND
+        return LoanRequest(number, limit.key, amount, term)
+
+
+def _row(key: str, account: _Account) -> ShareRow:
+    return ShareRow(
+        key=key,
+        kind=account.limit.kind,
+        capacity=account.limit.capacity,
+        base=account.ownership.base,
+        own=account.ownership.own,
+        used=account.used,
+        lent=account.lent,
+        borrowed=account.loans.borrowed() if account.loans else 0,
+        wanted=account.wanted,
+        complete=account.ownership.complete,
+    )
--- /dev/null
+++ b/packages/entry/src/cardamomloft/entry/metrics.py
@@ -0,0 +1,48 @@
+"""Counters and latency histograms by service, rendered for the operators' /metrics page."""
+
+from collections import Counter
+from datetime import timedelta
+
+from hdrh.histogram import HdrHistogram
+
+_LOWEST_US = 1
+_HIGHEST_US = 600_000_000
+_DIGITS = 2
+_PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class Metrics:
+    """All figures of one entry since its start."""
+
+    def __init__(self) -> None:
+        self.counters: Counter[str] = Counter()
+        self._latency: dict[str, HdrHistogram] = {}
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Add `by` to the counter `name`."""
+        self.counters[name] += by
+
+    def observe(self, service: str, latency: timedelta) -> None:
+        """Record one answer's latency, from the request's head to the answer's end."""
+        histogram = self._latency.get(service)
+        if histogram is None:
+            histogram = self._latency[service] = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+        histogram.record_value(max(_LOWEST_US, int(latency / timedelta(microseconds=1))))
+
+    def render(self) -> str:
+        """Return the figures in the Prometheus text format."""
+        lines = [
+            f"cardamomloft_{name.replace('-', '_').replace('.', '_')}_total {value}"
+            for name, value in sorted(self.counters.items())
+        ]
+        for service, histogram in sorted(self._latency.items()):
+            lines += [
+                f'cardamomloft_latency_seconds{{service="{service}",quantile="{p / 100:g}"}} '
+                f"{histogram.get_value_at_percentile(p) / 1e6:.6f}"
+                for p in _PERCENTILES
+            ]
+            lines.append(
+                f'cardamomloft_latency_seconds_count{{service="{service}"}} '
+                f"{histogram.get_total_count()}"
+            )
+        return "\n".join(lines) + "\n"
--- /dev/null
+++ b/packages/entry/src/cardamomloft/entry/node.py
@@ -0,0 +1,584 @@
+"""The entry: assembles the decisions and the edges, and owns their life.
+
+Data flows one way: callers to decisions to upstreams. Platform and peers only feed state.
+"""
+
+import ipaddress
+import random
+import secrets
+import typing as t
+from datetime import timedelta
+
+from cardamomloft.callers.app import CallersApp, LookupAnswer, LookupEntry, listen
+from cardamomloft.callers.body import RequestBody
+from cardamomloft.callers.exchange import Answer, RequestHead, to_answer
+from cardamomloft.core.admission import Admission
+from cardamomloft.core.checking import check_document
+from cardamomloft.core.claims import Claims
+from cardamomloft.core.clock import Clock
+from cardamomloft.core.document import Revision
+from cardamomloft.core.hints import LoadReport
+from cardamomloft.core.ledger import Ledger
+from cardamomloft.core.membership import Membership
+from cardamomloft.core.messages import (
+    Digest,
+    DocumentReply,
+    DocumentRequest,
+    LoanGrant,
+    LoanRecall,
+    LoanRequest,
+    LoanReturn,
+    Message,
+    Outgoing,
+)
+from cardamomloft.core.model import Incarnation, Refusal, RefusalReason, Request
+from cardamomloft.core.operations import OperationIds
+from cardamomloft.core.rates import Pacer
+from cardamomloft.core.replication import Replica
+from cardamomloft.core.router import Router
+from cardamomloft.core.shares import Shares
+from cardamomloft.core.steering import Steering
+from cardamomloft.core.stewardship import STANDBYS, Stewardship
+from cardamomloft.entry.control import ControlApp
+from cardamomloft.entry.executor import Executor
+from cardamomloft.entry.forwarding import Forwarder
+from cardamomloft.entry.lifecycle import LifeActions, make_life_cycle
+from cardamomloft.entry.logs import log
+from cardamomloft.entry.metrics import Metrics
+from cardamomloft.entry.seat import SeatRecord
+from cardamomloft.entry.settings import EntrySettings
+from cardamomloft.entry.status import StatusPage
+from cardamomloft.entry.steward import CONFIGURATION_KEY, StewardRunner, offer_record
+from cardamomloft.peers.curve import CurveKeys
+from cardamomloft.peers.node import PeerNode
+from cardamomloft.platform.store import HttpStore
+from cardamomloft.platform.vms import HttpVmList
+from cardamomloft.upstreams.client import UpstreamClient
+from expression import Result
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import LoopingCall
+from twisted.python.failure import Failure
+
+TICK = timedelta(milliseconds=25)
+GOSSIP = timedelta(seconds=1)
+GOSSIP_TARGETS = 4
+LOOKUP_ENTRIES = 3
+LOOKUP_VALID = timedelta(seconds=2)
+LINGER = LOOKUP_VALID + timedelta(milliseconds=500)
+CLEAR_PATIENCE = timedelta(seconds=2)
+SEAT_RETRY = timedelta(seconds=2)
+FIRST_READ = timedelta(milliseconds=1500)
+LEASE_CHECK = timedelta(seconds=5)
+
+_DEFAULTS: dict[str, t.Any] = {
+    "store_timeout_ms": 2000,
+    "vms_every_ms": 2000,
+    "load_every_ms": 250,
+    "max_in_flight": 2000,
+    "ledger_entries": 20_000,
+    "ledger_bytes": 64 * 1024 * 1024,
+    "claims_per_s": 20,
+}
+
+
+class EntryNode:
+    """One entry process.
+
+    Parameters
+    ----------
+    reactor
+        The event loop.
+    cfg
+        Checked settings.
+    clock, rng
+        Sources of time and chance.
+    """
+
+    def __init__(
+        self, reactor: t.Any, cfg: EntrySettings, clock: Clock, rng: random.Random
+    ) -> None:
+        self._reactor = reactor
+        self._cfg: dict[str, t.Any] = {**_DEFAULTS, **cfg}
+        self._clock = clock
+        self._rng = rng
+        self.me = Incarnation(cfg["seat"], secrets.token_hex(8))
+        self.metrics = Metrics()
+        self.life = make_life_cycle(_Later(reactor, self))
+        self.stopped: Deferred[None] = Deferred()
+        self._build_platform()
+        self._build_decisions()
+        self._build_edges()
+        self._in_force = 0
+        self._reported: tuple[object, ...] = ()
+        self._timers: list[LoopingCall] = []
+        self._upstream_turn = 0
+        self.vms_at: timedelta | None = None
+        self.store_at: timedelta | None = None
+
+    def _build_platform(self) -> None:
+        timeout = timedelta(milliseconds=self._cfg["store_timeout_ms"])
+        self.store = HttpStore(self._reactor, _address(self._cfg["store"]), timeout=timeout)
+        self.vms = HttpVmList(self._reactor, _address(self._cfg["vms"]), timeout=timeout)
+        self.seat = SeatRecord(self.me, self.store)
+
+    def _build_decisions(self) -> None:
+        clock, rng, cfg = self._clock, self._rng, self._cfg
+        self.shares = Shares(self.me, clock)
+        self.pacer = Pacer(self.shares, clock)
+        # The region is known with the first document; until then nothing is decided.
+        self.router: Router | None = None
+        self.membership = Membership(self.me, clock)
+        self.replica = Replica(
+            self.me,
+            clock,
+            rng,
+            self._describe,
+            check=check_document,
+            seeds=cfg.get("peer_seeds", ()),
+        )
+        self.ids = OperationIds(self.me, clock, secrets.token_bytes(32))
+        self.ledger = Ledger(
+            clock, max_entries=cfg["ledger_entries"], max_bytes=cfg["ledger_bytes"]
+        )
+        per_s = cfg["claims_per_s"]
+        self.claims = Claims(self.me, clock, writes_per_s=per_s) if per_s else None
+        self.steward: StewardRunner | None = None
+
+    def _build_edges(self) -> None:
+        self.client = UpstreamClient(self._reactor)
+        self.app = CallersApp(self.lookup, self.handle, self._on_fault)
+        self.forwarder: Forwarder | None = None
+        self.executor: Executor | None = None
+        self.status_page = StatusPage(self, self._clock)
+        self.control = ControlApp(self.status_page)
+
+    # Life.
+
+    def start(self) -> None:
+        """Listen and begin to look for a configuration.
+
+        Raises
+        ------
+        BindError, twisted.internet.error.CannotListenError
+            If an address can't be had; another process on this VM may still hold it.
+        """
+        cfg = self._cfg
+        keys = None
+        if "curve" in cfg:
+            curve = cfg["curve"]
+            keys = CurveKeys(curve["public"].encode(), curve["secret"].encode())
+        # The exclusive bind proves that no earlier process of this seat runs on this VM.
+        self.peers = PeerNode(self._reactor, self.me, cfg["peers"], self._on_message, keys)
+        host, _, port = cfg["operators"].rpartition(":")
+        self._reactor.listenTCP(int(port), self.control.site(), interface=host)
+        self.port = listen(self._reactor, cfg["callers"], self.app)
+        log("started", seat=self.me.seat, incarnation=self.me.number, zone=cfg["zone"])
+        ensureDeferred(self._begin()).addErrback(self._on_fault)
+
+    async def _begin(self) -> None:
+        await self.seat.record()
+        await self._read_configuration()
+        self._every(TICK, self._tick)
+        self._every(GOSSIP, self._gossip)
+        self._every(timedelta(milliseconds=self._cfg["vms_every_ms"]), self._poll_vms)
+        self._every(timedelta(milliseconds=self._cfg["load_every_ms"]), self._poll_load)
+        self._every(SEAT_RETRY, self._record_seat)
+        self._every(FIRST_READ, self._look_for_first)
+        if self.claims is not None:
+            self._every(LEASE_CHECK, self._renew_claims_lease)
+
+    def stop(self) -> None:
+        """Begin a graceful stop; asking again changes nothing."""
+        self.life.stop()
+
+    def on_ready(self) -> None:
+        """Tell peers that callers may come."""
+        log("ready", revision=self._in_force)
+        self._announce()
+
+    def on_leaving(self) -> None:
+        """Leave the look-ups; go on serving callers that asked a moment ago."""
+        log("leaving")
+        self._announce()
+        self.app.closing()
+        hard = self._cfg.get("hard_stop_ms")
+        if hard is not None:
+            self._reactor.callLater(hard / 1000, self._cut_off)
+        self._reactor.callLater(LINGER.total_seconds(), self.life.lingered)
+
+    def on_closing(self) -> None:
+        """Refuse new work, finish what is in flight, hand the shares over."""
+        log("closing", in_flight=self.app.in_flight)
+        ensureDeferred(self._close()).addErrback(self._on_fault)
+
+    async def _close(self) -> None:
+        await self.app.drained()
+        while self.executor is not None and (self.executor.running or self.forwarder.lingering):
+            await self._sleep(TICK)
+        self._send_all(self.shares.hand_over())
+        end = self._clock.monotonic() + CLEAR_PATIENCE
+        while not self.shares.is_clear and self._clock.monotonic() < end:
+            await self._sleep(TICK)
+        if self.shares.is_clear and self.seat.recorded:
+            noted = await self.seat.note_stop()
+            log("handed-over", noted=noted)
+        if self.steward is not None:
+            await self.steward.release()
+        await self.app.disconnect()
+        self.life.drained()
+
+    def _cut_off(self) -> None:
+        """Stop in spite of requests in flight, and say which."""
+        if self.life.state() == "stopped":
+            return
+        flights = self.router.in_flight() if self.router else []
+        log(
+            "cut-off",
+            requests=[f"{d.ticket.req.method} {d.ticket.req.path}" for d in flights],
+            endpoints=[d.endpoint.name for d in flights],
+        )
+        self.life.drained()
+
+    def on_stopped(self) -> None:
+        """Release everything and end the process."""
+        for timer in self._timers:
+            timer.stop()
+        self.peers.close()
+        log("stopped")
+        self.stopped.callback(None)
+
+    # Callers.
+
+    def ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self.life.state() == "ready" and self.replica.ready
+
+    def lookup(self, client: str) -> LookupAnswer | Refusal:
+        """Name the entries that a client should use, and the prefix for its operation ids."""
+        self.metrics.count("lookups")
+        classifier = self.router.classifier if self.router else None
+        if classifier is None or not self.replica.ready:
+            return Refusal(RefusalReason.NOT_READY, "no configuration yet", GOSSIP)
+        site = classifier.site_of(int(ipaddress.IPv4Address(client)))
+        seats = self.membership.entries_for(site, LOOKUP_ENTRIES)
+        executor, prefix, left = self._executor_among(seats)
+        rows = self.router.document["entries"]
+        entries = [LookupEntry(name=seat, address=rows[seat]["callers"]) for seat in seats]
+        return LookupAnswer(
+            site=site,
+            entries=entries,
+            executor=executor,
+            operation_prefix=prefix,
+            valid_ms=min(LOOKUP_VALID, left) // timedelta(milliseconds=1),
+            revision=self._in_force,
+        )
+
+    def _executor_among(self, seats: list[str]) -> tuple[str, str, timedelta]:
+        for seat in seats:
+            if seat == self.me.seat:
+                break
+            found = self.membership.prefix_of(seat)
+            if found is not None:
+                return seat, *found
+        own = self.ids.prefix()
+        return self.me.seat, own.text, own.left
+
+    def handle(
+        self, head: RequestHead, body: RequestBody, gone: "Deferred[None]"
+    ) -> "Deferred[Answer]":
+        """Answer one request."""
+        return ensureDeferred(self._handle(head, body, gone))
+
+    async def _handle(self, head: RequestHead, body: RequestBody, gone: "Deferred[None]") -> Answer:
+        refusal = self._not_admitted()
+        if refusal is not None:
+            self.metrics.count(f"refused.{refusal.reason}")
+            return to_answer(refusal)
+        match self.forwarder.classify(head):
+            case Result(tag="error", error=refused):
+                self.metrics.count(f"refused.{refused.reason}")
+                return to_answer(refused)
+            case Result(ok=req):
+                return await self._carry(req, head, body, gone)
+
+    async def _carry(
+        self, req: Request, head: RequestHead, body: RequestBody, gone: "Deferred[None]"
+    ) -> Answer:
+        if req.operation is not None and not req.idempotent:
+            return await self.executor.handle(req, head, body, gone)
+        return await self.forwarder.stream(req, head, body, gone)
+
+    def _not_admitted(self) -> Refusal | None:
+        if not self.life.admits():
+            reason = RefusalReason.STOPPING
+            if self.life.state() == "starting":
+                reason = RefusalReason.NOT_READY
+            return Refusal(reason, "ask for another entry", GOSSIP)
+        if not self.replica.ready:
+            return Refusal(RefusalReason.NOT_READY, "the configuration may be old", GOSSIP)
+        if self.app.in_flight > self._cfg["max_in_flight"]:
+            return Refusal(RefusalReason.OVERLOAD, "too many requests here", GOSSIP)
+        return None
+
+    # Configuration.
+
+    async def _read_configuration(self) -> None:
+        match await self.store.get(CONFIGURATION_KEY):
+            case Result(tag="ok", ok=record):
+                self.store_at = self._clock.monotonic()
+                offer_record(self.replica, record)
+                self._put_in_force()
+
+    def _put_in_force(self) -> None:
+        """Put the replica's revision in force if it is a new one."""
+        held = self.replica.held
+        if held is None or held.number <= self._in_force:
+            return
+        if self.me.seat not in held.document["entries"]:
+            log("not-in-roster", revision=held.number)
+        if self.router is None:
+            self._build_router(held)
+        self._in_force = held.number
+        self.router.configure(held, quarantine=self.seat.predecessor)
+        self.membership.configure(held.document, self.shares.partners)
+        self._place_steward()
+        log("in-force", revision=held.number)
+        self.life.prepared()
+        self._announce()
+
+    def _build_router(self, held: Revision) -> None:
+        zone = self._cfg["zone"]
+        regions = held.document["regions"].items()
+        region = next((name for name, zones in regions if zone in zones), "")
+        free = self.shares.free
+        steering = Steering(zone, region, self._clock, self._rng, free)
+        admission = Admission(self._clock)
+        self.router = Router(zone, region, self._clock, self.shares, steering, admission)
+        self.forwarder = Forwarder(
+            self._reactor,
+            self._clock,
+            self.router,
+            self.client,
+            self.metrics,
+            f"{self.me.seat}-{self.me.number}",
+        )
+        self.executor = Executor(
+            self.me,
+            self._clock,
+            self.ids,
+            self.ledger,
+            self.claims,
+            self.store,
+            self.forwarder,
+            self.client,
+            self.metrics,
+            self._callers_address,
+            self._is_current,
+        )
+        stewardship = Stewardship(region, self._clock, self._rng)
+        self.steward = StewardRunner(
+            self.me.seat, region, self.store, self.replica, stewardship, self._on_offer
+        )
+
+    def _place_steward(self) -> None:
+        standby, size = self.membership.standing(STANDBYS)
+        self.steward.stewardship.place(standby=standby, size=size)
+
+    def _on_offer(self) -> None:
+        self.store_at = self._clock.monotonic()
+        self._put_in_force()
+
+    def _callers_address(self, seat: str) -> str | None:
+        row = self.router.document["entries"].get(seat) if self.router else None
+        return row["callers"] if row else None
+
+    def _is_current(self, process: Incarnation) -> bool:
+        return self.membership.incarnation_of(process.seat) in (None, process)
+
+    # Peers.
+
+    def _describe(self, revision: int) -> Digest:
+        state = self.life.state()
+        prefix = self.ids.prefix() if state == "ready" else None
+        return Digest(
+            revision=revision,
+            settled=self.shares.settled,
+            state="leaving" if state in ("closing", "stopped") else state,
+            prefix=prefix.text if prefix else "",
+            prefix_left_ms=prefix.left // timedelta(milliseconds=1) if prefix else 0,
+        )
+
+    def _on_message(self, sender: Incarnation, message: Message) -> None:
+        if self.steward is not None:
+            self.steward.stewardship.heard(sender.seat)
+        match message:
+            case Digest():
+                self.membership.on_digest(sender, message)
+                self.shares.on_digest(sender, message)
+                self._send_all(self.replica.on_digest(sender, message))
+            case DocumentRequest():
+                self._send_all(self.replica.on_document_request(sender, message), sender)
+            case DocumentReply():
+                self._send_all(self.replica.on_document_reply(sender, message))
+                self._put_in_force()
+            case LoanRequest() | LoanGrant() | LoanReturn() | LoanRecall():
+                self._send_all(self.shares.on_message(sender, message), sender)
+                if self.forwarder is not None:
+                    self.forwarder.pump()
+            case _:
+                self.metrics.count("messages-ignored")
+
+    def _send_all(self, outgoing: list[Outgoing], to: Incarnation | None = None) -> None:
+        for seat, message in outgoing:
+            address = self._peers_address(seat)
+            if address is not None:
+                named = to if to is not None and to.seat == seat else None
+                self.peers.send(address, message, named)
+
+    def _peers_address(self, seat: str) -> str | None:
+        # Seeds are addresses: at the start nobody's seat is known.
+        if ":" in seat:
+            return seat
+        row = self.router.document["entries"].get(seat) if self.router else None
+        return row["peers"] if row else None
+
+    def _gossip(self) -> None:
+        digest = self._describe(self._in_force)
+        self.membership.set_self(digest)
+        targets = self.membership.gossip_targets(self._rng, GOSSIP_TARGETS)
+        self._send_all([Outgoing(seat, digest) for seat in targets])
+
+    def _announce(self) -> None:
+        """Tell those that wait for our word, and a few others, what has changed here."""
+        digest = self._describe(self._in_force)
+        self.membership.set_self(digest)
+        targets = set(self.membership.gossip_targets(self._rng, GOSSIP_TARGETS))
+        targets |= self.shares.partners
+        self._send_all([Outgoing(seat, digest) for seat in sorted(targets)])
+
+    # Timers.
+
+    def _tick(self) -> None:
+        self._send_all(self.replica.tick())
+        self._put_in_force()
+        if self.router is None:
+            return
+        self.router.steering.tick()
+        self.router.report_wants()
+        self.shares.may_own = self.seat.recorded
+        self._send_all(self.shares.tick())
+        self.forwarder.pump()
+        self.steward.tick()
+        probe = self.steward.stewardship.peer_to_probe()
+        if probe is not None:
+            self._send_all([Outgoing(probe, DocumentRequest(self._in_force))])
+        state = (self.shares.settled, self.life.state())
+        if state != self._reported:
+            self._reported = state
+            self._announce()
+
+    def _look_for_first(self) -> "Deferred[t.Any] | None":
+        """Read the store while nothing is held: without a roster there is no steward to wait for."""
+        return None if self.replica.held else ensureDeferred(self._read_configuration())
+
+    def _record_seat(self) -> "Deferred[t.Any] | None":
+        return None if self.seat.recorded else ensureDeferred(self.seat.record())
+
+    def _poll_vms(self) -> "Deferred[None]":
+        return ensureDeferred(self._fetch_vms())
+
+    async def _fetch_vms(self) -> None:
+        match await self.vms.fetch():
+            case Result(tag="ok", ok=rows):
+                pass
+            case _:
+                self.metrics.count("vm-list-failures")
+                return
+        self.vms_at = self._clock.monotonic()
+        self.membership.on_vms(rows)
+        gone = self.membership.gone_seats()
+        for row in rows:
+            if row.name in gone:
+                self.shares.on_gone(row.name)
+            else:
+                self.shares.on_listed(row.name)
+        if self.router is not None:
+            leaving = [row.name for row in rows if row.state != "live"]
+            self.router.steering.on_leaving(leaving)
+            self._place_steward()
+
+    def _poll_load(self) -> None:
+        if self.router is None:
+            return
+        endpoints = self.router.nearby
+        if not endpoints:
+            return
+        self._upstream_turn = (self._upstream_turn + 1) % len(endpoints)
+        endpoint = endpoints[self._upstream_turn]
+        asked = self._clock.monotonic()
+
+        def take(result: Result[t.Any, str]) -> None:
+            match result:
+                case Result(tag="ok", ok=load):
+                    self.router.steering.on_report(endpoint.name, LoadReport(*load, asked))
+                case _:
+                    self.router.steering.on_report_lost(endpoint.name)
+
+        self.client.poll(endpoint).addCallback(take).addErrback(self._on_fault)
+
+    def _renew_claims_lease(self) -> "Deferred[None] | None":
+        request = self.claims.want_lease()
+        return None if request is None else ensureDeferred(self._create_lease(request))
+
+    async def _create_lease(self, request: t.Any) -> None:
+        match await self.store.create_lease(request.ttl):
+            case Result(tag="ok", ok=lease):
+                self.claims.on_lease(request, lease)
+
+    def _every(self, interval: timedelta, act: t.Callable[[], t.Any]) -> None:
+        timer = LoopingCall(self._guard, act)
+        timer.clock = self._reactor
+        timer.start(interval.total_seconds())
+        self._timers.append(timer)
+
+    def _guard(self, act: t.Callable[[], t.Any]) -> t.Any:
+        """Log a fault of one tick; the next one must still come."""
+        try:
+            result = act()
+        except Exception:
+            self._on_fault(Failure())
+            return None
+        return result.addErrback(self._on_fault) if isinstance(result, Deferred) else None
+
+    def _sleep(self, duration: timedelta) -> "Deferred[None]":
+        done: Deferred[None] = Deferred()
+        self._reactor.callLater(duration.total_seconds(), done.callback, None)
+        return done
+
+    def _on_fault(self, failure: Failure) -> None:
+        self.metrics.count("faults")
+        log("fault", detail=failure.getErrorMessage(), trace=failure.getTraceback())
+
+
+class _Later:
+    """Runs the actions of a transition after it, when the state may be asked for again."""
+
+    def __init__(self, reactor: t.Any, actions: LifeActions) -> None:
+        self._reactor = reactor
+        self._actions = actions
+
+    def on_ready(self) -> None:
+        self._reactor.callLater(0, self._actions.on_ready)
+
+    def on_leaving(self) -> None:
+        self._reactor.callLater(0, self._actions.on_leaving)
+
+    def on_closing(self) -> None:
+        self._reactor.callLater(0, self._actions.on_closing)
+
+    def on_stopped(self) -> None:
+        self._reactor.callLater(0, self._actions.on_stopped)
+
+
+def _address(url: str) -> str:
+    return url.removeprefix("http://")
--- /dev/null
+++ b/packages/entry/src/cardamomloft/entry/settings.py
@@ -0,0 +1,72 @@
+"""The entry's settings file: types, ranges and the strict check.
+
+Settings say who this process is and where it listens; everything that operators decide together
+(services, rules, roster) is in the configuration document instead.
+"""
+
+import typing as t
+from typing import NotRequired
+
+from cardamomloft.core.checking import check_typed, load_json
+from cardamomloft.core.document import Address, Mistake, Name
+from expression import Error, Ok, Result
+from pydantic import ConfigDict, Field, with_config
+from typing_extensions import TypedDict
+
+_strict = with_config(ConfigDict(extra="forbid", strict=True))
+
+Url = t.Annotated[str, Field(pattern=r"^http://\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+Milliseconds = t.Annotated[int, Field(ge=1, le=3_600_000)]
+
+
+@_strict
+class CurveSettings(TypedDict):
+    """The deployment's CURVE key pair, Z85 text; peers without it are not heard."""
+
+    public: t.Annotated[str, Field(min_length=40, max_length=40)]
+    secret: t.Annotated[str, Field(min_length=40, max_length=40)]
+
+
+@_strict
+class EntrySettings(TypedDict):
+    """Settings of one entry.
+
+    `seat` is the entry's name in the roster. `peer_seeds` are peers' addresses to ask for the
+    configuration while the store is away. `hard_stop_ms` bounds a graceful stop; without it the
+    entry waits as long as its longest request. `max_in_flight` and the ledger's limits bound
+    memory.
+    """
+
+    seat: Name
+    zone: Name
+    callers: Address
+    peers: Address
+    operators: Address
+    store: Url
+    vms: Url
+    peer_seeds: NotRequired[list[Address]]
+    curve: NotRequired[CurveSettings]
+    hard_stop_ms: NotRequired[Milliseconds]
+    store_timeout_ms: NotRequired[Milliseconds]
+    vms_every_ms: NotRequired[Milliseconds]
+    load_every_ms: NotRequired[Milliseconds]
+    max_in_flight: NotRequired[t.Annotated[int, Field(ge=1, le=100_000)]]
+    ledger_entries: NotRequired[t.Annotated[int, Field(ge=1, le=10_000_000)]]
+    ledger_bytes: NotRequired[t.Annotated[int, Field(ge=1)]]
+    claims_per_s: NotRequired[t.Annotated[int, Field(ge=0, le=500)]]
+
+
+def load_settings(text: str) -> Result[EntrySettings, tuple[Mistake, ...]]:
+    """Check a settings file's text.
+
+    Returns
+    -------
+    Result
+        The settings, or every mistake with its path.
+    """
+    match load_json(text):
+        case Result(tag="error", error=mistakes):
+            return Error(mistakes if isinstance(mistakes, tuple) else (mistakes,))
+        case Result(tag="ok", ok=raw):
+            return check_typed(EntrySettings, raw)
+    return Ok(t.cast(EntrySettings, {}))
--- /dev/null
+++ b/packages/entry/src/cardamomloft/entry/status.py
@@ -0,0 +1,157 @@
+"""What an entry shows on its operators' pages."""
+
+import typing as t
+from collections import Counter
+from datetime import timedelta
+
+from cardamomloft.core.clock import Clock
+from cardamomloft.core.rules import RuleVerdict
+from expression import Result
+
+if t.TYPE_CHECKING:
+    from cardamomloft.entry.node import EntryNode
+
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+class StatusPage:
+    """Reads the state of a node; changes nothing."""
+
+    def __init__(self, node: "EntryNode", clock: Clock) -> None:
+        self._node = node
+        self._clock = clock
+
+    def ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self._node.ready()
+
+    def metrics_text(self) -> str:
+        """Return the metrics page."""
+        node = self._node
+        counters = node.metrics.counters
+        for name, value in node.store.calls.items():
+            counters[f"store.calls.{name}"] = value
+        for name, value in node.peers.counters.items():
+            counters[f"peers.{name}"] = value
+        counters["ledger.entries"] = len(node.ledger)
+        return node.metrics.render()
+
+    def status(self) -> dict[str, t.Any]:
+        """Return the status page's object."""
+        node = self._node
+        router = node.router
+        return {
+            "seat": node.me.seat,
+            "incarnation": node.me.number,
+            "zone": router.zone if router else "",
+            "region": router.region if router else "",
+            "revision": router.revision if router else 0,
+            "settled": node.shares.settled,
+            "state": node.life.state(),
+            "ready": self.ready(),
+            "recorded": node.seat.recorded,
+            "steward": bool(node.steward and node.steward.stewardship.is_steward),
+            "services": self._services(),
+            "drains": self._drains(),
+            "limits": [_limit(row) for row in node.shares.rows()],
+            "vms_age_ms": self._age_ms(node.vms_at),
+            "store_age_ms": self._age_ms(node.store_at),
+        }
+
+    def explain(self, question: dict[str, t.Any]) -> dict[str, t.Any]:
+        """Tell which rule would match a request, and why not the ones before."""
+        router = self._node.router
+        if router is None or router.classifier is None or router.rules is None:
+            return {"error": "no configuration yet"}
+        headers = {str(k).lower(): str(v) for k, v in dict(question.get("headers") or {}).items()}
+        found = router.classifier.classify(
+            str(question.get("method", "GET")),
+            str(question.get("path", "/")),
+            headers,
+            None,
+            self._clock.monotonic(),
+            router.zone,
+        )
+        match found:
+            case Result(tag="error", error=refusal):
+                return {"error": f"{refusal.reason}: {refusal.detail}"}
+            case Result(ok=req):
+                verdicts = router.rules.explain(req, router.zone, router.region)
+                return {"service": req.service, "rules": [_verdict(row) for row in verdicts]}
+
+    def _services(self) -> dict[str, dict[str, int]]:
+        router = self._node.router
+        if router is None or router.document is None:
+            return {}
+        service_of = {
+            name: service
+            for service, row in router.document["services"].items()
+            for name in row["upstreams"]
+        }
+        free: Counter[str] = Counter()
+        total: Counter[str] = Counter()
+        for row in self._node.shares.rows():
+            kind, _, name = row.key.partition("/")
+            if kind == "slots" and name in service_of:
+                total[service_of[name]] += row.own + row.borrowed - row.lent
+                free[service_of[name]] += self._node.shares.free(row.key)
+        flights = Counter(d.ticket.req.service for d in router.in_flight())
+        queued = router.queued()
+        return {
+            service: {
+                "slots_free": free[service],
+                "slots_total": total[service],
+                "in_flight": flights[service],
+                "queued": queued[service],
+            }
+            for service in router.document["services"]
+        }
+
+    def _drains(self) -> list[dict[str, t.Any]]:
+        router = self._node.router
+        if router is None or router.document is None:
+            return []
+        flights = router.in_flight()
+        rows = []
+        for name, drain in router.document.get("drains", {}).items():
+            kind = drain["kind"]
+            here = [d for d in flights if name in _names(d.endpoint, kind)]
+            shifting = router.steering.drains() if kind in ("zone", "region") else []
+            mine = [p for p in shifting if name in (p.zone, router.region_of(p.zone))]
+            left = max((p.ends_in for p in mine), default=timedelta(0))
+            moving = any(p.traffic > 0 for p in mine)
+            rows.append(
+                {
+                    "name": name,
+                    "kind": kind,
+                    "in_flight": len(here),
+                    "expected_end_ms": left // _MILLISECOND,
+                    "done": not here and not moving,
+                }
+            )
+        return rows
+
+    def _age_ms(self, at: timedelta | None) -> int | None:
+        return None if at is None else (self._clock.monotonic() - at) // _MILLISECOND
+
+
+def _names(endpoint: t.Any, kind: str) -> tuple[str, ...]:
+    if kind == "upstream":
+        return (endpoint.name,)
+    return (endpoint.zone, endpoint.region)
+
+
+def _limit(row: t.Any) -> dict[str, t.Any]:
+    return {
+        "key": row.key,
+        "capacity": row.capacity,
+        "base": row.base,
+        "free": row.own + row.borrowed - row.lent - row.used,
+        "lent": row.lent,
+        "borrowed": row.borrowed,
+        "in_use": row.used,
+    }
+
+
+def _verdict(row: RuleVerdict) -> dict[str, t.Any]:
+    return {"rule": row.rule, "matched": row.matched, "why": row.why}
--- /dev/null
+++ b/packages/entry/src/cardamomloft/entry/steward.py
@@ -0,0 +1,146 @@
+"""Carrying out a steward's steps: the region's lease and the watch on the configuration."""
+
+import typing as t
+from collections.abc import Callable
+from datetime import timedelta
+
+from cardamomloft.core.changes import decode_record
+from cardamomloft.core.replication import Replica, pack
+from cardamomloft.core.stewardship import ReadLease, Renew, Step, Stewardship, TryLease, WatchLease
+from cardamomloft.entry.logs import log
+from cardamomloft.platform.store import Record, Store, Watched
+from expression import Result
+from twisted.internet.defer import ensureDeferred
+
+CONFIGURATION_KEY = "config/current"
+WATCH_WAIT = timedelta(seconds=30)
+
+
+def offer_record(replica: Replica, record: Record | None) -> None:
+    """Give the replica what the store has under the configuration key."""
+    if record is None:
+        replica.on_store_empty()
+        return
+    match decode_record(record.value):
+        case Result(tag="ok", ok=row):
+            outcome = replica.offer(row["number"], pack(row["document"]))
+            if outcome.is_error():
+                log("configuration-refused", number=row["number"], detail=str(outcome.error))
+        case Result(error=detail):
+            log("configuration-unreadable", detail=detail)
+
+
+class StewardRunner:
+    """Owns one entry's :class:`Stewardship` and its store calls.
+
+    Parameters
+    ----------
+    on_offer
+        Called after the replica has been given something.
+    """
+
+    def __init__(
+        self,
+        seat: str,
+        region: str,
+        store: Store,
+        replica: Replica,
+        stewardship: Stewardship,
+        on_offer: Callable[[], None],
+    ) -> None:
+        self._seat = seat
+        self._key = f"steward/{region}"
+        self._store = store
+        self._replica = replica
+        self.stewardship = stewardship
+        self._on_offer = on_offer
+        self._lease: str | None = None
+        self._lease_index = 0
+        self._config_index = 0
+        self._watching = False
+
+    def tick(self) -> None:
+        """Do the step that is due; keep the watch on the configuration going while wanted."""
+        self._do(self.stewardship.tick())
+        if self.stewardship.watches_configuration and not self._watching:
+            self._watching = True
+            ensureDeferred(self._watch()).addErrback(_log_fault).addBoth(self._watch_ended)
+
+    async def release(self) -> None:
+        """Give the lease up, so that a standby takes over without waiting for it to lapse."""
+        if self._lease is not None:
+            await self._store.release(self._lease)
+
+    def _do(self, steps: list[Step]) -> None:
+        for step in steps:
+            ensureDeferred(self._carry_out(step)).addErrback(_log_fault)
+
+    async def _carry_out(self, step: Step) -> None:
+        match step:
+            case TryLease(_, duration):
+                following = await self._try_lease(duration)
+            case Renew():
+                following = await self._renew()
+            case WatchLease():
+                result = await self._store.watch(self._key, self._lease_index, WATCH_WAIT)
+                following = self._looked(result)
+            case ReadLease():
+                result = await self._store.watch(self._key, 0, WATCH_WAIT)
+                following = self._looked(result)
+        self._do(following)
+
+    async def _try_lease(self, duration: timedelta) -> list[Step]:
+        match await self._store.create_lease(duration):
+            case Result(tag="ok", ok=lease):
+                pass
+            case _:
+                return self.stewardship.store_failed()
+        match await self._store.acquire(self._key, self._seat.encode(), lease):
+            case Result(tag="ok", ok=True):
+                self._lease = lease
+                log("steward", key=self._key)
+                return self.stewardship.lease_granted()
+            case Result(tag="ok"):
+                await self._store.release(lease)
+                return self.stewardship.lease_refused()
+        # The key may be held by this lease, which nobody renews; it lapses by itself.
+        return self.stewardship.store_failed()
+
+    async def _renew(self) -> list[Step]:
+        match await self._store.renew(t.cast(str, self._lease)):
+            case Result(tag="ok", ok=True):
+                return self.stewardship.lease_granted()
+            case Result(tag="ok"):
+                self._lease = None
+                return self.stewardship.lease_lost()
+        return self.stewardship.store_failed()
+
+    def _looked(self, result: Result[Watched, t.Any]) -> list[Step]:
+        match result:
+            case Result(tag="ok", ok=Watched(record, index)):
+                self._lease_index = index
+            case _:
+                self._lease_index = 0
+                return self.stewardship.store_failed()
+        if record is None:
+            return self.stewardship.lease_free()
+        return self.stewardship.lease_held(record.value.decode("utf-8", "replace"))
+
+    async def _watch(self) -> None:
+        while self.stewardship.watches_configuration:
+            result = await self._store.watch(CONFIGURATION_KEY, self._config_index, WATCH_WAIT)
+            match result:
+                case Result(tag="ok", ok=Watched(record, index)):
+                    self._config_index = index
+                    offer_record(self._replica, record)
+                    self._on_offer()
+                case _:
+                    self._config_index = 0
+                    return
+
+    def _watch_ended(self, _: object) -> None:
+        self._watching = False
+
+
+def _log_fault(failure: t.Any) -> None:
+    log("fault", detail=failure.getErrorMessage(), trace=failure.getTraceback())
--- /dev/null
+++ b/packages/operators/src/cardamomloft/operators/recording.py
@@ -0,0 +1,225 @@
+"""Writing a change: audit entry of the base, difference, swap, audit entry of the change."""
+
+import typing as t
+from datetime import timedelta
+
+from cardamomloft.core import changes
+from cardamomloft.core.changes import (
+    Attempt,
+    Conflict,
+    ReadAudit,
+    ReadCurrent,
+    Record,
+    Recorded,
+    Step,
+    StoreAway,
+    Swap,
+    Unsettled,
+)
+from cardamomloft.core.checking import check_document
+from cardamomloft.core.document import Document
+from cardamomloft.operators import trail
+from cardamomloft.operators.outcomes import ExitCode, Failure, unavailable
+from cardamomloft.operators.session import Session
+from cardamomloft.platform.store import Record as StoredRecord
+from cardamomloft.platform.store import Store
+from expression import Error, Ok, Result
+
+CURRENT_KEY = "config/current"
+RETRY_PAUSE = timedelta(seconds=1)
+READ_TRIES = 4
+
+
+class Base(t.NamedTuple):
+    """The record that a change starts from, with the store's version of it."""
+
+    record: Record | None
+    version: int
+
+    @property
+    def number(self) -> int:
+        """The revision's number, 0 before the first change."""
+        return self.record["number"] if self.record is not None else 0
+
+    @property
+    def document(self) -> Document | None:
+        """The document in force, None before the first change."""
+        return self.record["document"] if self.record is not None else None
+
+
+class Written(t.NamedTuple):
+    """A recorded change; without `audited` the next change or ``audit`` writes its entry."""
+
+    record: Record
+    superseded: bool
+    audited: bool
+
+
+async def read_base(session: Session) -> Result[Base, Failure]:
+    """Read the record in force."""
+    if session.store is None:
+        text = "no store is named: give --store or --settings"
+        return Error(Failure(ExitCode.USAGE, text))
+    match await session.store.get(CURRENT_KEY):
+        case Result(tag="error", error=fault):
+            return Error(unavailable(fault.detail))
+        case Result(ok=stored):
+            return _decode(stored)
+    raise AssertionError("a result is neither ok nor error")
+
+
+async def write(
+    session: Session, base: Base, record: Record, difference: list[trail.PathChange]
+) -> Result[Written | Conflict, Failure]:
+    """Put `record` in the place of `base`, in the order that the audit trail needs.
+
+    Returns
+    -------
+    Result
+        The change as recorded, or a conflict with what stands now. Failures say whether nothing
+        was written or whether that is unknown.
+    """
+    store = _store(session)
+    match changes.encode_record(record):
+        case Result(tag="error", error=text):
+            return Error(Failure(ExitCode.REFUSED, f"{text}; nothing written"))
+    if base.record is not None:
+        match await trail.ensure_entry(store, base.record):
+            case Result(tag="error", error=fault):
+                return Error(unavailable(fault.detail))
+    match await trail.keep_difference(store, record, difference):
+        case Result(tag="error", error=fault):
+            return Error(unavailable(fault.detail))
+    return await _settle(session, await _swap(session, Attempt(record, base.version)))
+
+
+async def _settle(
+    session: Session, outcome: changes.Outcome
+) -> Result[Written | Conflict, Failure]:
+    match outcome:
+        case Conflict():
+            return Ok(outcome)
+        case StoreAway(detail):
+            return Error(unavailable(detail))
+        case Unsettled(record, detail):
+            return Error(_unknown(record, detail))
+        case Recorded(record, True):
+            # A later writer has made sure of this entry before it replaced the record.
+            return Ok(Written(record, superseded=True, audited=True))
+        case Recorded(record):
+            return Ok(await _audit(session, record))
+    raise AssertionError(f"not an outcome: {outcome!r}")
+
+
+async def _audit(session: Session, record: Record) -> Written:
+    """Write the audit entry of what was recorded.
+
+    That may be an earlier attempt under the same change id, so the store is asked for it.
+    """
+    match await read_base(session):
+        case Result(tag="ok", ok=Base(landed)) if landed and landed["change"] == record["change"]:
+            done = await trail.ensure_entry(_store(session), landed)
+            return Written(landed, superseded=False, audited=done.is_ok())
+        case Result(tag="ok"):
+            return Written(record, superseded=True, audited=True)
+    return Written(record, superseded=False, audited=False)
+
+
+async def _swap(session: Session, attempt: Attempt) -> changes.Outcome:
+    """Drive one attempt to its outcome."""
+    step = attempt.start()
+    swaps = 0
+    while not isinstance(step, changes.Outcome):
+        if isinstance(step, Swap):
+            swaps += 1
+            if swaps > 1:
+                await session.sleep(RETRY_PAUSE)
+        step = await _perform(session, attempt, step)
+    return step
+
+
+async def _perform(session: Session, attempt: Attempt, step: Step) -> Step:
+    match step:
+        case Swap(record, version):
+            return await _perform_swap(_store(session), attempt, record, version)
+        case ReadCurrent():
+            return await _perform_read(session, attempt)
+        case ReadAudit(number):
+            match await _read_patiently(session, trail.audit_key(number)):
+                case Result(tag="ok", ok=stored):
+                    return attempt.on_audit(stored.value if stored is not None else None)
+                case Result(error=detail):
+                    return attempt.on_read_failed(detail)
+    raise AssertionError(f"not a step: {step!r}")
+
+
+async def _perform_swap(store: Store, attempt: Attempt, record: Record, version: int) -> Step:
+    value = changes.canonical(record)
+    match await store.compare_and_swap(CURRENT_KEY, value, version):
+        case Result(tag="ok", ok=swapped):
+            return attempt.on_swap(swapped)
+        case Result(error=fault):
+            return attempt.on_swap_failed(ambiguous=fault.ambiguous, detail=fault.detail)
+    raise AssertionError("a result is neither ok nor error")
+
+
+async def _perform_read(session: Session, attempt: Attempt) -> Step:
+    match await _read_patiently(session, CURRENT_KEY):
+        case Result(tag="error", error=detail):
+            return attempt.on_read_failed(detail)
+        case Result(ok=None):
+            return attempt.on_current(None, 0)
+        case Result(ok=stored):
+            match changes.decode_record(stored.value):
+                case Result(tag="ok", ok=current):
+                    return attempt.on_current(current, stored.version)
+                case Result(error=detail):
+                    return attempt.on_read_failed(detail)
+    raise AssertionError("a result is neither ok nor error")
+
+
+async def _read_patiently(session: Session, key: str) -> Result[StoredRecord | None, str]:
+    """Read a key after a write whose outcome is not known; give the store time to come back."""
+    detail = ""
+    for attempt in range(READ_TRIES):
+        if attempt:
+            await session.sleep(RETRY_PAUSE)
+        match await _store(session).get(key):
+            case Result(tag="ok", ok=stored):
+                return Ok(stored)
+            case Result(error=fault):
+                detail = fault.detail
+    return Error(detail)
+
+
+def _decode(stored: StoredRecord | None) -> Result[Base, Failure]:
+    if stored is None:
+        return Ok(Base(None, 0))
+    decoded = changes.decode_record(stored.value).bind(_check_record)
+    return decoded.map(lambda record: Base(record, stored.version)).map_error(_unreadable)
+
+
+def _check_record(record: Record) -> Result[Record, str]:
+    checked = check_document(record["document"])
+    return checked.map(lambda _: record).map_error(lambda mistakes: str(mistakes[0]))
+
+
+def _unreadable(detail: str) -> Failure:
+    text = f"the store's {CURRENT_KEY} cannot be read: {detail}; nothing written"
+    return Failure(ExitCode.REFUSED, text)
+
+
+def _unknown(record: Record, detail: str) -> Failure:
+    change = record["change"]
+    return Failure(
+        ExitCode.UNKNOWN,
+        f"it is not known whether change {change} was recorded: {detail}",
+        (f"run the same command again with --change {change}: it is recorded at most once",),
+        {"outcome": "unknown", "change": change},
+    )
+
+
+def _store(session: Session) -> Store:
+    if session.store is None:
+        raise AssertionError("a write needs a store")
+    return session.store
--- /dev/null
+++ b/packages/operators/src/cardamomloft/operators/settings.py
@@ -0,0 +1,41 @@
+"""The optional settings file of the command, and how options stand above it."""
+
+import typing as t
+from typing import NotRequired
+
+from cardamomloft.core.checking import check_typed, load_json
+from cardamomloft.core.document import Address
+from cardamomloft.operators.outcomes import Failure
+from cardamomloft.operators.wording import refused
+from expression import Ok, Result
+from pydantic import ConfigDict, Field, with_config
+from typing_extensions import TypedDict
+
+Url = t.Annotated[str, Field(pattern=r"^http://\d{1,3}(\.\d{1,3}){3}:\d{1,5}/?$")]
+
+
+@with_config(ConfigDict(extra="forbid", strict=True))
+class Settings(TypedDict):
+    """Where the platform and the entries are; every key may be left out.
+
+    `entries` are operators' addresses of entries to ask while the store is away. `who` is the name
+    that the audit trail shows.
+    """
+
+    store: NotRequired[Url]
+    vms: NotRequired[Url]
+    entries: NotRequired[list[Address]]
+    who: NotRequired[t.Annotated[str, Field(min_length=1, max_length=200)]]
+
+
+def load_settings(text: str | None, options: Settings) -> Result[Settings, Failure]:
+    """Check a settings file's text and the options, which go before it."""
+    raw = load_json(text) if text is not None else Ok({})
+    checked = raw.bind(lambda value: check_typed(Settings, value))
+    merged = checked.bind(lambda value: check_typed(Settings, {**value, **options}))
+    return merged.map_error(lambda mistakes: refused("the settings have mistakes", mistakes))
+
+
+def address_of(url: str) -> str:
+    """Return the ``ip:port`` of a checked URL."""
+    return url.removeprefix("http://").rstrip("/")
--- /dev/null
+++ b/packages/platform/src/cardamomloft/platform/exchange.py
@@ -0,0 +1,125 @@
+"""One HTTP exchange with the platform: bounded in time and size, never repeated."""
+
+import typing as t
+from collections.abc import Mapping
+from datetime import timedelta
+
+from cardamomloft.platform.failures import CallFailure, call_failure
+from expression import Error, Ok, Result
+from treq.client import HTTPClient
+from twisted.internet import defer
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.iweb import IAgent, IResponse
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_CONNECTIONS = 4
+
+
+class Answer(t.NamedTuple):
+    """A whole HTTP answer; `index` is its X-Consul-Index, None if there is no valid one."""
+
+    status: int
+    index: int | None
+    body: bytes
+
+
+class Exchange:
+    """Calls one HTTP server of the platform.
+
+    Parameters
+    ----------
+    reactor
+        Opens connections and measures timeouts.
+    address
+        The server as ``ip:port``.
+    max_answer_bytes
+        Longer answers count as failed.
+    agent
+        Sends the requests; the default keeps a few connections open.
+    """
+
+    def __init__(
+        self, reactor: t.Any, address: str, *, max_answer_bytes: int, agent: IAgent | None = None
+    ) -> None:
+        self._reactor = reactor
+        self._root = f"http://{address}"
+        self._max_answer_bytes = max_answer_bytes
+        self._pool = HTTPConnectionPool(reactor)
+        self._pool.maxPersistentPerHost = IDLE_CONNECTIONS
+        # Twisted would repeat a GET on a connection that has died; the caller is to decide that.
+        self._pool.retryAutomatically = False
+        own_agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
+        self._client = HTTPClient(agent or own_agent)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout: timedelta,
+        params: Mapping[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> "defer.Deferred[Result[Answer, CallFailure]]":
+        """Send one request and collect its answer.
+
+        The Deferred never fails; cancelling it drops the connection and gives a failure.
+        """
+        answered = defer.Deferred.fromCoroutine(self._answer(method, path, params or {}, body))
+        answered.addTimeout(timeout.total_seconds(), self._reactor)
+        return answered.addCallbacks(Ok, lambda failure: Error(call_failure(failure)))
+
+    def close(self) -> "defer.Deferred[None]":
+        """Close the idle connections."""
+        return self._pool.closeCachedConnections()
+
+    async def _answer(
+        self, method: str, path: str, params: Mapping[str, str], body: bytes | None
+    ) -> Answer:
+        response = await self._client.request(
+            method,
+            self._root + path,
+            params=dict(params),
+            data=body,
+            allow_redirects=False,
+            unbuffered=True,
+        )
+        content = await _collect(response, self._max_answer_bytes)
+        return Answer(response.code, _index(response), content)
+
+
+class _Collector(Protocol):
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._body = bytearray()
+        self.whole: defer.Deferred[bytes] = defer.Deferred(lambda _: self._stop())
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._body.extend(data)
+        if len(self._body) > self._limit and not self.whole.called:
+            self._stop()
+            self.whole.errback(ValueError(f"the answer is longer than {self._limit} bytes"))
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        if self.whole.called:
+            return
+        if reason.check(ResponseDone):
+            self.whole.callback(bytes(self._body))
+        else:
+            self.whole.errback(reason)
+
+    def _stop(self) -> None:
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+
+def _collect(response: IResponse, limit: int) -> "defer.Deferred[bytes]":
+    collector = _Collector(limit)
+    response.deliverBody(collector)
+    return collector.whole
+
+
+def _index(response: IResponse) -> int | None:
+    values = response.headers.getRawHeaders("X-Consul-Index") or [""]
+    return int(values[0]) if values[0].isascii() and values[0].isdigit() else None
--- /dev/null
+++ b/packages/platform/src/cardamomloft/platform/store.py
@@ -0,0 +1,285 @@
+"""The operators' key-value store: its interface, and an adapter for the Consul HTTP API.
+
+The adapter never repeats a call, so that its owner decides on retries, jitter and budgets.
+"""
+
+import base64
+import binascii
+import enum
+import json
+import typing as t
+from collections import Counter
+from collections.abc import Callable
+from datetime import timedelta
+from urllib.parse import quote
+
+from cardamomloft.platform.exchange import Answer, Exchange
+from cardamomloft.platform.failures import CallFailure, StoreFailure, status_failure
+from expression import Error, Ok, Result
+from twisted.internet import defer
+from twisted.web.iweb import IAgent
+
+MAX_VALUE_BYTES = 1024 * 1024
+MAX_ANSWER_BYTES = 2 * MAX_VALUE_BYTES
+CALL_TIMEOUT = timedelta(seconds=2)
+WAIT_JITTER = 16
+"""The store may lengthen a wait by up to one part in this many."""
+
+T = t.TypeVar("T")
+
+
+class CallKind(enum.StrEnum):
+    """The kinds of call that the store counts against its rates."""
+
+    GET = enum.auto()
+    WATCH = enum.auto()
+    SWAP = enum.auto()
+    ACQUIRE = enum.auto()
+    LEASE_CREATE = enum.auto()
+    LEASE_RENEW = enum.auto()
+    LEASE_RELEASE = enum.auto()
+
+
+class Record(t.NamedTuple):
+    """One key's value; `version` changes with every write and is what a swap compares."""
+
+    value: bytes
+    version: int
+
+
+class Watched(t.NamedTuple):
+    """The outcome of a watch: the record, None if the key is absent, and where to go on."""
+
+    record: Record | None
+    index: int
+
+
+class Store(t.Protocol):
+    """What the system asks of the store. No Deferred fails; failures are outcomes."""
+
+    def get(self, key: str) -> "defer.Deferred[Result[Record | None, StoreFailure]]":
+        """Read one key."""
+        ...
+
+    def compare_and_swap(
+        self, key: str, value: bytes, version: int
+    ) -> "defer.Deferred[Result[bool, StoreFailure]]":
+        """Write `value` if the record has `version`, 0 for an absent key; return whether it did."""
+        ...
+
+    def watch(
+        self, key: str, after_index: int, wait: timedelta
+    ) -> "defer.Deferred[Result[Watched, StoreFailure]]":
+        """Read one key once it has changed after `after_index`, or once `wait` is over.
+
+        Start with index 0, which reads at once, and go on with the index returned. After a
+        failure start with 0 again: the store may have been replaced meanwhile.
+        """
+        ...
+
+    def create_lease(self, ttl: timedelta) -> "defer.Deferred[Result[str, StoreFailure]]":
+        """Create a lease that lapses `ttl` after its last renewal; return its id.
+
+        The published service takes 10 s to 24 h and may end a lease up to one `ttl` late.
+        """
+        ...
+
+    def renew(self, lease: str) -> "defer.Deferred[Result[bool, StoreFailure]]":
+        """Renew a lease; return False if it had lapsed."""
+        ...
+
+    def release(self, lease: str) -> "defer.Deferred[Result[None, StoreFailure]]":
+        """End a lease; the keys it holds are deleted."""
+        ...
+
+    def acquire(
+        self, key: str, value: bytes, lease: str
+    ) -> "defer.Deferred[Result[bool, StoreFailure]]":
+        """Write `value` and hold `key` under `lease` unless another lease holds it.
+
+        The answer of a lapsed lease is a failure, not False.
+        """
+        ...
+
+
+class HttpStore:
+    """A :class:`Store` that speaks a subset of the published Consul HTTP API.
+
+    Parameters
+    ----------
+    reactor
+        Opens connections and measures timeouts.
+    address
+        The store as ``ip:port``.
+    timeout
+        How long a call may take; a watch may take its wait on top.
+    agent
+        Sends the requests, if not the default agent.
+
+    Attributes
+    ----------
+    calls
+        Calls sent by kind.
+    failures
+        Calls that failed by kind.
+    """
+
+    def __init__(
+        self,
+        reactor: t.Any,
+        address: str,
+        *,
+        timeout: timedelta = CALL_TIMEOUT,
+        agent: IAgent | None = None,
+    ) -> None:
+        self._exchange = Exchange(reactor, address, max_answer_bytes=MAX_ANSWER_BYTES, agent=agent)
+        self._timeout = timeout
+        self.calls: Counter[CallKind] = Counter()
+        self.failures: Counter[CallKind] = Counter()
+
+    def get(self, key: str) -> "defer.Deferred[Result[Record | None, StoreFailure]]":
+        """Read one key."""
+        return self._call(CallKind.GET, "GET", _key_path(key), _read_record)
+
+    def compare_and_swap(
+        self, key: str, value: bytes, version: int
+    ) -> "defer.Deferred[Result[bool, StoreFailure]]":
+        """Write `value` if the record has `version`, 0 for an absent key; return whether it did."""
+        return self._write(CallKind.SWAP, key, value, {"cas": str(version)})
+
+    def watch(
+        self, key: str, after_index: int, wait: timedelta
+    ) -> "defer.Deferred[Result[Watched, StoreFailure]]":
+        """Read one key once it has changed after `after_index`, or once `wait` is over."""
+
+        def read(answer: Answer) -> Result[Watched, StoreFailure]:
+            return _read_watched(answer, after_index)
+
+        if after_index == 0:
+            return self._call(CallKind.GET, "GET", _key_path(key), read)
+        params = {"index": str(after_index), "wait": _milliseconds(wait)}
+        longest = self._timeout + wait + wait / WAIT_JITTER
+        return self._call(
+            CallKind.WATCH, "GET", _key_path(key), read, params=params, timeout=longest
+        )
+
+    def create_lease(self, ttl: timedelta) -> "defer.Deferred[Result[str, StoreFailure]]":
+        """Create a lease that lapses `ttl` after its last renewal; return its id."""
+        body = json.dumps({"TTL": _milliseconds(ttl), "Behavior": "delete"}).encode()
+        path = "/v1/session/create"
+        return self._call(CallKind.LEASE_CREATE, "PUT", path, _read_lease, body=body)
+
+    def renew(self, lease: str) -> "defer.Deferred[Result[bool, StoreFailure]]":
+        """Renew a lease; return False if it had lapsed."""
+        path = f"/v1/session/renew/{quote(lease, safe='')}"
+        return self._call(CallKind.LEASE_RENEW, "PUT", path, _read_renewal)
+
+    def release(self, lease: str) -> "defer.Deferred[Result[None, StoreFailure]]":
+        """End a lease; the keys it holds are deleted."""
+        path = f"/v1/session/destroy/{quote(lease, safe='')}"
+        return self._call(CallKind.LEASE_RELEASE, "PUT", path, _read_release)
+
+    def acquire(
+        self, key: str, value: bytes, lease: str
+    ) -> "defer.Deferred[Result[bool, StoreFailure]]":
+        """Write `value` and hold `key` under `lease` unless another lease holds it."""
+        return self._write(CallKind.ACQUIRE, key, value, {"acquire": lease})
+
+    def close(self) -> "defer.Deferred[None]":
+        """Close the idle connections."""
+        return self._exchange.close()
+
+    def _write(
+        self, kind: CallKind, key: str, value: bytes, params: dict[str, str]
+    ) -> "defer.Deferred[Result[bool, StoreFailure]]":
+        if len(value) > MAX_VALUE_BYTES:
+            text = f"{key}: value of {len(value)} bytes, the store takes {MAX_VALUE_BYTES}"
+            return defer.succeed(Error(StoreFailure(False, text)))
+        return self._call(kind, "PUT", _key_path(key), _read_written, params=params, body=value)
+
+    def _call(
+        self,
+        kind: CallKind,
+        method: str,
+        path: str,
+        read: Callable[[Answer], Result[T, StoreFailure]],
+        *,
+        params: dict[str, str] | None = None,
+        body: bytes | None = None,
+        timeout: timedelta | None = None,
+    ) -> "defer.Deferred[Result[T, StoreFailure]]":
+        def interpret(result: Result[Answer, CallFailure]) -> Result[T, StoreFailure]:
+            outcome = result.map_error(
+                lambda failure: StoreFailure(method == "PUT" and failure.sent, failure.detail)
+            ).bind(read)
+            if outcome.is_error():
+                self.failures[kind] += 1
+            return outcome
+
+        self.calls[kind] += 1
+        called = self._exchange.call(
+            method, path, params=params, body=body, timeout=timeout or self._timeout
+        )
+        return called.addCallback(interpret)
+
+
+def _key_path(key: str) -> str:
+    return f"/v1/kv/{quote(key)}"
+
+
+def _milliseconds(duration: timedelta) -> str:
+    return f"{duration // timedelta(milliseconds=1)}ms"
+
+
+def _read_record(answer: Answer) -> Result[Record | None, StoreFailure]:
+    if answer.status == 404:
+        return Ok(None)
+    if answer.status != 200:
+        return Error(status_failure(answer.status, answer.body, write=False))
+    try:
+        (row,) = json.loads(answer.body)
+        value = base64.b64decode(row["Value"] or "", validate=True)
+        version = row["ModifyIndex"]
+    except (ValueError, KeyError, TypeError, binascii.Error) as exc:
+        return Error(StoreFailure(False, f"not a record: {exc!r}"))
+    if not isinstance(version, int) or version <= 0:
+        return Error(StoreFailure(False, f"not a version: {version!r}"))
+    return Ok(Record(value, version))
+
+
+def _read_watched(answer: Answer, after_index: int) -> Result[Watched, StoreFailure]:
+    if not answer.index and answer.status in (200, 404):
+        return Error(StoreFailure(False, "the answer has no index"))
+    # An index that went back belongs to another life of the store: start from a plain read.
+    index = 0 if (answer.index or 0) < after_index else answer.index or 0
+    return _read_record(answer).map(lambda record: Watched(record, index))
+
+
+def _read_written(answer: Answer) -> Result[bool, StoreFailure]:
+    if answer.status != 200:
+        return Error(status_failure(answer.status, answer.body, write=True))
+    text = answer.body.strip()
+    if text not in (b"true", b"false"):
+        return Error(StoreFailure(True, f"neither true nor false: {text[:80]!r}"))
+    return Ok(text == b"true")
+
+
+def _read_lease(answer: Answer) -> Result[str, StoreFailure]:
+    if answer.status != 200:
+        return Error(status_failure(answer.status, answer.body, write=True))
+    try:
+        return Ok(str(json.loads(answer.body)["ID"]))
+    except (ValueError, KeyError, TypeError) as exc:
+        return Error(StoreFailure(True, f"not a lease: {exc!r}"))
+
+
+def _read_renewal(answer: Answer) -> Result[bool, StoreFailure]:
+    if answer.status in (200, 404):
+        return Ok(answer.status == 200)
+    return Error(status_failure(answer.status, answer.body, write=True))
+
+
+def _read_release(answer: Answer) -> Result[None, StoreFailure]:
+    if answer.status == 200:
+        return Ok(None)
+    return Error(status_failure(answer.status, answer.body, write=True))
--- /dev/null
+++ b/packages/upstreams/src/cardamomloft/upstreams/client.py
@@ -0,0 +1,271 @@
+"""Sending requests to upstream endpoints.
+
+A request counts as sent once it has a connection, because from then on its first byte may have
+left. Before that, a failure is a proof that it was not run; afterwards only the upstream's own
+definite refusal is one.
+"""
+
+import typing as t
+from collections import Counter
+from datetime import timedelta
+
+from cardamomloft.core.model import Endpoint
+from expression import Error, Ok, Result
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred, maybeDeferred, succeed
+from twisted.python.failure import Failure
+from twisted.web._newclient import RequestNotSent
+from twisted.web.client import Agent
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer, IResponse
+
+from .body import AnswerBody, BytesProducer
+from .connections import Attempt, ConnectionPool, NumericEndpoints
+from .hints import UpstreamLoad, confirms_stopped, parse_load
+
+REQUEST_ID_HEADER = "x-request-id"
+DEADLINE_HEADER = "x-deadline-ms"
+NOT_RUN_HEADER = "x-not-run"
+SHED_STATUS = 503
+
+POLL_TIMEOUT = timedelta(milliseconds=500)
+CANCEL_TIMEOUT = timedelta(seconds=2)
+MAX_IN_FLIGHT_PER_ENDPOINT = 64
+_CONTROL_BODY_LIMIT = 4096
+
+# The client frames the body itself, and says for itself whose request it is and how long it has.
+_OWN_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "transfer-encoding",
+        REQUEST_ID_HEADER,
+        DEADLINE_HEADER,
+    }
+)
+
+
+class UpstreamRequest(t.NamedTuple):
+    """One attempt to run a request at `endpoint`.
+
+    `path` is the request target with its query, as the caller sent it. `timeout` covers all of the
+    exchange, until the last byte of the answer was delivered. A request that is not `idempotent`
+    gets a new connection.
+    """
+
+    endpoint: Endpoint
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: IBodyProducer | bytes | None
+    timeout: timedelta
+    request_id: str
+    idempotent: bool = False
+
+
+class UpstreamAnswer(t.NamedTuple):
+    """The head of an answer; `body` must be delivered, collected or aborted.
+
+    `length` is the announced size of the body in bytes, or None. `not_run` is the upstream's own
+    statement that it refused the request and did nothing.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    length: int | None
+    not_run: bool
+    body: AnswerBody
+
+
+class SendFailure(t.NamedTuple):
+    """No answer; `not_run` only if no byte of the request can have left."""
+
+    not_run: bool
+    detail: str
+
+
+class UpstreamClient:
+    """HTTP/1.1 client for all upstream endpoints of one entry.
+
+    Parameters
+    ----------
+    reactor
+        The reactor for connections and timeouts.
+    max_in_flight
+        Bound on simultaneous requests per endpoint, above which `send` fails as not run; the
+        endpoint's limits, held elsewhere, are stricter.
+    """
+
+    def __init__(self, reactor: t.Any, *, max_in_flight: int = MAX_IN_FLIGHT_PER_ENDPOINT) -> None:
+        self.reactor = reactor
+        self.pool = ConnectionPool(reactor)
+        self.endpoints = NumericEndpoints(reactor)
+        self.in_flight: Counter[str] = Counter()
+        self._max_in_flight = max_in_flight
+        self._control_pool = ConnectionPool(reactor)
+
+    def send(self, req: UpstreamRequest) -> "Deferred[Result[UpstreamAnswer, SendFailure]]":
+        """Send `req` and wait for the head of its answer; cancelling the result aborts it.
+
+        After a timeout or an abort the upstream may go on running the request: see `cancel`.
+        """
+        if req.timeout <= timedelta(0):
+            return succeed(Error(SendFailure(True, "no time left")))
+        if self.in_flight[req.endpoint.address] >= self._max_in_flight:
+            detail = f"{self._max_in_flight} requests in flight already"
+            return succeed(Error(SendFailure(True, detail)))
+        return _Sending(self, req).result
+
+    def cancel(self, endpoint: Endpoint, request_id: str) -> "Deferred[bool]":
+        """Ask the upstream to stop a request; True if it confirms that it is not running.
+
+        It frees the slot, but does not tell whether the request had an effect before.
+        """
+        path = f"/-/requests/{request_id}"
+        body = self._control("DELETE", endpoint, path, CANCEL_TIMEOUT)
+        return body.addCallback(lambda raw: raw.is_ok() and confirms_stopped(raw.ok))
+
+    def poll(
+        self, endpoint: Endpoint, timeout: timedelta = POLL_TIMEOUT
+    ) -> "Deferred[Result[UpstreamLoad, str]]":
+        """Ask the upstream for its load."""
+        body = self._control("GET", endpoint, "/-/load", timeout)
+        return body.addCallback(lambda raw: raw.bind(parse_load))
+
+    def close(self) -> "Deferred[None]":
+        """Close the idle connections."""
+        done = self.pool.closeCachedConnections()
+        return done.addCallback(lambda _: self._control_pool.closeCachedConnections())
+
+    def _control(
+        self, method: str, endpoint: Endpoint, path: str, timeout: timedelta
+    ) -> "Deferred[Result[bytes, str]]":
+        """Return the small body of a 200 answer to a request that is not a caller's."""
+        attempt = Attempt(self._control_pool, fresh=False)
+        http = HTTPClient(Agent.usingEndpointFactory(self.reactor, self.endpoints, attempt))
+        url = f"http://{endpoint.address}{path}"
+        answered = http.request(
+            method, url, reactor=self.reactor, unbuffered=True, allow_redirects=False
+        )
+
+        def collect(response: IResponse) -> "Deferred[Result[bytes, str]] | Result[bytes, str]":
+            body = AnswerBody(response, attempt.abort)
+            if response.code != 200:
+                body.abort()
+                return Error(f"status {response.code}")
+            return body.collect(_CONTROL_BODY_LIMIT)
+
+        answered.addCallback(collect)
+        answered.addTimeout(timeout.total_seconds(), self.reactor)
+        return answered.addErrback(_control_failure, attempt)
+
+
+class _Sending:
+    """One exchange with an upstream, from the connection to the last byte of the answer."""
+
+    def __init__(self, client: UpstreamClient, req: UpstreamRequest) -> None:
+        self.result: Deferred[Result[UpstreamAnswer, SendFailure]] = Deferred(self._cancelled)
+        self._client = client
+        self._req = req
+        self._settled = False
+        self._body: AnswerBody | None = None
+        self._stop_detail: str | None = None
+        self._attempt = Attempt(client.pool, fresh=not req.idempotent)
+        client.in_flight[req.endpoint.address] += 1
+        self._timer = client.reactor.callLater(req.timeout.total_seconds(), self._timed_out)
+        agent = Agent.usingEndpointFactory(client.reactor, client.endpoints, self._attempt)
+        self._pending = maybeDeferred(
+            agent.request,
+            req.method.encode("latin-1"),
+            f"http://{req.endpoint.address}{req.path}".encode("latin-1"),
+            _headers_for(req),
+            _producer_for(req.body),
+        )
+        self._pending.addCallbacks(self._answered, self._failed)
+
+    def _answered(self, response: IResponse) -> None:
+        headers = _headers_of(response)
+        echoed = _value_of(headers, REQUEST_ID_HEADER)
+        body = AnswerBody(response, self._attempt.abort, self._end)
+        if echoed is not None and echoed != self._req.request_id:
+            body.abort()
+            self._settle(Error(SendFailure(False, f"answer to another request: {echoed}")))
+            return
+        shed = response.code == SHED_STATUS and _value_of(headers, NOT_RUN_HEADER) == "1"
+        length = None if response.length is UNKNOWN_LENGTH else response.length
+        self._body = body
+        self._settle(Ok(UpstreamAnswer(response.code, headers, length, shed, body)))
+
+    def _failed(self, failure: Failure) -> None:
+        not_run = self._attempt.connection is None or bool(failure.check(RequestNotSent))
+        detail = self._stop_detail or _describe(failure)
+        self._attempt.abort()
+        self._end()
+        self._settle(Error(SendFailure(not_run, detail)))
+
+    def _timed_out(self) -> None:
+        self._stop("deadline passed")
+
+    def _cancelled(self, _: object) -> None:
+        self._stop("cancelled")
+
+    def _stop(self, detail: str) -> None:
+        if self._body is not None:
+            self._body.abort(detail)
+            return
+        self._stop_detail = detail
+        self._pending.cancel()
+
+    def _end(self) -> None:
+        if self._timer.active():
+            self._timer.cancel()
+        address = self._req.endpoint.address
+        self._client.in_flight[address] -= 1
+        if not self._client.in_flight[address]:
+            del self._client.in_flight[address]
+
+    def _settle(self, outcome: Result[UpstreamAnswer, SendFailure]) -> None:
+        if not self._settled:
+            self._settled = True
+            self.result.callback(outcome)
+
+
+def _headers_for(req: UpstreamRequest) -> Headers:
+    headers = Headers()
+    for name, value in req.headers:
+        if name.lower() not in _OWN_HEADERS:
+            headers.addRawHeader(name.encode("latin-1"), value.encode("latin-1"))
+    remaining_ms = max(1, req.timeout // timedelta(milliseconds=1))
+    headers.setRawHeaders(REQUEST_ID_HEADER, [req.request_id])
+    headers.setRawHeaders(DEADLINE_HEADER, [str(remaining_ms)])
+    return headers
+
+
+def _producer_for(body: IBodyProducer | bytes | None) -> IBodyProducer | None:
+    if isinstance(body, bytes):
+        return BytesProducer(body) if body else None
+    return None if body is None or body.length == 0 else body
+
+
+def _headers_of(response: IResponse) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name.decode("latin-1").lower(), value.decode("latin-1"))
+        for name, values in response.headers.getAllRawHeaders()
+        for value in values
+    )
+
+
+def _value_of(headers: tuple[tuple[str, str], ...], wanted: str) -> str | None:
+    return next((value for name, value in headers if name == wanted), None)
+
+
+def _describe(failure: Failure) -> str:
+    reasons = getattr(failure.value, "reasons", None)
+    inner = reasons[0] if reasons else failure
+    return f"{inner.type.__name__}: {inner.getErrorMessage()}"
+
+
+def _control_failure(failure: Failure, attempt: Attempt) -> Result[bytes, str]:
+    attempt.abort()
+    return Error(_describe(failure))
--- /dev/null
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -0,0 +1,149 @@
+"""Connections to upstream endpoints: which may be reused, and what an attempt may have sent."""
+
+import typing as t
+
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.web._newclient import HTTP11ClientProtocol
+from twisted.web.client import URI, HTTPConnectionPool
+from twisted.web.iweb import IAgentEndpointFactory, IResponse
+from zope.interface import implementer
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_IDLE_PER_ENDPOINT = 4
+# Shorter than what HTTP servers usually grant, so that it is seldom they who close first.
+IDLE_TIMEOUT_S = 3.0
+
+_FIRST_ERROR_STATUS = 400
+
+# States of HTTP11ClientProtocol.
+_QUIESCENT = "QUIESCENT"
+_TRANSMITTING = "TRANSMITTING"
+_TRANSMITTING_AFTER_RESPONSE = "TRANSMITTING_AFTER_RECEIVING_RESPONSE"
+_WAITING = "WAITING"
+
+
+class UpstreamConnection(HTTP11ClientProtocol):
+    """A connection that is not reused after bytes that no request has asked for.
+
+    Attributes
+    ----------
+    exchange
+        Number of the request in progress, or of the last one; counts from 1.
+    """
+
+    exchange = 0
+
+    def request(self, request: t.Any) -> "Deferred[t.Any]":
+        """Send one request; an error status stops an upload that is still under way."""
+        self.exchange += 1
+        result = super().request(request)
+        if self.state == _TRANSMITTING:
+            self._responseDeferred.addCallback(self._answered_early, request)
+        return result
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Drop the connection if an answer arrives that belongs to no request."""
+        if self.state == _QUIESCENT:
+            self.abort()
+            self.transport.abortConnection()
+        else:
+            super().dataReceived(data)
+
+    def _answered_early(self, response: IResponse, request: t.Any) -> IResponse:
+        # Without this the answer would stay unseen until the whole body was sent, and be lost if
+        # the upstream closed the connection before. An upstream that answers well may still read.
+        transmitting = self.state in (_TRANSMITTING, _TRANSMITTING_AFTER_RESPONSE)
+        if response.code < _FIRST_ERROR_STATUS or not transmitting:
+            return response
+        request.stopWriting()
+        request.persistent = False
+        self.transport.unregisterProducer()
+        if self.state == _TRANSMITTING:
+            self._state = _WAITING
+            self._responseDeferred.chainDeferred(self._finishedRequest)
+        return response
+
+    def _finishResponse_WAITING(self, rest: bytes) -> None:  # noqa: N802
+        # What follows a whole answer could pass for the answer to the next request.
+        if rest and self._currentRequest is not None:
+            self._currentRequest.persistent = False
+        super()._finishResponse_WAITING(rest)
+
+
+class _ConnectionFactory(HTTPConnectionPool._factory):
+    def buildProtocol(self, addr: object) -> UpstreamConnection:  # noqa: N802
+        return UpstreamConnection(self._quiescentCallback)
+
+
+class ConnectionPool(HTTPConnectionPool):
+    """Idle connections, few per endpoint and never for long; nothing is retried here."""
+
+    _factory = _ConnectionFactory
+    retryAutomatically = False  # noqa: N815
+    maxPersistentPerHost = MAX_IDLE_PER_ENDPOINT  # noqa: N815
+    cachedConnectionTimeout = IDLE_TIMEOUT_S  # noqa: N815
+
+    def open(self, key: t.Hashable, endpoint: IStreamClientEndpoint) -> "Deferred[t.Any]":
+        """Open a new connection, which joins the pool after its first answer."""
+        return self._newConnection(key, endpoint)
+
+
+class Attempt:
+    """One request's use of the pool: gives `Agent` its connection, and remembers it.
+
+    Parameters
+    ----------
+    pool
+        Where idle connections are kept.
+    fresh
+        Whether to open a new connection even if there is an idle one.
+
+    Attributes
+    ----------
+    connection
+        The connection, or None; as long as it is None, no byte can have left.
+    """
+
+    persistent = True
+
+    def __init__(self, pool: ConnectionPool, *, fresh: bool) -> None:
+        self.connection: UpstreamConnection | None = None
+        self._pool = pool
+        self._fresh = fresh
+        self._exchange = 0
+
+    def getConnection(  # noqa: N802  (the name that Agent calls)
+        self, key: t.Hashable, endpoint: IStreamClientEndpoint
+    ) -> "Deferred[UpstreamConnection]":
+        """Return a connection for one request."""
+        find = self._pool.open if self._fresh else self._pool.getConnection
+        return find(key, endpoint).addCallback(self._connected)
+
+    def abort(self) -> None:
+        """Reset the connection, unless this attempt's exchange on it is over."""
+        conn = self.connection
+        if conn is None or conn.exchange != self._exchange or conn.state == _QUIESCENT:
+            return
+        conn.transport.abortConnection()
+
+    def _connected(self, conn: UpstreamConnection) -> UpstreamConnection:
+        self.connection = conn
+        self._exchange = conn.exchange + 1
+        return conn
+
+
+@implementer(IAgentEndpointFactory)
+class NumericEndpoints:
+    """Connects to IPv4 numbers without a resolver, which would use threads."""
+
+    def __init__(self, reactor: t.Any, timeout: float = CONNECT_TIMEOUT_S) -> None:
+        self._reactor = reactor
+        self._timeout = timeout
+
+    def endpointForURI(self, uri: URI) -> IStreamClientEndpoint:  # noqa: N802
+        """Return the endpoint for the address in `uri`."""
+        return TCP4ClientEndpoint(
+            self._reactor, uri.host.decode("ascii"), uri.port, timeout=self._timeout
+        )
--- /dev/null
+++ b/scripts/fleet.py
@@ -0,0 +1,318 @@
+"""Start and end whole deployments of separate processes on loopback, for demo and benchmarks.
+
+The script starts the processes; no process of the system starts another. Every process is ended
+by its own id, and a context manager guarantees that none outlives the script.
+"""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import threading
+import time
+import typing as t
+import urllib.request
+from collections.abc import Iterator
+
+Document = dict[str, t.Any]
+
+_READY_S = 20.0
+_PAUSE_S = 0.05
+
+
+class Process:
+    """One child process; its standard output goes to a file."""
+
+    def __init__(self, name: str, argv: list[str], folder: pathlib.Path) -> None:
+        self.name = name
+        self.log = folder / f"{name}.log"
+        self._file = self.log.open("wb")
+        env = {**os.environ, "PYTHONUNBUFFERED": "1"}
+        self.popen = subprocess.Popen(
+            argv, stdout=self._file, stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL, env=env
+        )
+
+    def signal(self, number: int) -> None:
+        """Send a signal if the process still runs."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def wait(self, timeout: float) -> int | None:
+        """Return the exit code, or None if it still runs after `timeout` seconds."""
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            self.popen.wait(timeout)
+        return self.popen.returncode
+
+    def lines(self) -> list[str]:
+        """Return what it has printed so far."""
+        return self.log.read_text(errors="replace").splitlines()
+
+    def close(self) -> None:
+        """End the process, at once if it does not follow."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        if self.wait(2.0) is None:
+            self.popen.kill()
+            self.popen.wait()
+        self._file.close()
+
+
+def get_json(url: str, timeout: float = 2.0) -> t.Any:
+    """Fetch a JSON page from a loopback address."""
+    with urllib.request.urlopen(url, timeout=timeout) as resp:
+        return json.load(resp)
+
+
+def put_json(url: str, value: t.Any, timeout: float = 2.0) -> None:
+    """Send a JSON value to a control page of a stand-in."""
+    req = urllib.request.Request(
+        url,
+        data=json.dumps(value).encode(),
+        method="PUT",
+        headers={"Content-Type": "application/json"},
+    )
+    with urllib.request.urlopen(req, timeout=timeout) as resp:
+        resp.read()
+
+
+def wait_until(what: str, condition: t.Callable[[], bool], timeout: float = _READY_S) -> float:
+    """Poll until `condition` holds and return the seconds it took; raise TimeoutError else."""
+    start = time.monotonic()
+    while not condition():
+        if time.monotonic() - start > timeout:
+            raise TimeoutError(f"{what}: not within {timeout} s")
+        time.sleep(_PAUSE_S)
+    return time.monotonic() - start
+
+
+class Fleet:
+    """All processes of one deployment.
+
+    Parameters
+    ----------
+    document
+        The configuration document; its addresses must be loopback addresses.
+    folder
+        Where settings and logs go.
+    number
+        The last octet of the stand-ins' addresses, so that two fleets can run side by side.
+    behaviour
+        Behaviour of every stand-in upstream, by service (see the stand-ins' settings).
+    """
+
+    def __init__(
+        self,
+        document: Document,
+        folder: pathlib.Path,
+        number: int,
+        behaviour: dict[str, dict[str, t.Any]] | None = None,
+    ) -> None:
+        self.document = document
+        self.folder = folder
+        self.store = f"127.0.3.{number}:8500"
+        self.vms = f"127.0.4.{number}:8600"
+        self.behaviour = behaviour or {}
+        self.processes: dict[str, Process] = {}
+        folder.mkdir(parents=True, exist_ok=True)
+
+    def start(self, name: str, argv: list[str]) -> Process:
+        """Start one process under `name`; an ended one of the same name is replaced."""
+        proc = Process(name, argv, self.folder)
+        self.processes[name] = proc
+        return proc
+
+    def start_standins(self) -> None:
+        """Start store, VM list and upstreams, and wait until all listen."""
+        module = [sys.executable, "-m", "cardamomloft_standins.main"]
+        rows = self.upstream_rows()
+        cfg = self.folder / "upstreams.json"
+        cfg.write_text(json.dumps({"endpoints": rows}))
+        started = [
+            self.start("store", [*module, "store", "--listen", self.store]),
+            self.start("vms", [*module, "vms", "--listen", self.vms]),
+            self.start("upstreams", [*module, "upstreams", "--settings", str(cfg)]),
+        ]
+        for proc in started:
+            wait_until(proc.name, lambda proc=proc: any("listening" in x for x in proc.lines()))
+        self.set_vms({})
+
+    def upstream_rows(self) -> list[dict[str, t.Any]]:
+        """Return the stand-ins' settings for every upstream of the document."""
+        return [
+            {
+                "name": name,
+                "service": service,
+                "zone": row["zone"],
+                "address": row["address"],
+                "slots": row["slots"],
+                **self.behaviour.get(service, {}),
+            }
+            for service, service_row in self.document["services"].items()
+            for name, row in service_row["upstreams"].items()
+        ]
+
+    def set_vms(self, states: dict[str, str]) -> None:
+        """Publish the VM list: every entry live but for the given states."""
+        stamp = time.strftime("%Y-%m-%dT%H:%M:%S+00:00", time.gmtime())
+        rows = [
+            {
+                "name": seat,
+                "address": row["callers"].split(":")[0],
+                "state": states.get(seat, "live"),
+                "at": stamp,
+            }
+            for seat, row in self.document["entries"].items()
+        ]
+        put_json(f"http://{self.vms}/v1/vms", rows)
+
+    def start_entry(self, seat: str, **extra: t.Any) -> Process:
+        """Start the entry that holds `seat`."""
+        row = self.document["entries"][seat]
+        seeds = [r["peers"] for name, r in self.document["entries"].items() if name != seat]
+        settings = {
+            "seat": seat,
+            "zone": row["zone"],
+            "callers": row["callers"],
+            "peers": row["peers"],
+            "operators": row["operators"],
+            "store": f"http://{self.store}",
+            "vms": f"http://{self.vms}",
+            "peer_seeds": seeds,
+            **extra,
+        }
+        path = self.folder / f"{seat}.settings.json"
+        path.write_text(json.dumps(settings, indent=2))
+        binary = str(pathlib.Path(sys.executable).parent / "cardamomloft")
+        return self.start(seat, [binary, "--settings", str(path)])
+
+    def start_entries(self) -> None:
+        """Start every entry of the roster."""
+        for seat in self.document["entries"]:
+            self.start_entry(seat)
+
+    def status(self, seat: str) -> dict[str, t.Any] | None:
+        """Return an entry's status page, or None if it does not answer."""
+        try:
+            return get_json(f"http://{self.document['entries'][seat]['operators']}/status")
+        except (OSError, ValueError):
+            return None
+
+    def wait_ready(self, seats: list[str] | None = None, timeout: float = _READY_S) -> float:
+        """Wait until the named entries (all by default) serve; return the seconds it took."""
+        todo = list(seats or self.document["entries"])
+
+        def ready() -> bool:
+            todo[:] = [seat for seat in todo if not (self.status(seat) or {}).get("ready")]
+            return not todo
+
+        return wait_until("entries ready", ready, timeout)
+
+    def ctl(self, *args: str, timeout: float = 30.0) -> tuple[int, dict[str, t.Any]]:
+        """Run cardamomctl with --json; return its exit code and answer."""
+        binary = str(pathlib.Path(sys.executable).parent / "cardamomctl")
+        where = ["--store", f"http://{self.store}", "--vms", f"http://{self.vms}"]
+        done = subprocess.run(
+            [binary, *args, *where, "--json"],
+            capture_output=True,
+            text=True,
+            timeout=timeout,
+            stdin=subprocess.DEVNULL,
+        )
+        try:
+            return done.returncode, json.loads(done.stdout)
+        except ValueError:
+            return done.returncode, {"text": done.stdout, "error": done.stderr}
+
+    def apply(self, document: Document, why: str, wait: float = 15.0) -> dict[str, t.Any]:
+        """Apply a document and wait until it is accepted; raise if it is not."""
+        path = self.folder / "rules.json"
+        path.write_text(json.dumps(document, indent=2))
+        code, answer = self.ctl("apply", str(path), "--why", why, "--wait", str(wait))
+        if code != 0:
+            kept = {k: v for k, v in answer.items() if k != "difference"}
+            raise RuntimeError(f"apply: exit {code}: {kept}")
+        self.document = document
+        return answer
+
+    def books(self) -> dict[str, dict[str, t.Any]]:
+        """Return the books of every stand-in upstream by endpoint name."""
+        return {
+            row["name"]: get_json(f"http://{row['address']}/-/books")
+            for row in self.upstream_rows()
+        }
+
+    def start_load(self, name: str, settings: dict[str, t.Any]) -> Process:
+        """Start one process of callers."""
+        path = self.folder / f"{name}.load.json"
+        path.write_text(json.dumps(settings))
+        return self.start(name, [sys.executable, "-m", "cardamomloft_standins.load", str(path)])
+
+    def load_report(self, name: str, timeout: float) -> dict[str, t.Any]:
+        """Wait for a load process and return its report."""
+        proc = self.processes[name]
+        if proc.wait(timeout) != 0:
+            raise RuntimeError(f"{name}: " + "\n".join(proc.lines()[-20:]))
+        return json.loads(proc.lines()[-1])
+
+    def addresses(self) -> list[str]:
+        """Return the callers' addresses of all entries."""
+        return [row["callers"] for row in self.document["entries"].values()]
+
+    def close(self) -> None:
+        """End every process of this fleet."""
+        threads = [threading.Thread(target=p.close) for p in self.processes.values()]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+
+@contextlib.contextmanager
+def running(
+    document: Document,
+    folder: pathlib.Path,
+    number: int = 1,
+    behaviour: dict[str, dict[str, t.Any]] | None = None,
+) -> Iterator[Fleet]:
+    """Own a fleet: its stand-ins run inside the block, and nothing of it runs after."""
+    fleet = Fleet(document, folder, number, behaviour)
+    try:
+        fleet.start_standins()
+        yield fleet
+    finally:
+        fleet.close()
+
+
+class Books(t.NamedTuple):
+    """What the upstreams saw, summed up."""
+
+    duplicate_runs: int
+    slot_overshoot: int
+    cut_off: int
+    runs: dict[str, int]
+
+
+def sum_up(books: dict[str, dict[str, t.Any]]) -> Books:
+    """Sum the books of all upstreams; a key's runs count over all of them."""
+    runs: dict[str, int] = {}
+    for book in books.values():
+        for key, count in book["runs"].items():
+            runs[key] = runs.get(key, 0) + count
+    return Books(
+        sum(count - 1 for count in runs.values() if count > 1),
+        max((max(0, book["most_running"] - book["slots"]) for book in books.values()), default=0),
+        sum(book["cut_off"] for book in books.values()),
+        runs,
+    )
+
+
+def percentile(values: list[float], percent: float) -> float:
+    """Return the nearest-rank percentile of sorted or unsorted values; 0 for none."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    rank = max(0, min(len(ordered) - 1, int(round(percent / 100 * len(ordered) + 0.5)) - 1))
+    return ordered[rank]
--- /dev/null
+++ b/scripts/rules_reference.py
@@ -0,0 +1,107 @@
+"""Write docs/rules-reference.md from the types of the configuration document.
+
+Run it after a change of ``cardamomloft.core.document``; a test compares the page with the types.
+"""
+
+import inspect
+import typing as t
+from pathlib import Path
+
+import annotated_types
+from cardamomloft.core import document
+from pydantic.fields import FieldInfo
+from typing_extensions import is_typeddict
+
+PAGE = Path(__file__).resolve().parent.parent / "docs" / "rules-reference.md"
+
+_HEAD = """# Reference of the configuration document
+
+Generated from the types by `scripts/rules_reference.py`; edit those instead of this page.
+[The rules file](rules-file.md) explains what the parts mean. Every key not listed is a mistake.
+Durations are in milliseconds, sizes in bytes.
+"""
+
+_PLAIN = {str: "text", int: "whole number", float: "number", bool: "true or false"}
+_NAMED = {
+    document.Name: "name",
+    document.Address: "IPv4 address and port",
+    document.Percent: "number, 0 to 100",
+}
+
+
+def page() -> str:
+    """Return the text of the page."""
+    parts = [_HEAD, *map(_section, _sections(document.Document))]
+    names = document.Name.__metadata__[0].metadata[0].pattern
+    parts.append(f"## Names\n\nA name matches `{names}`.\n")
+    return "\n".join(parts)
+
+
+def _sections(root: type) -> list[type]:
+    """Return `root` and the types that it is made of, each once, in the order of their use."""
+    found = [root]
+    for section in found:
+        for hint in _hints(section).values():
+            found += [part for part in _rows_in(hint) if part not in found]
+    return found
+
+
+def _hints(section: type) -> dict[str, t.Any]:
+    hints = t.get_type_hints(section, include_extras=True)
+    return {key: _without_required(hint) for key, hint in hints.items()}
+
+
+def _without_required(hint: t.Any) -> t.Any:
+    return t.get_args(hint)[0] if t.get_origin(hint) is t.NotRequired else hint
+
+
+def _rows_in(hint: t.Any) -> list[type]:
+    if is_typeddict(hint):
+        return [hint]
+    return [row for part in t.get_args(hint) for row in _rows_in(part)]
+
+
+def _section(section: type) -> str:
+    lines = [f"## {section.__name__}", "", inspect.getdoc(section) or "", ""]
+    lines += ["| Key | Value | Required |", "|---|---|---|"]
+    for key, hint in _hints(section).items():
+        required = "yes" if key in section.__required_keys__ else "no"
+        lines.append(f"| `{key}` | {_describe(hint)} | {required} |")
+    return "\n".join(lines) + "\n"
+
+
+def _describe(hint: t.Any) -> str:
+    if hint in _NAMED:
+        return _NAMED[hint]
+    if is_typeddict(hint):
+        return f"[{hint.__name__}](#{hint.__name__.lower()})"
+    args = t.get_args(hint)
+    origin = t.get_origin(hint)
+    if origin is t.Literal:
+        return " or ".join(f"`{value}`" for value in args)
+    if origin is t.Annotated:
+        return f"{_describe(args[0])}, {_limits(args[1])}"
+    if origin is list:
+        return f"list of: {_describe(args[0])}"
+    if origin is dict:
+        return f"object, by {_describe(args[0])}: {_describe(args[1])}"
+    return _PLAIN[hint]
+
+
+def _limits(info: FieldInfo) -> str:
+    return " and ".join(map(_limit, info.metadata))
+
+
+def _limit(limit: object) -> str:
+    match limit:
+        case annotated_types.Ge(ge=bound):
+            return f"at least {bound}"
+        case annotated_types.Gt(gt=bound):
+            return f"above {bound}"
+        case annotated_types.Le(le=bound):
+            return f"at most {bound}"
+    return f"matching `{limit.pattern}`"
+
+
+if __name__ == "__main__":
+    PAGE.write_text(page(), encoding="utf-8")
--- /dev/null
+++ b/standins/src/cardamomloft_standins/answers.py
@@ -0,0 +1,128 @@
+"""How upstream stand-ins send their answers: whole, streamed, cut short or twice."""
+
+import json
+import typing as t
+from collections.abc import Callable, Mapping
+
+from twisted.internet.interfaces import IPullProducer
+from twisted.web import http
+from zope.interface import implementer
+
+CHUNK_BYTES = 64 * 1024
+_CYCLE = bytes(range(251))
+_PATTERN = _CYCLE * (CHUNK_BYTES // len(_CYCLE) + 2)
+
+
+def pattern(offset: int, size: int) -> bytes:
+    """Return `size` bytes (at most a chunk) of a streamed answer, from `offset` on."""
+    start = offset % len(_CYCLE)
+    return _PATTERN[start : start + size]
+
+
+def send(
+    request: http.Request, status: int, content: object, headers: Mapping[str, str] | None = None
+) -> None:
+    """Answer `request` with JSON."""
+    body = json.dumps(content).encode()
+    request.setResponseCode(status)
+    _set_headers(request, len(body))
+    for name, value in (headers or {}).items():
+        request.setHeader(name, value)
+    request.write(body)
+    request.finish()
+
+
+def send_echo(request: t.Any, endpoint: str, *, cut: bool, again: bool) -> None:
+    """Answer with what was received.
+
+    Parameters
+    ----------
+    cut
+        Send half of the announced bytes, then close the connection.
+    again
+        Send the whole answer a second time on the same connection.
+    """
+    body = json.dumps(
+        {
+            "endpoint": endpoint,
+            "path": request.path.decode("latin-1"),
+            "method": request.method.decode(),
+            "received": request.received,
+            "key": request.header("idempotency-key"),
+            "sha256": request.digest.hexdigest(),
+        }
+    ).encode()
+    _set_headers(request, len(body))
+    if cut:
+        request.write(body[: len(body) // 2])
+        request.loseConnection()
+        return
+    transport = request.transport
+    request.write(body)
+    request.finish()
+    if again:
+        transport.write(_raw_answer(request, body))
+
+
+@implementer(IPullProducer)
+class AnswerStream:
+    """Streams `size` bytes of :func:`pattern` as fast as the caller takes them.
+
+    Parameters
+    ----------
+    cut
+        Stop after half of the announced bytes and close the connection.
+    done
+        Called before the last bytes leave.
+    """
+
+    def __init__(
+        self, request: http.Request, size: int, cut: bool, done: Callable[[], None]
+    ) -> None:
+        self._request = request
+        self._size = size
+        self._end = size // 2 if cut else size
+        self._cut = cut
+        self._done = done
+        self._sent = 0
+
+    def start(self) -> None:
+        """Send the head, then the body."""
+        _set_headers(self._request, self._size, "application/octet-stream")
+        self._request.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Send the next chunk."""
+        chunk = pattern(self._sent, min(CHUNK_BYTES, self._end - self._sent))
+        self._sent += len(chunk)
+        last = self._sent == self._end
+        if last:
+            self._done()
+        self._request.write(chunk)
+        if last:
+            self._finish()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: the endpoint learns of a lost connection by itself."""
+
+    def _finish(self) -> None:
+        self._request.unregisterProducer()
+        if self._cut:
+            self._request.loseConnection()
+        else:
+            self._request.finish()
+
+
+def _set_headers(request: t.Any, length: int, content_type: str = "application/json") -> None:
+    request.setHeader("Content-Length", str(length))
+    request.setHeader("Content-Type", content_type)
+    request_id = request.getHeader("x-request-id")
+    if request_id is not None:
+        request.setHeader("X-Request-Id", request_id)
+
+
+def _raw_answer(request: t.Any, body: bytes) -> bytes:
+    head = [b"HTTP/1.1 200 OK"]
+    for name, values in request.responseHeaders.getAllRawHeaders():
+        head.extend(name + b": " + value for value in values)
+    return b"\r\n".join(head) + b"\r\n\r\n" + body
--- /dev/null
+++ b/standins/src/cardamomloft_standins/control.py
@@ -0,0 +1,55 @@
+"""One address that controls all upstream endpoints of a process, even those that refuse.
+
+``/<endpoint>/-/...`` is the same as ``/-/...`` on that endpoint's own address.
+"""
+
+import typing as t
+from collections.abc import Sequence
+from functools import partial
+
+from twisted.internet.address import IPv4Address
+from twisted.web import http
+
+from cardamomloft_standins.answers import send
+from cardamomloft_standins.upstream import Upstream, UpstreamRequest
+
+
+class ControlRequest(UpstreamRequest):
+    """A request for one of several endpoints."""
+
+    def __init__(
+        self, endpoints: dict[str, Upstream], first: Upstream, *args: t.Any, **kwargs: t.Any
+    ) -> None:
+        super().__init__(first, *args, **kwargs)
+        self._endpoints = endpoints
+
+    def process(self) -> None:
+        """Find the endpoint by the first part of the path."""
+        name, _, path = self.path.decode("latin-1").removeprefix("/").partition("/-/")
+        upstream = self._endpoints.get(name)
+        if upstream is None:
+            send(self, 404, {"error": f"no endpoint {name}"})
+        else:
+            upstream.administer(self, self.method.decode(), path)
+
+    def connectionLost(self, reason: t.Any) -> None:  # noqa: N802
+        """Do nothing but end the request: no endpoint works for it."""
+        http.Request.connectionLost(self, reason)
+
+
+class ControlFactory(http.HTTPFactory):
+    """Builds the control side's channels."""
+
+    def __init__(self, endpoints: Sequence[Upstream], reactor: t.Any) -> None:
+        super().__init__(reactor=reactor)
+        self._endpoints = {upstream.name: upstream for upstream in endpoints}
+
+    def buildProtocol(self, addr: IPv4Address) -> t.Any:  # noqa: N802
+        """Return a channel whose requests know all endpoints."""
+        channel = super().buildProtocol(addr)
+        first = next(iter(self._endpoints.values()))
+        channel.requestFactory = partial(ControlRequest, self._endpoints, first)
+        return channel
+
+    def log(self, request: t.Any) -> None:
+        """Keep no access log."""
--- /dev/null
+++ b/standins/src/cardamomloft_standins/keyvalue.py
@@ -0,0 +1,194 @@
+"""The state of the key-value store: versions, sessions and watches, without any I/O.
+
+The semantics are those of the published Consul HTTP API, as far as its subset here goes.
+"""
+
+import enum
+import typing as t
+import uuid
+from collections.abc import Callable
+from datetime import timedelta
+
+from twisted.internet import defer
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
+
+MAX_VALUE_BYTES = 1024 * 1024
+FIRST_INDEX = 1
+
+
+class Record(t.NamedTuple):
+    """One key's value with its indexes and the session that holds its lock."""
+
+    value: bytes
+    create_index: int
+    modify_index: int
+    lock_index: int = 0
+    session: str | None = None
+
+
+class PutOutcome(enum.Enum):
+    """What became of a write."""
+
+    WRITTEN = enum.auto()
+    CONFLICT = enum.auto()
+    NO_SESSION = enum.auto()
+
+
+class _Session(t.NamedTuple):
+    ttl: timedelta
+    expiry: IDelayedCall
+
+
+class _Watch(t.NamedTuple):
+    key: str
+    changed: defer.Deferred[None]
+    timer: IDelayedCall
+
+
+class KeyValues:
+    """Records, sessions and watches in memory.
+
+    Parameters
+    ----------
+    clock
+        Measures session TTLs and waits.
+    new_id
+        Returns a fresh session id.
+    """
+
+    def __init__(
+        self, clock: IReactorTime, *, new_id: Callable[[], str] = lambda: str(uuid.uuid4())
+    ) -> None:
+        self._clock = clock
+        self._new_id = new_id
+        self._index = FIRST_INDEX
+        self._records: dict[str, Record] = {}
+        self._indexes: dict[str, int] = {}
+        self._changed_at: dict[str, float] = {}
+        self._sessions: dict[str, _Session] = {}
+        self._watches: set[_Watch] = set()
+        self.lag = timedelta(0)
+
+    def get(self, key: str) -> Record | None:
+        """Return the record of `key`, if there is one."""
+        return self._records.get(key)
+
+    def index(self, key: str) -> int:
+        """Return the index of the last change of `key`, its deletion included."""
+        return self._indexes.get(key, FIRST_INDEX)
+
+    def put(
+        self, key: str, value: bytes, *, cas: int | None = None, acquire: str | None = None
+    ) -> PutOutcome:
+        """Write `value` if the conditions hold.
+
+        Parameters
+        ----------
+        cas
+            The expected ModifyIndex; 0 means that the key must be absent.
+        acquire
+            The session that is to hold the lock of `key`; the lock must be free or its own.
+        """
+        if acquire is not None and acquire not in self._sessions:
+            return PutOutcome.NO_SESSION
+        old = self._records.get(key)
+        if cas is not None and cas != (old.modify_index if old else 0):
+            return PutOutcome.CONFLICT
+        if acquire is not None and old and old.session not in (None, acquire):
+            return PutOutcome.CONFLICT
+        self._write(key, value, old, acquire)
+        return PutOutcome.WRITTEN
+
+    def create_session(self, ttl: timedelta) -> str:
+        """Create a session that lapses `ttl` after its last renewal; return its id."""
+        session = self._new_id()
+        expiry = self._clock.callLater(ttl.total_seconds(), self.destroy_session, session)
+        self._sessions[session] = _Session(ttl, expiry)
+        return session
+
+    def renew_session(self, session: str) -> bool:
+        """Start the TTL of `session` anew; return whether it still exists."""
+        held = self._sessions.get(session)
+        if held is None:
+            return False
+        held.expiry.reset(held.ttl.total_seconds())
+        return True
+
+    def destroy_session(self, session: str) -> bool:
+        """End `session` and delete the keys that it holds; return whether it existed."""
+        held = self._sessions.pop(session, None)
+        if held is None:
+            return False
+        if held.expiry.active():
+            held.expiry.cancel()
+        for key in [key for key, record in self._records.items() if record.session == session]:
+            del self._records[key]
+            self._next_index(key)
+            self._wake(key)
+        return True
+
+    def lapse(self, name: str) -> bool:
+        """End the session called `name`, or the one that holds the key `name`."""
+        record = self._records.get(name)
+        if record is not None and record.session is not None:
+            return self.destroy_session(record.session)
+        return self.destroy_session(name)
+
+    def watch(self, key: str, after: int, wait: timedelta) -> defer.Deferred[None]:
+        """Return a Deferred that fires once `key` has changed after index `after`.
+
+        It fires at the latest when `wait` is over, and at once if the change was before, but
+        never earlier than :attr:`lag` after the change.
+        """
+        changed: defer.Deferred[None] = defer.Deferred()
+        timer = self._clock.callLater(wait.total_seconds(), changed.callback, None)
+        watch = _Watch(key, changed, timer)
+        self._watches.add(watch)
+        changed.addBoth(self._forget, watch)
+        if self.index(key) > after:
+            self._fire_after(self._lag_left(key), watch)
+        return changed
+
+    def close(self) -> None:
+        """End all watches and timers."""
+        for watch in list(self._watches):
+            watch.changed.callback(None)
+        for session in self._sessions.values():
+            if session.expiry.active():
+                session.expiry.cancel()
+
+    def _write(self, key: str, value: bytes, old: Record | None, acquire: str | None) -> None:
+        index = self._next_index(key)
+        create, lock, session = index, 0, None
+        if old is not None:
+            create, lock, session = old.create_index, old.lock_index, old.session
+        if acquire is not None and session != acquire:
+            lock, session = lock + 1, acquire
+        self._records[key] = Record(value, create, index, lock, session)
+        self._wake(key)
+
+    def _next_index(self, key: str) -> int:
+        self._index += 1
+        self._indexes[key] = self._index
+        self._changed_at[key] = self._clock.seconds()
+        return self._index
+
+    def _lag_left(self, key: str) -> float:
+        age = self._clock.seconds() - self._changed_at.get(key, 0.0)
+        return max(0.0, self.lag.total_seconds() - age)
+
+    def _wake(self, key: str) -> None:
+        for watch in [watch for watch in self._watches if watch.key == key]:
+            self._fire_after(self._lag_left(key), watch)
+
+    def _fire_after(self, delay: float, watch: _Watch) -> None:
+        if delay <= 0:
+            watch.changed.callback(None)
+        elif self._clock.seconds() + delay < watch.timer.getTime():
+            watch.timer.reset(delay)
+
+    def _forget(self, result: t.Any, watch: _Watch) -> t.Any:
+        self._watches.discard(watch)
+        if watch.timer.active():
+            watch.timer.cancel()
+        return result
--- /dev/null
+++ b/standins/src/cardamomloft_standins/listener.py
@@ -0,0 +1,75 @@
+"""A listening socket that can be closed and opened again on the same address."""
+
+import typing as t
+from collections.abc import Callable
+
+from twisted.internet import defer
+from twisted.internet.interfaces import IListeningPort
+from twisted.internet.protocol import ServerFactory
+from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
+
+SetRefusing = Callable[[bool, t.Any], None]
+
+
+def ignore_refusing(refusing: bool, transport: t.Any) -> None:
+    """Do nothing: the socket has another owner."""
+
+
+class Connections(WrappingFactory):
+    """Counts the connections of the factory that it wraps."""
+
+    opened = 0
+    most = 0
+
+    def registerProtocol(self, p: ProtocolWrapper) -> None:  # noqa: N802
+        """Count a connection that has just been made."""
+        super().registerProtocol(p)
+        self.opened += 1
+        self.most = max(self.most, len(self.protocols))
+
+
+class Listener:
+    """Owns one listening socket and the connections accepted by it.
+
+    Parameters
+    ----------
+    reactor
+        Opens the socket.
+    address
+        ``ip:port``; with port 0 the first :meth:`open` chooses the port and later ones keep it.
+    factory
+        Speaks the protocol.
+    """
+
+    def __init__(self, reactor: t.Any, address: str, factory: ServerFactory) -> None:
+        self._reactor = reactor
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._listening: IListeningPort | None = None
+        self.connections = Connections(factory)
+
+    @property
+    def address(self) -> str:
+        """The address as ``ip:port``, with the real port once the socket has been open."""
+        return f"{self._host}:{self._port}"
+
+    def open(self) -> None:
+        """Listen; does nothing if the socket is open."""
+        if self._listening is not None:
+            return
+        listening = self._reactor.listenTCP(
+            self._port, self.connections, backlog=1024, interface=self._host
+        )
+        self._listening = listening
+        self._port = listening.getHost().port
+
+    def close(self, spare: t.Any = None) -> defer.Deferred[None]:
+        """Stop listening and cut every connection but the one whose transport is `spare`."""
+        listening, self._listening = self._listening, None
+        for conn in list(self.connections.protocols):
+            if conn is not spare:
+                conn.transport.abortConnection()
+        if listening is None:
+            return defer.succeed(None)
+        return defer.maybeDeferred(listening.stopListening)
--- /dev/null
+++ b/standins/src/cardamomloft_standins/load.py
@@ -0,0 +1,299 @@
+"""A load of callers: asks which entry to use, sends a seeded mix, repeats orders, keeps the books.
+
+One process is many callers. Arrivals are open-loop (a slow system does not slow its callers), drawn
+from a seeded generator. The report holds, for each kind of request, counts by outcome and exact
+latencies, and for orders the operation keys, so that a script can compare them with the books of
+the upstreams.
+"""
+
+import json
+import random
+import time
+import typing as t
+import uuid
+from collections import Counter, defaultdict
+
+import treq
+from twisted.internet import defer, reactor, task
+from twisted.web.client import Agent, HTTPConnectionPool
+
+_LOOKUP_LIFE_S = 1.0
+_MAX_TRIES = 4
+
+
+class MixRow(t.TypedDict, total=False):
+    """One kind of request; `rate` a second, `repeat` the share of orders sent twice on purpose."""
+
+    name: str
+    method: str
+    path: str
+    rate: float
+    client: str
+    deadline_ms: int
+    work_ms: float
+    answer_bytes: int
+    body_bytes: int
+    operation: str
+    repeat: float
+    priority: str
+
+
+class LoadSettings(t.TypedDict, total=False):
+    """What one load process does; `entries` are the callers' addresses to begin with."""
+
+    entries: list[str]
+    seed: int
+    duration_s: float
+    grace_s: float
+    mix: list[MixRow]
+    fixed_entry: bool
+
+
+class Report:
+    """Counts by kind and outcome, latencies in seconds, and what became of each order."""
+
+    def __init__(self) -> None:
+        self.outcomes: dict[str, Counter[str]] = defaultdict(Counter)
+        self.reasons: Counter[str] = Counter()
+        self.latencies: dict[str, list[float]] = defaultdict(list)
+        self.in_time: Counter[str] = Counter()
+        self.orders: dict[str, list[str]] = defaultdict(list)
+        self.wrong_answers = 0
+        self.by_second: dict[str, Counter[int]] = defaultdict(Counter)
+        self.refused_late_ms: list[float] = []
+        self.last_errors: list[str] = []
+
+    def to_json(self) -> dict[str, t.Any]:
+        """Return the report as plain data."""
+        return {
+            "outcomes": {name: dict(rows) for name, rows in self.outcomes.items()},
+            "reasons": dict(self.reasons),
+            "latencies": {name: sorted(rows) for name, rows in self.latencies.items()},
+            "in_time": dict(self.in_time),
+            "orders": dict(self.orders),
+            "wrong_answers": self.wrong_answers,
+            "by_second": {name: dict(rows) for name, rows in self.by_second.items()},
+            "last_errors": self.last_errors[-20:],
+        }
+
+
+class Load:
+    """Runs one load and fills a :class:`Report`."""
+
+    def __init__(self, cfg: LoadSettings) -> None:
+        self._cfg = cfg
+        self._rng = random.Random(cfg.get("seed", 1))
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = 64
+        self._pool.retryAutomatically = False
+        self._agent = Agent(reactor, connectTimeout=1.0, pool=self._pool)
+        self._lookups: dict[str, tuple[float, dict[str, t.Any]]] = {}
+        self._bad_until: dict[str, float] = {}
+        self._running: set[defer.Deferred[None]] = set()
+        self.report = Report()
+        self._start = 0.0
+
+    async def run(self) -> None:
+        """Send for the whole duration, then wait for what is in flight."""
+        self._start = time.monotonic()
+        streams = [defer.ensureDeferred(self._stream(row)) for row in self._cfg["mix"]]
+        await defer.gatherResults(streams)
+        if self._running:
+            waiting = defer.gatherResults(list(self._running), consumeErrors=True)
+            waiting.addTimeout(self._cfg.get("grace_s", 15.0), reactor)
+            await waiting.addErrback(lambda _: None)
+
+    async def _stream(self, row: MixRow) -> None:
+        due = time.monotonic()
+        end = due + self._cfg["duration_s"]
+        while (due := due + self._rng.expovariate(row["rate"])) < end:
+            await task.deferLater(reactor, max(0.0, due - time.monotonic()), lambda: None)
+            sent = defer.ensureDeferred(self._one(row))
+            self._running.add(sent)
+            sent.addBoth(lambda _, sent=sent: self._running.discard(sent))
+
+    async def _one(self, row: MixRow) -> None:
+        start = time.monotonic()
+        outcome = "error"
+        try:
+            outcome = await self._attempts(row)
+        except Exception as exc:
+            self.report.last_errors.append(f"{row['name']}: {type(exc).__name__}: {exc}"[:300])
+        elapsed = time.monotonic() - start
+        self.report.outcomes[row["name"]][outcome] += 1
+        if outcome == "complete":
+            self.report.latencies[row["name"]].append(elapsed)
+            self.report.by_second[row["name"]][int(time.monotonic() - self._start)] += 1
+            if elapsed * 1000 <= row.get("deadline_ms", 1e9):
+                self.report.in_time[row["name"]] += 1
+
+    async def _attempts(self, row: MixRow) -> str:
+        key: str | None = None
+        entry = ""
+        outcome = "error"
+        for _ in range(_MAX_TRIES):
+            # Nothing was sent to an entry that was not reached, so a new id is as good.
+            if outcome in ("error", "unreached") or not row.get("operation"):
+                found = await self._lookup(row)
+                entry = found["entries"][0]["address"]
+                if row.get("operation") == "system":
+                    entry = next(
+                        (e["address"] for e in found["entries"] if e["name"] == found["executor"]),
+                        entry,
+                    )
+                    key = f"{found['operation_prefix']}.{uuid.UUID(int=self._rng.getrandbits(128)).hex}"
+                elif row.get("operation") == "own":
+                    key = str(_uuid7(self._rng))
+            else:
+                entry = self._other_entry(entry)
+            outcome = await self._send(row, entry, key)
+            if outcome != "unreached" and not (outcome in ("unknown", "cut") and key):
+                break
+        if key is not None and outcome == "complete" and self._rng.random() < row.get("repeat", 0):
+            again = await self._repeat(row, entry, key)
+            self.report.outcomes[f"{row['name']}-repeat"][again] += 1
+        if key is not None:
+            self.report.orders[key].append(outcome)
+        return outcome
+
+    async def _repeat(self, row: MixRow, entry: str, key: str) -> str:
+        """Send an order again under its id, at other entries until one is reached."""
+        outcome = "unreached"
+        for _ in range(_MAX_TRIES):
+            if outcome == "unreached":
+                outcome = await self._send(row, self._other_entry(entry), key)
+        return outcome
+
+    def _other_entry(self, entry: str) -> str:
+        now = time.monotonic()
+        others = [e for e in self._cfg["entries"] if e != entry] or [entry]
+        others = [e for e in others if self._bad_until.get(e, 0) < now] or others
+        return self._rng.choice(others)
+
+    async def _lookup(self, row: MixRow) -> dict[str, t.Any]:
+        now = time.monotonic()
+        client = row.get("client", "10.0.0.1")
+        cached = self._lookups.get(client)
+        if cached is not None and cached[0] > now:
+            return cached[1]
+        for _ in range(_MAX_TRIES * 2):
+            good = [e for e in self._cfg["entries"] if self._bad_until.get(e, 0) < now]
+            address = self._rng.choice(good or self._cfg["entries"])
+            if self._cfg.get("fixed_entry"):
+                address = self._cfg["entries"][0]
+            try:
+                answer = await self._get(address, client)
+            except Exception as exc:
+                self._bad_until[address] = now + 2.0
+                self.report.last_errors.append(f"lookup {address}: {exc}"[:200])
+                continue
+            if answer is not None:
+                self._lookups[client] = (now + _LOOKUP_LIFE_S, answer)
+                return answer
+            self._bad_until[address] = now + 0.5
+        raise RuntimeError("no entry answers look-ups")
+
+    async def _get(self, address: str, client: str) -> dict[str, t.Any] | None:
+        resp = await treq.get(
+            f"http://{address}/lookup?client={client}", agent=self._agent, timeout=1.0
+        )
+        body = await resp.content()
+        if resp.code != 200:
+            return None
+        answer = json.loads(body)
+        if self._cfg.get("fixed_entry"):
+            answer["entries"] = [e for e in answer["entries"] if e["address"] == address] or [
+                {"name": answer["executor"], "address": address}
+            ]
+        return answer
+
+    async def _send(self, row: MixRow, entry: str, key: str | None) -> str:
+        headers = {"X-Client": row.get("client", "10.0.0.1")}
+        if "deadline_ms" in row:
+            headers["X-Deadline-Ms"] = str(row["deadline_ms"])
+        if "work_ms" in row:
+            headers["X-Work-Ms"] = str(row["work_ms"])
+        if "answer_bytes" in row:
+            headers["X-Answer-Bytes"] = str(row["answer_bytes"])
+        if "priority" in row:
+            headers["X-Priority"] = row["priority"]
+        if key is not None:
+            headers["Idempotency-Key"] = key
+        body = b"x" * row.get("body_bytes", 0) or None
+        wait = row.get("deadline_ms", 10_000) / 1000 + 2.0
+        path = row["path"]
+        try:
+            resp = await treq.request(
+                row["method"],
+                f"http://{entry}{path}",
+                headers=headers,
+                data=body,
+                agent=self._agent,
+                timeout=wait,
+            )
+        except Exception as exc:
+            self._bad_until[entry] = time.monotonic() + 1.0
+            self._lookups.clear()
+            self.report.last_errors.append(f"{row['name']} {entry}: {exc!r}"[:300])
+            return "unreached" if "Connect" in type(exc).__name__ else "cut"
+        return await self._read(row, resp, key)
+
+    async def _read(self, row: MixRow, resp: t.Any, key: str | None) -> str:
+        named = resp.headers.getRawHeaders("cardamomloft-outcome", ["error"])[0]
+        try:
+            body = await resp.content()
+        except Exception as exc:
+            self.report.last_errors.append(f"{row['name']} body: {exc!r}"[:300])
+            return "cut"
+        if named != "complete":
+            reason = resp.headers.getRawHeaders("cardamomloft-reason", ["?"])[0]
+            self.report.reasons[f"{row['name']}:{reason}"] += 1
+        elif not self._own_answer(row, body, key):
+            self.report.wrong_answers += 1
+        return named
+
+    def _own_answer(self, row: MixRow, body: bytes, key: str | None) -> bool:
+        """Tell whether the answer is whole and belongs to this request."""
+        if "answer_bytes" in row:
+            return len(body) == row["answer_bytes"]
+        answer = json.loads(body)
+        return (
+            answer["path"].split("?")[0] == row["path"].split("?")[0]
+            and answer["received"] == row.get("body_bytes", 0)
+            and (key is None or answer["key"] == key)
+        )
+
+
+def _uuid7(rng: random.Random) -> uuid.UUID:
+    """Make a version 7 UUID: 48 bits of Unix milliseconds, the rest drawn."""
+    bits = (int(time.time() * 1000) << 80) | rng.getrandbits(80)
+    bits = (bits & ~(0xF << 76)) | (0x7 << 76)
+    return uuid.UUID(int=(bits & ~(0x3 << 62)) | (0x2 << 62))
+
+
+def run_load(cfg: LoadSettings) -> dict[str, t.Any]:
+    """Run one load in this process's reactor and return its report."""
+    load = Load(cfg)
+
+    def main(_: t.Any) -> defer.Deferred[None]:
+        return defer.ensureDeferred(load.run())
+
+    try:
+        task.react(main, ())
+    except SystemExit as exc:
+        if exc.code:
+            raise
+    return load.report.to_json()
+
+
+def main() -> None:
+    """Read settings as JSON from the file named on the command line; print the report."""
+    import sys
+
+    with open(sys.argv[1], encoding="utf-8") as file:
+        cfg = json.load(file)
+    print(json.dumps(run_load(cfg)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/src/cardamomloft_standins/store.py
@@ -0,0 +1,244 @@
+"""The key-value store over HTTP, with faults and counts that tests control.
+
+``PUT /control`` changes :class:`~cardamomloft_standins.faults.StoreFaults` and, with
+``{"lapse": <key or session>}``, ends a lease behind its holder's back. ``GET /control/counts``
+returns the calls by kind, in total and by second since the start.
+"""
+
+import base64
+import json
+import re
+import typing as t
+from collections import Counter
+from collections.abc import Callable
+from datetime import timedelta
+
+from klein import Klein
+from twisted.internet import defer, task
+from twisted.web.iweb import IRequest
+
+from cardamomloft_standins.faults import StoreFaults, changed, parse_json
+from cardamomloft_standins.keyvalue import MAX_VALUE_BYTES, KeyValues, PutOutcome, Record
+from cardamomloft_standins.listener import SetRefusing, ignore_refusing
+
+DEFAULT_WAIT = timedelta(minutes=5)
+LONGEST_WAIT = timedelta(minutes=10)
+SHORTEST_TTL = timedelta(seconds=10)
+LONGEST_TTL = timedelta(days=1)
+
+_UNITS = {"ms": "milliseconds", "s": "seconds", "m": "minutes", "h": "hours"}
+
+
+class Answer(t.NamedTuple):
+    """An HTTP answer before any fault is applied to it."""
+
+    status: int
+    body: bytes
+    index: int | None = None
+
+
+class Store:
+    """The HTTP front of :class:`~cardamomloft_standins.keyvalue.KeyValues`.
+
+    Parameters
+    ----------
+    reactor
+        Measures time.
+    set_refusing
+        Called with True to close the listening socket, with False to open it again, and with the
+        transport that the command came on, which is to stay open.
+    values
+        The state, if not an empty one.
+    shortest_ttl
+        Session TTLs below this are answered with 400, as the published service does.
+    """
+
+    app = Klein()
+
+    def __init__(
+        self,
+        reactor: t.Any,
+        set_refusing: SetRefusing = ignore_refusing,
+        *,
+        values: KeyValues | None = None,
+        shortest_ttl: timedelta = SHORTEST_TTL,
+    ) -> None:
+        self._reactor = reactor
+        self._set_refusing = set_refusing
+        self._shortest_ttl = shortest_ttl
+        self._started = reactor.seconds()
+        self._calls: Counter[str] = Counter()
+        self._by_second: dict[int, Counter[str]] = {}
+        self.values = values or KeyValues(reactor)
+        self.faults = StoreFaults()
+
+    @app.route("/v1/kv/<path:key>", methods=["GET"])
+    async def read(self, request: IRequest, key: str) -> bytes:
+        """Answer a read, or a blocking query if an index is given."""
+        index = int(_argument(request, "index") or 0)
+        self._count("watch" if index else "get")
+        await self._until_served()
+        if index:
+            wait = _duration(_argument(request, "wait")) or DEFAULT_WAIT
+            await self.values.watch(key, index, min(wait, LONGEST_WAIT))
+        return await self._answer(request, _read(self.values, key))
+
+    @app.route("/v1/kv/<path:key>", methods=["PUT"])
+    async def write(self, request: IRequest, key: str) -> bytes:
+        """Answer a write, conditional or not."""
+        cas, session = _argument(request, "cas"), _argument(request, "acquire")
+        kind = "acquire" if session else "put" if cas is None else "cas"
+        value = request.content.read()
+
+        def effect() -> Answer:
+            if len(value) > MAX_VALUE_BYTES:
+                return Answer(413, b"Request body too large")
+            expected = None if cas is None else int(cas)
+            return _put_answer(self.values.put(key, value, cas=expected, acquire=session))
+
+        return await self._change(request, kind, effect)
+
+    @app.route("/v1/session/create", methods=["PUT"])
+    async def create_session(self, request: IRequest) -> bytes:
+        """Create a session that deletes its keys when it lapses."""
+        fields = parse_json(request.content.read())
+
+        def effect() -> Answer:
+            ttl = _duration(fields.get("TTL")) if isinstance(fields, dict) else None
+            if ttl is None or not self._shortest_ttl <= ttl <= LONGEST_TTL:
+                return Answer(400, b"Invalid Session TTL")
+            if fields.get("Behavior") != "delete":
+                return Answer(400, b"Only Behavior=delete is supported here")
+            return _json_answer({"ID": self.values.create_session(ttl)})
+
+        return await self._change(request, "session_create", effect)
+
+    @app.route("/v1/session/renew/<session>", methods=["PUT"])
+    async def renew_session(self, request: IRequest, session: str) -> bytes:
+        """Renew a session, or answer 404 if it has lapsed."""
+
+        def effect() -> Answer:
+            if not self.values.renew_session(session):
+                return Answer(404, b"Session id '%s' not found" % session.encode())
+            return _json_answer([{"ID": session}])
+
+        return await self._change(request, "session_renew", effect)
+
+    @app.route("/v1/session/destroy/<session>", methods=["PUT"])
+    async def destroy_session(self, request: IRequest, session: str) -> bytes:
+        """End a session; the answer is true whether it existed or not."""
+
+        def effect() -> Answer:
+            self.values.destroy_session(session)
+            return Answer(200, b"true")
+
+        return await self._change(request, "session_destroy", effect)
+
+    @app.route("/control", methods=["PUT"])
+    def control(self, request: IRequest) -> bytes:
+        """Change the faults; nothing changes if one of the names is unknown."""
+        changes = parse_json(request.content.read())
+        lapse = changes.pop("lapse", None) if isinstance(changes, dict) else None
+        faults = changed(self.faults, changes)
+        if isinstance(faults, str):
+            request.setResponseCode(400)
+            return faults.encode()
+        self.faults = faults
+        self.values.lag = timedelta(milliseconds=faults.lag_ms)
+        self._set_refusing(faults.down == "refuse", request.transport)
+        lapsed = self.values.lapse(lapse) if lapse is not None else None
+        return json.dumps({**faults._asdict(), "lapsed": lapsed}).encode()
+
+    @app.route("/control/counts", methods=["GET"])
+    def counts(self, request: IRequest) -> bytes:
+        """Return the calls by kind, in total and by second."""
+        by_second = {str(second): dict(calls) for second, calls in self._by_second.items()}
+        return json.dumps({"calls": dict(self._calls), "by_second": by_second}).encode()
+
+    def close(self) -> None:
+        """End all timers."""
+        self.values.close()
+
+    def _count(self, kind: str) -> None:
+        second = int(self._reactor.seconds() - self._started)
+        self._calls[kind] += 1
+        self._by_second.setdefault(second, Counter())[kind] += 1
+
+    async def _until_served(self) -> None:
+        if self.faults.down:
+            await defer.Deferred()
+
+    async def _change(self, request: IRequest, kind: str, effect: Callable[[], Answer]) -> bytes:
+        self._count(kind)
+        await self._until_served()
+        if self.faults.lose_requests > 0:
+            self.faults = self.faults._replace(lose_requests=self.faults.lose_requests - 1)
+            return await _cut(request)
+        answer = await self._take_effect(effect)
+        if self.faults.lose_answers > 0:
+            self.faults = self.faults._replace(lose_answers=self.faults.lose_answers - 1)
+            return await _cut(request)
+        return await self._answer(request, answer)
+
+    def _take_effect(self, effect: Callable[[], Answer]) -> defer.Deferred[Answer]:
+        delay = self.faults.late_effect_ms / 1000
+        if delay <= 0:
+            return defer.succeed(effect())
+        # The timer is not tied to the Deferred: a caller that leaves does not stop the write.
+        taken: defer.Deferred[Answer] = defer.Deferred()
+        self._reactor.callLater(delay, lambda: taken.callback(effect()))
+        return taken
+
+    async def _answer(self, request: IRequest, answer: Answer) -> bytes:
+        if self.faults.delay_ms > 0:
+            await task.deferLater(self._reactor, self.faults.delay_ms / 1000)
+        await self._until_served()
+        request.setResponseCode(answer.status)
+        request.setHeader(b"Content-Type", b"application/json")
+        if answer.index is not None:
+            request.setHeader(b"X-Consul-Index", str(answer.index).encode())
+        return answer.body
+
+
+def _cut(request: IRequest) -> defer.Deferred[bytes]:
+    request.transport.abortConnection()
+    return defer.Deferred()
+
+
+def _argument(request: IRequest, name: str) -> str | None:
+    values = request.args.get(name.encode())
+    return values[0].decode() if values else None
+
+
+def _duration(text: object) -> timedelta | None:
+    found = re.fullmatch(r"(\d+(?:\.\d+)?)(ms|s|m|h)", text) if isinstance(text, str) else None
+    return timedelta(**{_UNITS[found[2]]: float(found[1])}) if found else None
+
+
+def _json_answer(content: object, index: int | None = None) -> Answer:
+    return Answer(200, json.dumps(content).encode(), index)
+
+
+def _put_answer(outcome: PutOutcome) -> Answer:
+    if outcome is PutOutcome.NO_SESSION:
+        return Answer(500, b"invalid session")
+    return Answer(200, b"true" if outcome is PutOutcome.WRITTEN else b"false")
+
+
+def _read(values: KeyValues, key: str) -> Answer:
+    record = values.get(key)
+    if record is None:
+        return Answer(404, b"", values.index(key))
+    return _json_answer([_row(key, record)], record.modify_index)
+
+
+def _row(key: str, record: Record) -> dict[str, t.Any]:
+    row = {
+        "Key": key,
+        "Value": base64.b64encode(record.value).decode(),
+        "Flags": 0,
+        "CreateIndex": record.create_index,
+        "ModifyIndex": record.modify_index,
+        "LockIndex": record.lock_index,
+    }
+    return row if record.session is None else {**row, "Session": record.session}
