--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	touch $@
 
 test: .venv/ready
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses auto
 
 demo: .venv/ready
 	$(BIN)/python scripts/demo.py
--- /dev/null
+++ b/packages/platform/tests/test_http_store.py
@@ -0,0 +1,257 @@
+import json
+from datetime import timedelta
+from itertools import count
+
+import pytest
+from cardamomloft.platform.failures import StoreFailure
+from cardamomloft.platform.store import MAX_VALUE_BYTES, CallKind, HttpStore, Record, Watched
+from cardamomloft_standins.keyvalue import KeyValues
+from cardamomloft_standins.listener import Listener
+from cardamomloft_standins.store import Store
+from expression import Ok
+from twisted.internet import reactor, task
+from twisted.trial.unittest import TestCase
+from twisted.web.client import Agent
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+TTL = timedelta(seconds=10)
+WAIT = timedelta(seconds=30)
+KEY = "config/current"
+
+
+async def until(condition):
+    """Give the reactor turns until the condition holds; the test's timeout bounds it."""
+    while not condition():
+        await task.deferLater(reactor, 0)
+
+
+class Recorder(Resource):
+    """Passes requests on and keeps what was asked and answered."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, inner):
+        super().__init__()
+        self._inner = inner
+        self.session = []
+
+    def render(self, request):
+        asked = f"{request.method.decode()} {request.uri.decode()}"
+        body = request.content.read().decode()
+        request.content.seek(0)
+        turn = {"asked": asked, "body": body, "status": None, "index": None, "answered": ""}
+        self.session.append(turn)
+        write = request.write
+
+        def record(data):
+            turn["status"] = request.code
+            turn["index"] = request.responseHeaders.getRawHeaders("X-Consul-Index")
+            turn["answered"] += data.decode()
+            write(data)
+
+        request.write = record
+        return self._inner.render(request)
+
+
+class HttpStoreTest(TestCase):
+    """Real sockets; the store's time and the adapter's timeouts move only by `self.clock`."""
+
+    timeout = 20
+
+    @pytest.fixture(autouse=True)
+    def keep_snapshot(self, snapshot):
+        self.snapshot = snapshot
+
+    def setUp(self):
+        self.clock = task.Clock()
+        ids = count(1)
+        values = KeyValues(self.clock, new_id=lambda: f"lease-{next(ids)}")
+        self.standin = Store(self.clock, self.refuse, values=values)
+        self.recorder = Recorder(self.standin.app.resource())
+        self.listener = Listener(reactor, "127.0.0.1:0", Site(self.recorder))
+        self.listener.open()
+        self.store = self.client()
+
+    async def tearDown(self):
+        self.standin.close()
+        await self.listener.close()
+        await until(lambda: not self.listener.connections.protocols)
+
+    def client(self):
+        return HttpStore(self.clock, self.listener.address, agent=Agent(reactor))
+
+    def refuse(self, refusing, transport):
+        self.closed = self.listener.close() if refusing else self.listener.open()
+
+    def set(self, **faults):
+        self.standin.faults = self.standin.faults._replace(**faults)
+        self.standin.values.lag = timedelta(milliseconds=self.standin.faults.lag_ms)
+
+    async def arrived(self, kind, number):
+        await until(lambda: self.standin._calls[kind] == number)
+
+    async def held(self, key):
+        return (await self.store.get(key)).ok
+
+    async def test_golden_session(self):
+        store = self.store
+        await store.get(KEY)
+        await store.compare_and_swap(KEY, b'{"number": 1}', 0)
+        await store.compare_and_swap(KEY, b'{"number": 1, "who": "late"}', 0)
+        found = (await store.watch(KEY, 0, WAIT)).ok
+        waiting = store.watch(KEY, found.index, WAIT)
+        await self.arrived("watch", 1)
+        await store.compare_and_swap(KEY, b'{"number": 2}', found.record.version)
+        await waiting
+        lease = (await store.create_lease(TTL)).ok
+        await store.acquire("steward/kingston", b"entry-1", lease)
+        await store.acquire("steward/kingston", b"entry-2", (await store.create_lease(TTL)).ok)
+        await store.renew(lease)
+        await store.get("steward/kingston")
+        await store.release(lease)
+        await store.get("steward/kingston")
+        await store.renew(lease)
+        await store.acquire("steward/kingston", b"entry-1", lease)
+        await store.get("claims/a key?with signs")
+        self.assertTrue(self.recorder.session == self.snapshot)
+
+    async def test_a_lost_answer_is_ambiguous_and_a_read_back_settles_it(self):
+        self.set(lose_answers=1)
+        lost = await self.store.compare_and_swap(KEY, b"mine", 0)
+        self.assertTrue(lost.error.ambiguous)
+        self.assertEqual((await self.held(KEY)).value, b"mine")
+        self.assertEqual(await self.store.compare_and_swap(KEY, b"mine", 0), Ok(False))
+
+    async def test_a_lost_request_looks_the_same_and_did_nothing(self):
+        self.set(lose_requests=1)
+        lost = await self.store.compare_and_swap(KEY, b"mine", 0)
+        self.assertTrue(lost.error.ambiguous)
+        self.assertIsNone(await self.held(KEY))
+
+    async def test_a_write_may_take_effect_after_a_read_back_that_shows_nothing(self):
+        self.set(late_effect_ms=5000)
+        late = self.store.compare_and_swap(KEY, b"late", 0)
+        await self.arrived("cas", 1)
+        self.clock.advance(2)
+        self.assertTrue((await late).error.ambiguous)
+        self.assertIsNone(await self.held(KEY))
+        self.set(late_effect_ms=0)
+        self.assertEqual(await self.store.compare_and_swap(KEY, b"again", 0), Ok(True))
+        self.clock.advance(3)
+        self.assertEqual((await self.held(KEY)).value, b"again")
+
+    async def test_a_slow_answer_times_out_ambiguous_for_writes_only(self):
+        self.set(delay_ms=60_000)
+        write = self.store.compare_and_swap(KEY, b"slow", 0)
+        read = self.store.get(KEY)
+        await self.arrived("cas", 1)
+        await self.arrived("get", 1)
+        self.clock.advance(2)
+        self.assertTrue((await write).error.ambiguous)
+        self.assertFalse((await read).error.ambiguous)
+        self.assertEqual(self.store.failures, {CallKind.SWAP: 1, CallKind.GET: 1})
+
+    async def test_an_outage_that_refuses_is_definite_and_one_that_hangs_is_not(self):
+        self.refuse(True, None)
+        await self.closed
+        refused = await self.store.compare_and_swap(KEY, b"1", 0)
+        self.assertEqual(refused.error.ambiguous, False)
+        self.refuse(False, None)
+        self.set(down="hang")
+        hung = self.store.compare_and_swap(KEY, b"1", 0)
+        await self.arrived("cas", 1)
+        self.clock.advance(2)
+        self.assertTrue((await hung).error.ambiguous)
+        self.set(down=False)
+        self.assertIsNone(await self.held(KEY))
+
+    async def test_a_paused_holder_learns_that_its_lease_has_lapsed(self):
+        paused = (await self.store.create_lease(TTL)).ok
+        self.assertEqual(await self.store.acquire("lease", b"paused", paused), Ok(True))
+        self.clock.advance(10)
+        other = (await self.store.create_lease(TTL)).ok
+        self.assertEqual(await self.store.acquire("lease", b"other", other), Ok(True))
+        self.assertEqual(await self.store.renew(paused), Ok(False))
+        self.assertTrue((await self.store.acquire("lease", b"paused", paused)).is_error())
+        self.assertEqual((await self.held("lease")).value, b"other")
+
+    async def test_a_watch_waits_for_a_change_through_its_lag(self):
+        await self.store.compare_and_swap(KEY, b"1", 0)
+        first = (await self.store.watch(KEY, 0, WAIT)).ok
+        self.set(lag_ms=3000)
+        waiting = self.store.watch(KEY, first.index, WAIT)
+        outcomes = []
+        waiting.addCallback(outcomes.append)
+        await self.arrived("watch", 1)
+        await self.store.compare_and_swap(KEY, b"2", first.record.version)
+        self.clock.advance(2.9)
+        await self.store.get(KEY)
+        self.assertEqual(outcomes, [])
+        self.clock.advance(0.2)
+        await waiting
+        version = first.record.version + 1
+        self.assertEqual(outcomes, [Ok(Watched(Record(b"2", version), version))])
+
+    async def test_a_watch_without_change_returns_after_its_wait_and_may_go_on(self):
+        await self.store.compare_and_swap(KEY, b"1", 0)
+        first = (await self.store.watch(KEY, 0, WAIT)).ok
+        waiting = self.store.watch(KEY, first.index, WAIT)
+        await self.arrived("watch", 1)
+        self.clock.advance(30)
+        self.assertEqual(await waiting, Ok(first))
+
+    async def test_a_watch_of_a_replaced_store_starts_over(self):
+        waiting = self.store.watch(KEY, 900, WAIT)
+        await self.arrived("watch", 1)
+        await self.store.compare_and_swap(KEY, b"new life", 0)
+        self.clock.advance(30)
+        self.assertEqual(await waiting, Ok(Watched(Record(b"new life", 2), 0)))
+
+    async def test_cancelling_a_watch_drops_its_connection(self):
+        waiting = self.store.watch(KEY, 1, WAIT)
+        await self.arrived("watch", 1)
+        waiting.cancel()
+        self.assertIsInstance((await waiting).error, StoreFailure)
+        await until(lambda: not self.listener.connections.protocols)
+
+    async def test_a_value_beyond_the_limit_is_not_sent(self):
+        whole = b"x" * MAX_VALUE_BYTES
+        self.assertEqual(await self.store.compare_and_swap("map/a", whole, 0), Ok(True))
+        self.assertEqual((await self.held("map/a")).value, whole)
+        refused = await self.store.compare_and_swap("map/b", whole + b"x", 0)
+        self.assertEqual(refused.error.ambiguous, False)
+        self.assertIn("1048577 bytes", refused.error.detail)
+        self.assertEqual(self.store.calls, {CallKind.SWAP: 1, CallKind.GET: 1})
+        self.assertEqual(self.standin._calls, {"cas": 1, "get": 1})
+
+    async def test_control_speaks_http_and_counts_calls_by_second(self):
+        client = self.client()._exchange
+        changes = json.dumps({"lapse": "lease", "down": True}).encode()
+        lease = (await self.store.create_lease(TTL)).ok
+        await self.store.acquire("lease", b"1", lease)
+        self.clock.advance(3)
+        await self.store.get("lease")
+        wrong = await client.call("PUT", "/control", timeout=WAIT, body=b'{"dwon": true}')
+        self.assertEqual(wrong.ok.status, 400)
+        answer = await client.call("PUT", "/control", timeout=WAIT, body=changes)
+        answered = json.loads(answer.ok.body)
+        self.assertEqual((answered["down"], answered["lapsed"]), ("hang", True))
+        self.assertIsNone(self.standin.values.get("lease"))
+        counts = json.loads((await client.call("GET", "/control/counts", timeout=WAIT)).ok.body)
+        self.assertEqual(
+            counts["by_second"], {"0": {"session_create": 1, "acquire": 1}, "3": {"get": 1}}
+        )
+
+    async def test_a_read_on_a_kept_connection_that_dies_is_not_repeated(self):
+        store = HttpStore(reactor, self.listener.address)
+        await store.get(KEY)
+        self.set(down="hang")
+        cut = store.get(KEY)
+        await self.arrived("get", 2)
+        await self.listener.close()
+        self.listener.open()
+        self.assertEqual((await cut).error.ambiguous, False)
+        self.assertEqual(self.listener.connections.opened, 1)
+        self.assertEqual(self.standin._calls["get"], 2)
+        await store.close()
--- a/standins/src/cardamomloft_standins/load.py
+++ b/standins/src/cardamomloft_standins/load.py
@@ -141,7 +141,8 @@
                         (e["address"] for e in found["entries"] if e["name"] == found["executor"]),
                         entry,
                     )
-                    key = f"{found['operation_prefix']}.{uuid.UUID(int=self._rng.getrandbits(128)).hex}"
+                    unique = f"{self._rng.getrandbits(128):032x}"
+                    key = f"{found['operation_prefix']}.{unique}"
                 elif row.get("operation") == "own":
                     key = str(_uuid7(self._rng))
             else:
