Stream requests and answers at the HTTP edges

Cause: twisted.web spools a body, to disk when large, before it processes a request; our VMs have no disks, and a refused upload should not travel first. Its client shows an answer only after the whole request was sent, retries by itself and takes an answer ended by close for a whole one. Neither fits "not run means not run" or "every caller gets the whole answer to its own request".

Conclusion: the edges tell facts (sent or not, whole or not) and leave decisions to the entry. Left: a late second answer without an echoed X-Request-Id on a reused connection cannot be told apart; a caller that leaves while its upload is paused is noticed late.

--- a/packages/callers/src/cardamomloft/callers/app.py
+++ b/packages/callers/src/cardamomloft/callers/app.py
@@ -84,6 +84,7 @@
         """Return the factory of the callers' connections."""
         if self._factory is None:
             self._factory = CallerFactory(reactor, self._klein.resource(), self._on_fault)
+            self._factory.closing = self._closing
         return self._factory
 
     def closing(self) -> None:
@@ -100,7 +101,11 @@
         return done
 
     def disconnect(self) -> "Deferred[None]":
-        """Close the connections, idle ones too; fires when all that was written has been sent."""
+        """Close the connections, idle ones too; fires when all that was written has been sent.
+
+        Call it after `drained`, since it ends answers that are still streaming, and with a limit
+        of time, since a caller may never read.
+        """
         return succeed(None) if self._factory is None else self._factory.disconnect()
 
     # Look-ups.
--- a/packages/upstreams/src/cardamomloft/upstreams/client.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/client.py
@@ -106,9 +106,10 @@
         self._control_pool = ConnectionPool(reactor)
 
     def send(self, req: UpstreamRequest) -> "Deferred[Result[UpstreamAnswer, SendFailure]]":
-        """Send `req` and wait for the head of its answer; cancelling the result aborts it.
+        """Send `req` and wait for the head of its answer.
 
-        After a timeout or an abort the upstream may go on running the request: see `cancel`.
+        Cancelling the result before that aborts the request; afterwards the answer's body does.
+        Either way, and after a timeout, the upstream may go on running it: see `cancel`.
         """
         if req.timeout <= timedelta(0):
             return succeed(Error(SendFailure(True, "no time left")))
--- /dev/null
+++ b/packages/upstreams/tests/test_upstreams_client.py
@@ -0,0 +1,323 @@
+from datetime import timedelta
+from unittest.mock import Mock
+
+import pytest
+from cardamomloft.core.model import Endpoint
+from cardamomloft.upstreams.body import Delivery
+from cardamomloft.upstreams.client import SendFailure, UpstreamClient, UpstreamRequest
+from cardamomloft.upstreams.connections import IDLE_TIMEOUT_S
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError, TimeoutError
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+ENDPOINT = Endpoint("u1", "menus", "kingston-a", "kingston", "127.0.0.1:8001", 4, 360)
+PATH = "/menus?a=%ff"
+SECOND = timedelta(seconds=1)
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Wire:
+    """The upstream's end of one connection."""
+
+    def __init__(self, factory):
+        self.transport = StringTransport()
+        self.protocol = factory.buildProtocol(None)
+        self.protocol.makeConnection(self.transport)
+
+    def say(self, data):
+        self.protocol.dataReceived(data)
+
+    def close(self):
+        self.protocol.connectionLost(Failure(ConnectionDone()))
+
+    def heard(self):
+        return self.transport.value()
+
+
+def streamed():
+    """Return a request body that a test feeds by hand."""
+    return Mock(length=100, **{"startProducing.return_value": Deferred()})
+
+
+def consumer_of(upload):
+    return upload.startProducing.call_args[0][0]
+
+
+class Harness:
+    def __init__(self, **options):
+        self.reactor = MemoryReactorClock()
+        self.client = UpstreamClient(self.reactor, **options)
+
+    def send(self, *, body=None, method="GET", idempotent=True, request_id="r1"):
+        headers = (("host", "shop"), ("content-length", "9"), ("idempotency-key", "k1"))
+        return self.client.send(
+            UpstreamRequest(ENDPOINT, method, PATH, headers, body, SECOND, request_id, idempotent)
+        )
+
+    def connect(self):
+        return Wire(self.reactor.tcpClients[-1][2])
+
+    def refuse(self, reason):
+        self.reactor.tcpClients[-1][2].clientConnectionFailed(None, Failure(reason))
+
+
+def delivered(result):
+    sink = StringTransport()
+    return result.result.ok.body.deliver(sink), sink
+
+
+@pytest.mark.parametrize("reason", [ConnectionRefusedError(), TimeoutError()])
+def test_a_failure_to_connect_is_not_run(reason):
+    harness = Harness()
+    result = harness.send()
+    harness.refuse(reason)
+    assert result.result.error.not_run and not harness.client.in_flight
+
+
+def test_a_timeout_or_cancellation_before_the_connection_is_not_run():
+    harness = Harness()
+    late, cancelled = harness.send(), harness.send()
+    cancelled.cancel()
+    harness.reactor.advance(1)
+    assert late.result.error == SendFailure(True, "deadline passed")
+    assert cancelled.result.error == SendFailure(True, "cancelled")
+
+
+@pytest.mark.parametrize("answer", [b"", b"HTTP/1.1 20", b"HTTP/1.1 200 OK\r\nA: b\r\n", b"x\r\n"])
+def test_a_connection_lost_before_the_answer_s_head_may_have_run(answer):
+    harness = Harness()
+    result = harness.send()
+    wire = harness.connect()
+    wire.say(answer)
+    wire.close()
+    assert not result.result.error.not_run and not harness.client.in_flight
+
+
+def test_a_timeout_after_sending_may_have_run_and_its_late_answer_reaches_nobody():
+    harness = Harness()
+    result = harness.send()
+    first = harness.connect()
+    harness.reactor.advance(1)
+    assert result.result.error == SendFailure(False, "deadline passed")
+    assert first.transport.disconnected
+    after = harness.send(request_id="r2")
+    second = harness.connect()
+    first.say(OK)
+    assert not after.called and second is not first
+    second.say(OK.replace(b"ok", b"k2"))
+    assert delivered(after)[1].value() == b"k2"
+
+
+def test_an_upload_that_breaks_off_resets_the_connection_and_may_have_run():
+    harness = Harness()
+    upload = streamed()
+    result = harness.send(body=upload, method="POST")
+    wire = harness.connect()
+    consumer_of(upload).write(b"part")
+    upload.startProducing.return_value.errback(ValueError("caller left"))
+    failure = result.result.error
+    assert not failure.not_run and "caller left" in failure.detail
+    assert wire.transport.disconnected
+
+
+@pytest.mark.parametrize(
+    ("status", "header", "not_run"),
+    [(503, b"X-Not-Run: 1\r\n", True), (503, b"", False), (500, b"X-Not-Run: 1\r\n", False)],
+)
+def test_only_the_upstream_s_definite_refusal_is_not_run(status, header, not_run):
+    harness = Harness()
+    result = harness.send()
+    head = b"HTTP/1.1 %d Busy\r\n%bContent-Length: 0\r\n\r\n" % (status, header)
+    harness.connect().say(head)
+    assert result.result.ok.not_run is not_run
+
+
+def test_the_request_carries_its_id_deadline_and_one_framing():
+    harness = Harness()
+    harness.send(body=b"12345", method="POST")
+    heard = harness.connect().heard().lower()
+    assert heard.startswith(b"post /menus?a=%ff http/1.1\r\n") and heard.endswith(b"\r\n\r\n12345")
+    for line in (b"x-request-id: r1", b"x-deadline-ms: 1000", b"idempotency-key: k1"):
+        assert line in heard
+    assert heard.count(b"content-length") == 1 and heard.count(b"host: shop") == 1
+
+
+@pytest.mark.parametrize(
+    ("answer", "complete", "body"),
+    [
+        (OK, True, b"ok"),
+        (OK[:-1], False, b"o"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", True, b"ok"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", False, b"ok"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", False, b"ok"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok", False, b""),
+        (b"HTTP/1.1 200 OK\r\n\r\nok", False, b"ok"),
+        (b"HTTP/1.1 204 Done\r\n\r\n", True, b""),
+    ],
+)
+def test_an_answer_is_complete_only_with_its_announced_end(answer, complete, body):
+    harness = Harness()
+    result = harness.send()
+    wire = harness.connect()
+    wire.say(answer)
+    delivery, sink = delivered(result)
+    wire.close()
+    assert delivery.result.complete is complete and sink.value() == body
+    assert not harness.client.in_flight
+
+
+def test_collect_gives_the_body_or_says_why_not():
+    harness = Harness()
+    results = []
+    for limit in (2, 1):
+        result = harness.send(idempotent=False)
+        harness.connect().say(OK)
+        result.result.ok.body.collect(limit).addCallback(results.append)
+    assert results[0].ok == b"ok" and "exceeds 1" in results[1].error
+
+
+def test_the_deadline_holds_for_the_body_too():
+    harness = Harness()
+    result = harness.send()
+    wire = harness.connect()
+    wire.say(OK[:-1])
+    delivery, _ = delivered(result)
+    harness.reactor.advance(1)
+    assert delivery.result == Delivery(False, 1, "deadline passed")
+    assert wire.transport.disconnected and not harness.client.in_flight
+
+
+def test_a_slow_consumer_stops_the_reading_from_the_upstream():
+    harness = Harness()
+    result = harness.send()
+    wire = harness.connect()
+    wire.say(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n")
+    assert wire.transport.producerState == "paused"
+    _, sink = delivered(result)
+    assert wire.transport.producerState == "producing"
+    sink.producer.pauseProducing()
+    assert wire.transport.producerState == "paused"
+    sink.producer.resumeProducing()
+    assert wire.transport.producerState == "producing"
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "pause", "connections"),
+    [(True, 0, 1), (True, IDLE_TIMEOUT_S, 2), (False, 0, 2)],
+)
+def test_only_idempotent_requests_use_an_idle_connection(idempotent, pause, connections):
+    harness = Harness()
+    first = harness.send(idempotent=idempotent)
+    wire = harness.connect()
+    wire.say(OK)
+    assert delivered(first)[0].result.complete
+    harness.reactor.advance(pause)
+    assert wire.transport.disconnecting is bool(pause)
+    harness.send(idempotent=idempotent)
+    assert len(harness.reactor.tcpClients) == connections
+
+
+@pytest.mark.parametrize("extra", [b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad", b"H"])
+@pytest.mark.parametrize("together", [True, False])
+def test_a_second_answer_is_never_the_answer_to_the_next_request(extra, together):
+    harness = Harness()
+    first = harness.send()
+    wire = harness.connect()
+    wire.say(OK + extra if together else OK)
+    assert delivered(first)[1].value() == b"ok"
+    if not together:
+        wire.say(extra)
+    second = harness.send(request_id="r2")
+    assert len(harness.reactor.tcpClients) == 2
+    harness.connect().say(OK.replace(b"ok", b"k2"))
+    assert delivered(second)[1].value() == b"k2"
+
+
+def test_an_answer_that_names_another_request_is_not_taken():
+    harness = Harness()
+    result = harness.send(request_id="r2")
+    wire = harness.connect()
+    wire.say(OK.replace(b"\r\n\r\n", b"\r\nX-Request-Id: r1\r\n\r\n"))
+    assert result.result.error == SendFailure(False, "answer to another request: r1")
+    assert wire.transport.disconnected and not harness.client.in_flight
+
+
+def test_an_abort_after_the_end_spares_the_next_request_on_the_connection():
+    harness = Harness()
+    first = harness.send()
+    wire = harness.connect()
+    wire.say(b"HTTP/1.1 204 Done\r\n\r\n")
+    second = harness.send(request_id="r2")
+    first.result.ok.body.abort()
+    assert len(harness.reactor.tcpClients) == 1 and not wire.transport.disconnected
+    wire.say(OK)
+    assert delivered(second)[1].value() == b"ok"
+
+
+@pytest.mark.parametrize("body", [b"2\r\nno\r\n0\r\n\r\n", b""])
+def test_an_early_refusal_is_seen_and_stops_the_upload(body):
+    harness = Harness()
+    upload = streamed()
+    result = harness.send(body=upload, method="POST")
+    wire = harness.connect()
+    framing = b"Transfer-Encoding: chunked" if body else b"Content-Length: 0"
+    wire.say(b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n" + framing + b"\r\n\r\n" + body)
+    assert result.result.ok.not_run and upload.stopProducing.called
+    delivery, sink = delivered(result)
+    assert delivery.result.complete and sink.value() == (b"no" if body else b"")
+    assert wire.transport.disconnecting
+    harness.send()
+    assert len(harness.reactor.tcpClients) == 2
+
+
+def test_an_early_good_answer_does_not_cut_the_upload_short():
+    harness = Harness()
+    upload = streamed()
+    result = harness.send(body=upload, method="POST")
+    wire = harness.connect()
+    wire.say(OK)
+    assert not upload.stopProducing.called
+    consumer_of(upload).write(b"x" * 100)
+    upload.startProducing.return_value.callback(None)
+    assert wire.heard().endswith(b"x" * 100)
+    assert delivered(result)[1].value() == b"ok"
+
+
+def test_requests_beyond_the_bound_are_not_run():
+    harness = Harness(max_in_flight=1)
+    harness.send()
+    assert harness.send().result.error.not_run
+    assert len(harness.reactor.tcpClients) == 1
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "stopped", "load"),
+    [
+        (200, b'{"running": false}', True, None),
+        (200, b'{"running": true}', False, None),
+        (500, b'{"running": false}', False, None),
+        (200, b"{}", False, None),
+        (200, b'{"running": 2, "slots": 4, "state": "cold"}', False, (2, 4, "cold")),
+        (200, b'{"running": 2, "slots": 4, "state": "odd"}', False, None),
+    ],
+)
+def test_control_answers_are_believed_only_if_well_formed(status, body, stopped, load):
+    harness = Harness()
+    answer = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body)
+    cancelled = harness.client.cancel(ENDPOINT, "r1")
+    wire = harness.connect()
+    wire.say(answer)
+    assert wire.heard().startswith(b"DELETE /-/requests/r1 ") and cancelled.result is stopped
+    wire.close()
+    polled = harness.client.poll(ENDPOINT)
+    harness.connect().say(answer)
+    assert (tuple(polled.result.ok) if polled.result.is_ok() else None) == load
+
+
+def test_a_poll_without_an_answer_times_out_and_resets_its_connection():
+    harness = Harness()
+    polled = harness.client.poll(ENDPOINT, timedelta(milliseconds=500))
+    wire = harness.connect()
+    harness.reactor.advance(0.5)
+    assert polled.result.is_error() and wire.transport.disconnected
