--- a/packages/operators/src/cardamomloft/operators/applying.py
+++ b/packages/operators/src/cardamomloft/operators/applying.py
@@ -240,7 +240,11 @@
 async def read_recent(
     session: Session, base: Base, *, repair: bool
 ) -> Result[tuple[AuditEntry, ...], Failure]:
-    """Read the recent trail, after making sure of the entry of the record in force."""
+    """Read the recent trail.
+
+    With `repair` the entry of the record in force is written if it is missing. That has to be done
+    before the record is replaced: the trail alone tells then whose change it was.
+    """
     if base.record is None or session.store is None:
         return Ok(())
     if repair:
--- a/packages/operators/src/cardamomloft/operators/recording.py
+++ b/packages/operators/src/cardamomloft/operators/recording.py
@@ -1,4 +1,4 @@
-"""Writing a change: audit entry of the base, difference, swap, audit entry of the change."""
+"""Writing a change: its difference, the swap of the configuration, its audit entry."""
 
 import typing as t
 from datetime import timedelta
@@ -71,7 +71,7 @@
 async def write(
     session: Session, base: Base, record: Record, difference: list[trail.PathChange]
 ) -> Result[Written | Conflict, Failure]:
-    """Put `record` in the place of `base`, in the order that the audit trail needs.
+    """Put `record` in the place of `base`, whose audit entry must exist.
 
     Returns
     -------
@@ -80,19 +80,25 @@
         was written or whether that is unknown.
     """
     store = _store(session)
-    match changes.encode_record(record):
+    match changes.encode_record(record).bind(lambda _: _check_size(record, difference)):
         case Result(tag="error", error=text):
-            return Error(Failure(ExitCode.REFUSED, f"{text}; nothing written"))
-    if base.record is not None:
-        match await trail.ensure_entry(store, base.record):
-            case Result(tag="error", error=fault):
-                return Error(unavailable(fault.detail))
+            return Error(Failure(ExitCode.REFUSED, f"{text}; nothing was written"))
     match await trail.keep_difference(store, record, difference):
         case Result(tag="error", error=fault):
             return Error(unavailable(fault.detail))
     return await _settle(session, await _swap(session, Attempt(record, base.version)))
 
 
+def _check_size(record: Record, difference: list[trail.PathChange]) -> Result[None, str]:
+    """Refuse a change whose audit entry the store would not take afterwards."""
+    entry = changes.audit_entry(record, b"", difference)
+    limit = changes.MAX_RECORD_BYTES
+    if len(entry) > limit:
+        text = f"the change is audited in {len(entry)} bytes, the store takes {limit}"
+        return Error(f"{text}: make it in parts")
+    return Ok(None)
+
+
 async def _settle(
     session: Session, outcome: changes.Outcome
 ) -> Result[Written | Conflict, Failure]:
