--- a/packages/core/src/cardamomloft/core/places.py
+++ b/packages/core/src/cardamomloft/core/places.py
@@ -10,7 +10,7 @@
 from datetime import datetime, timedelta
 
 from cardamomloft.core.clock import Clock
-from cardamomloft.core.document import Document, UpstreamRow
+from cardamomloft.core.document import Document, ServiceRow, UpstreamRow
 from cardamomloft.core.hints import (
     PROBE_GRACE,
     Candidate,
@@ -28,6 +28,7 @@
 _SURVEY = timedelta(milliseconds=100)
 _SAMPLE = 8
 _TRIAL_EVERY = 8
+_ASK = timedelta(milliseconds=100)
 _PROBE = timedelta(seconds=1)
 _MAX_PROBE = timedelta(seconds=10)
 _ZERO = timedelta(0)
@@ -51,6 +52,7 @@
         self._turns = offset
         self._probe_at: timedelta | None = None
         self._probe_pause = _PROBE
+        self._ask_at = _ZERO
 
     @property
     def slots(self) -> int:
@@ -98,6 +100,16 @@
         self._probe_pause = min(_MAX_PROBE, self._probe_pause * 2)
         return state
 
+    def may_ask(self, now: timedelta) -> bool:
+        """Tell whether a request should wait here although no slot is free.
+
+        An entry may hold no share of a zone, and borrows one only for requests that wait for it.
+        """
+        if now < self._ask_at:
+            return False
+        self._ask_at = now + _ASK
+        return True
+
     def note_dead(self, dead: bool, now: timedelta) -> None:
         """Begin or end probing."""
         if not dead:
@@ -119,17 +131,20 @@
     ----------
     name
         The service.
-    cap
-        Percentage points of its traffic that may move per second.
+    row
+        Its part of the document.
     zones
         Its zones by name.
     blank
         A landscape with the fixed properties filled in.
     """
 
-    def __init__(self, name: str, cap: float, zones: Mapping[str, Zone], blank: Landscape) -> None:
+    def __init__(
+        self, name: str, row: ServiceRow, zones: Mapping[str, Zone], blank: Landscape
+    ) -> None:
         self.name = name
-        self.cap = cap / 100
+        self.cap = row.get("shift_cap_percent_per_s", DEFAULT_CAP) / 100
+        self.may_spill = row.get("spill_percent", 100) > 0
         self.zones = zones
         self._land = blank
         self._surveyed: timedelta | None = None
@@ -235,7 +250,7 @@
             )
             services[service] = ServicePlaces(
                 service,
-                row.get("shift_cap_percent_per_s", DEFAULT_CAP),
+                row,
                 {z: Zone(found, self._rng.randrange(len(found))) for z, found in zones.items()},
                 blank,
             )
--- a/packages/core/src/cardamomloft/core/steering.py
+++ b/packages/core/src/cardamomloft/core/steering.py
@@ -242,19 +242,42 @@
         ranked = places.zones[place].ranked(req, exclude, self._free, now)
         if ranked and not ranked[0].full:
             return Ok(self._choice(places, stream, place, ranked))
+        if ranked and places.zones[place].may_ask(now):
+            return Ok(self._choice(places, stream, place, ranked))
         stream.shift.want_overflow(now)
-        for zone in stream.aim.overflow if stream.shift.may_overflow else ():
-            key = self._spill_key(places, stream, zone)
-            if zone == place or (key is not None and self._free(key) < 1):
-                continue
-            found = places.zones[zone].ranked(req, exclude, self._free, now)
-            if found and not found[0].full:
+        if stream.shift.may_overflow:
+            others = [zone for zone in stream.aim.overflow if zone != place]
+            overflow = self._overflow(places, stream, req, others, exclude)
+            if overflow is not None:
                 stream.shift.take_overflow()
-                return Ok(self._choice(places, stream, zone, found))
+                return Ok(overflow)
         if exclude and all(s.endpoint.name in exclude for s in places.zones[place].fit):
             return Error(Refusal(RefusalReason.NO_PLACE, f"every endpoint of {place} was tried"))
         return Ok(self._choice(places, stream, place, ranked))
 
+    def _overflow(
+        self,
+        places: ServicePlaces,
+        stream: Stream,
+        req: Request,
+        others: list[str],
+        exclude: frozenset[str],
+    ) -> Choice | None:
+        """Choose at the first place with room, else at one where a share is to be asked for."""
+        now = self._clock.monotonic()
+        asked = None
+        for zone in others:
+            found = places.zones[zone].ranked(req, exclude, self._free, now)
+            if not found:
+                continue
+            choice = self._choice(places, stream, zone, found)
+            key = choice.spill_key
+            if not found[0].full and (key is None or self._free(key) > 0):
+                return choice
+            if asked is None and places.zones[zone].may_ask(now):
+                asked = choice
+        return asked
+
     def _choice(
         self, places: ServicePlaces, stream: Stream, place: str, ranked: list[Candidate]
     ) -> Choice:
--- a/packages/core/src/cardamomloft/core/streams.py
+++ b/packages/core/src/cardamomloft/core/streams.py
@@ -153,22 +153,26 @@
     ) -> Stream:
         """Begin where the traffic went before the edit, or where the fleet's shift is by now."""
         now = self._clock.monotonic()
+        if not places.may_spill:
+            directive = directive._replace(spill=())
         aim = self._aim(places, land, directive)
+        # How far the others are with a drain that is still to come depends on when it was
+        # recorded, which the document does not say. To start before it is never ahead of them.
+        steady = land._replace(closing=())
         if former is None or self._former is None:
-            return Stream(directive, self._resumed(places, land, directive, aim), aim)
+            return Stream(directive, self._resumed(places, steady, directive), aim)
         start = self._former.fractions.get((places.name, former.rule))
         if start is None:
-            start = self._aim(places, land, former).fractions
+            start = self._aim(places, steady, former).fractions
         return Stream(directive, Shift(start, now), aim)
 
     def _aim(self, places: ServicePlaces, land: Landscape, directive: Directive) -> Plan:
         return plan(directive, land, self._schedule.moves(places.name), places.cap)
 
-    def _resumed(
-        self, places: ServicePlaces, land: Landscape, directive: Directive, aim: Plan
-    ) -> Shift:
+    def _resumed(self, places: ServicePlaces, land: Landscape, directive: Directive) -> Shift:
         """Return a shift at most as far as the cap allowed since the last plan began."""
         now, wall = self._clock.monotonic(), self._clock.utcnow()
+        aim = self._aim(places, land, directive)
         recent = wall - timedelta(seconds=1 / places.cap)
         names = [state.endpoint.name for state in places.states()]
         since = self._schedule.last_begun(places.name, names, recent)
