Check documents, match rules and map client blocks

Cause: operators need every mistake of a file at once, each request needs its first matching rule without reading the whole list, and a large client-block table has to fit a small entry and change cheaply.

Weighed: for rules, a plain scan (it stays as the definition and for explain) against an index by fixed conditions, then path prefix, block or header. For blocks, flattened ranges against the operators' own blocks with the length of the block around each. Flattening loses what a removed block covered and spends a range on each gap. For warnings, only what is provable; rules that cover a later one only together go unreported.

A property test holds the index equal to the scan, and one throws classified requests at every rule reported dead.

--- a/packages/core/src/cardamomloft/core/blocks.py
+++ b/packages/core/src/cardamomloft/core/blocks.py
@@ -288,8 +288,11 @@
         starts, links = segment.starts, segment.links
         at = bisect_right(starts, address) - 1
         while at >= 0:
-            if not (address ^ starts[at]) >> (32 - (links[at] & _LENGTH_MASK)):
+            link = links[at]
+            if not (address ^ starts[at]) >> (32 - (link & _LENGTH_MASK)):
                 return self._names[segment.sites[at]]
+            if link >> _LENGTH_BITS == _NO_PARENT:
+                break
             at = segment.parent(at)
         return self._wide_site(address) if self._wide else self._default
 
@@ -343,7 +346,8 @@
         if _overlapping(made._chunks.values()):
             return Error(Mistake(dotted("clients", "chunks"), "chunks overlap"))
         made._clear([span for digest, span in self._chunks.items() if digest not in kept])
-        made._load([row for payload in payloads.values() for row in made._payload_rows(payload)])
+        for payload in payloads.values():
+            made._load(list(made._payload_rows(payload)))
         return Ok(made)
 
     def pack(self) -> tuple[Chunk, ...]:
--- a/packages/core/src/cardamomloft/core/checking.py
+++ b/packages/core/src/cardamomloft/core/checking.py
@@ -88,7 +88,10 @@
 
 
 def check_typed(type_: type[T], raw: object) -> Checked[T]:
-    """Check `raw` against a type of strict TypedDicts; nothing is converted or filled in."""
+    """Check `raw` against a type of strict TypedDicts.
+
+    Nothing is filled in or converted, but for whole numbers where any number is allowed.
+    """
     try:
         return Ok(_adapter(type_).validate_python(raw))
     except ValidationError as exc:
@@ -96,12 +99,13 @@
 
 
 def check_document(raw: object) -> Checked[Document]:
-    """Check a whole configuration document."""
+    """Check a whole configuration document; what is returned is `raw` itself."""
     typed = check_typed(Document, raw)
     if typed.is_error():
         return typed
-    mistakes = tuple(dict.fromkeys(reference_mistakes(typed.ok)))
-    return Error(mistakes) if mistakes else typed
+    document = t.cast(Document, raw)
+    mistakes = tuple(dict.fromkeys(reference_mistakes(document)))
+    return Error(mistakes) if mistakes else Ok(document)
 
 
 def warnings(document: Document) -> tuple[Mistake, ...]:
@@ -176,7 +180,7 @@
         return "missing"
     if kind in _RANGE_HELP:
         words, bound = _RANGE_HELP[kind]
-        return f"must be {words} {ctx[bound]}, is {value}"
+        return f"must be {words} {_plain(ctx[bound])}, is {value}"
     if kind == "literal_error":
         return f"must be {ctx['expected']}, is {value!r}"
     if kind == "string_pattern_mismatch":
@@ -189,6 +193,11 @@
     return error["msg"]
 
 
+def _plain(bound: float) -> float:
+    """Return `bound` as an integer if it is a whole number."""
+    return int(bound) if bound == int(bound) else bound
+
+
 def _dead_rules(document: Document) -> Iterator[tuple[str, str]]:
     earlier: defaultdict[_Trait, list[RuleRow]] = defaultdict(list)
     for rule in document["rules"]:
