Ask every entry twice before a change is called accepted

cardamomctl asked each entry until it had the revision and then never again. An entry that had answered could be replaced, with the store away, by a process that took an older revision from a peer not asked yet, and "accepted" was said while it served the older one.

wait_accepted now keeps the reports of a first round until every seat has given one, then asks all once more and judges by confirm_acceptance. Weighed: asking everybody at each poll (the number of calls grows with the wait). Without the VM list, seats that earlier changes removed count too; before they were silently left out.

--- a/packages/operators/src/cardamomloft/operators/acceptance.py
+++ b/packages/operators/src/cardamomloft/operators/acceptance.py
@@ -1,7 +1,8 @@
 """Whether a revision is accepted, and how far a drain is, from what entries report.
 
 A revision is accepted when every entry of the roster has it in force or is known to be out. Only
-an entry's own answer or the VM list's word "gone" counts; silence and a missing row do not.
+an entry's own answer or the VM list's word "gone" counts; silence and a missing row do not. An
+entry answers for one process only, so the answers of two rounds are compared.
 """
 
 import enum
@@ -10,7 +11,7 @@
 from datetime import timedelta
 from typing import NotRequired
 
-from cardamomloft.core.changes import acceptance
+from cardamomloft.core.changes import Report, acceptance, confirm_acceptance
 from pydantic import ConfigDict, with_config
 from typing_extensions import TypedDict
 
@@ -119,6 +120,8 @@
     reports: t.Iterable[EntryReport],
     vms: Mapping[str, VmState] | None,
     removed: frozenset[str] = frozenset(),
+    *,
+    before: Mapping[str, EntryReport] | None = None,
 ) -> Acceptance:
     """Decide for every seat whether revision `number` is in force there.
 
@@ -133,13 +136,31 @@
     removed
         Seats that the revision takes off the roster. Their VMs may already be off the list, so a
         missing row means for them what "gone" means for others.
+    before
+        The reports of the round before this one, if there was one. Without it the verdicts hold
+        for the processes that answered, but not for their successors.
     """
     by_seat = {report.seat: report for report in reports}
-    in_force = {s: r.status["revision"] for s, r in by_seat.items() if r.status is not None}
+    said = _said_by(by_seat.values())
     # The VM list lags, so an entry that answers is alive whatever the list says.
-    gone = {s for s in by_seat.keys() - in_force.keys() if _is_gone(s, vms, s in removed)}
-    lacking = acceptance(number, by_seat.keys(), in_force, gone).lacking
-    return Acceptance(number, tuple(_stand(r, lacking, gone, vms) for r in by_seat.values()))
+    gone = {s for s in by_seat.keys() - said.keys() if _is_gone(s, vms, s in removed)}
+    if before is None:
+        in_force = {seat: report.revision for seat, report in said.items()}
+        lacking = acceptance(number, by_seat.keys(), in_force, gone).lacking
+    else:
+        first = _said_by(before.values())
+        lacking = confirm_acceptance(number, by_seat.keys(), first, said, gone).lacking
+    return Acceptance(
+        number, tuple(_stand(r, number, lacking, gone, vms) for r in by_seat.values())
+    )
+
+
+def _said_by(reports: t.Iterable[EntryReport]) -> dict[str, Report]:
+    return {
+        report.seat: Report(report.status["incarnation"], report.status["revision"])
+        for report in reports
+        if report.status is not None
+    }
 
 
 def _is_gone(seat: str, vms: Mapping[str, VmState] | None, removed: bool) -> bool:
@@ -150,6 +171,7 @@
 
 def _stand(
     report: EntryReport,
+    number: int,
     lacking: Mapping[str, int | None],
     gone: Collection[str],
     vms: Mapping[str, VmState] | None,
@@ -157,8 +179,10 @@
     seat = report.seat
     if report.status is not None:
         revision = report.status["revision"]
-        verdict = Verdict.LACKING if seat in lacking else Verdict.IN_FORCE
-        return Standing(seat, verdict, revision, f"has revision {revision}")
+        if seat not in lacking:
+            return Standing(seat, Verdict.IN_FORCE, revision, f"has revision {revision}")
+        replaced = ", but was started meanwhile" if revision >= number else ""
+        return Standing(seat, Verdict.LACKING, revision, f"has revision {revision}{replaced}")
     if seat in gone:
         return Standing(seat, Verdict.OUT, None, "VM gone")
     listed = "VM list not available" if vms is None else f"VM {vms.get(seat, 'not on the list')}"
--- a/packages/operators/src/cardamomloft/operators/main.py
+++ b/packages/operators/src/cardamomloft/operators/main.py
@@ -10,7 +10,7 @@
 import defopt
 from cardamomloft.core.document import DrainKind
 from cardamomloft.core.references import parse_instant
-from cardamomloft.operators import applying, planning, reporting
+from cardamomloft.operators import applying, mapping, planning, reporting
 from cardamomloft.operators.applying import Intent
 from cardamomloft.operators.editing import Move
 from cardamomloft.operators.outcomes import ExitCode, Failure
@@ -90,6 +90,20 @@
     return _with_text(file, applying.check)
 
 
+@command
+def publish(file: Path, *, default: str) -> Command:
+    """Put a client-block map into the store and print the part of the document that names it.
+
+    Parameters
+    ----------
+    file
+        JSON object from client block to site.
+    default
+        The site of addresses in no block.
+    """
+    return _with_text(file, lambda session, text: mapping.publish(session, text, default))
+
+
 @command
 def plan(file: Path) -> Command:
     """Show what applying a file would change; write nothing.
--- a/packages/operators/src/cardamomloft/operators/waiting.py
+++ b/packages/operators/src/cardamomloft/operators/waiting.py
@@ -47,7 +47,8 @@
     """Return who must have the revision of `record`.
 
     That is the roster, and the seats that this change takes off it. Seats that earlier changes
-    took off count as long as the VM list still has them: they may never have learnt of it.
+    took off may never have learnt of it: they count as long as the VM list still has them, or
+    cannot be read.
     """
     addresses = fleet.roster(record["document"])
     removed = conflicts.removed_entries(difference)
@@ -55,7 +56,7 @@
     for entry in recorded:
         earlier |= conflicts.removed_entries(entry["difference"] or [])
     if earlier.keys() - addresses.keys():
-        states = (await fleet.vm_states(session)).default_value({})
+        states = (await fleet.vm_states(session)).default_value(None)
         removed = {s: a for s, a in earlier.items() if _may_run(s, states)} | removed
     removed = {seat: address for seat, address in removed.items() if seat not in addresses}
     return Audience({**removed, **addresses}, frozenset(removed))
@@ -64,26 +65,40 @@
 async def wait_accepted(
     session: Session, number: int, audience: Audience, wait: timedelta
 ) -> Acceptance:
-    """Ask the entries until all have revision `number` or are known out, or `wait` is over."""
+    """Ask the entries until revision `number` is accepted, or `wait` is over.
+
+    The first round collects a report of the revision from every entry; those that gave one are not
+    asked again meanwhile. The second asks all of them once more, since one may have been replaced
+    by a process with an older revision. It is begun even if the time is over.
+    """
     until = session.clock.monotonic() + wait
-    settled: dict[str, EntryReport] = {}
+    first: dict[str, EntryReport] = {}
     said: set[str] = set()
     while True:
-        reports = await _ask_rest(session, audience, settled)
-        standings = judge(
-            number, reports.values(), await _states(session, reports), audience.removed
-        )
-        lacking = {standing.seat for standing in standings.of(Verdict.LACKING)}
-        in_force = {standing.seat for standing in standings.of(Verdict.IN_FORCE)}
-        settled = {seat: report for seat, report in reports.items() if seat in in_force}
-        if not lacking or session.clock.monotonic() >= until:
+        reports = await _ask_rest(session, audience, first)
+        states = await _states(session, reports)
+        standings = judge(number, reports.values(), states, audience.removed)
+        if standings.accepted:
+            standings, reports = await _confirm(session, number, audience, reports)
+        if standings.accepted or session.clock.monotonic() >= until:
             return standings
+        first = {seat: report for seat, report in reports.items() if _has(report, number)}
+        lacking = {standing.seat for standing in standings.of(Verdict.LACKING)}
         if lacking != said:
             session.console.say(f"waiting for {_names(lacking)}")
             said = lacking
         await session.sleep(POLL_EVERY)
 
 
+async def _confirm(
+    session: Session, number: int, audience: Audience, first: Mapping[str, EntryReport]
+) -> tuple[Acceptance, dict[str, EntryReport]]:
+    """Ask all entries once more, after the first round has ended."""
+    second = await _ask_rest(session, audience, {})
+    states = await _states(session, second)
+    return judge(number, second.values(), states, audience.removed, before=first), second
+
+
 async def wait_drained(
     session: Session,
     name: str,
@@ -121,12 +136,12 @@
 
 
 async def _ask_rest(
-    session: Session, audience: Audience, settled: Mapping[str, EntryReport]
+    session: Session, audience: Audience, known: Mapping[str, EntryReport]
 ) -> dict[str, EntryReport]:
-    # An entry's revision only goes up, so one that has the revision is not asked again.
-    rest = {seat: a for seat, a in audience.addresses.items() if seat not in settled}
+    """Ask those of whom no report is known."""
+    rest = {seat: a for seat, a in audience.addresses.items() if seat not in known}
     answered = {report.seat: report for report in await fleet.poll(session, rest)}
-    return {seat: settled.get(seat) or answered[seat] for seat in audience.addresses}
+    return {seat: known.get(seat) or answered[seat] for seat in audience.addresses}
 
 
 async def _states(
@@ -144,8 +159,12 @@
     return {s for s, r in reports.items() if r.status is None and states.get(s) == "gone"}
 
 
-def _may_run(seat: str, states: Mapping[str, VmState]) -> bool:
-    return states.get(seat) in ("live", "leaving")
+def _may_run(seat: str, states: Mapping[str, VmState] | None) -> bool:
+    return states is None or states.get(seat) in ("live", "leaving")
+
+
+def _has(report: EntryReport, number: int) -> bool:
+    return report.status is not None and report.status["revision"] >= number
 
 
 def _names(seats: t.Iterable[str], shown: int = 4) -> str:
--- a/packages/operators/tests/test_operator_commands.py
+++ b/packages/operators/tests/test_operator_commands.py
@@ -78,6 +78,8 @@
         self.silent = set()
         self.drains = {}
         self.asked = []
+        self.lives = {}
+        self.on_asked = {}
 
     @property
     def current(self):
@@ -90,13 +92,15 @@
     def status(self, address):
         seat = f"e{int(address.rpartition(':')[2]) % 100}"
         self.asked.append(seat)
+        self.on_asked.pop((seat, self.asked.count(seat)), lambda: None)()
         if seat in self.silent:
             return succeed(Error("unreachable (TimeoutError)"))
         number = self.current["number"] if self.current else 0
         announced = self.current is not None and "drains" in self.current["document"]
         rows = self.drains.get(seat, []) if announced else []
         shown = rows.pop(0) if len(rows) > 1 else (rows or [[]])[0]
-        return succeed(Ok(make_status(seat, self.stuck.get(seat, number), shown)))
+        status = make_status(seat, self.stuck.get(seat, number), shown)
+        return succeed(Ok({**status, "incarnation": f"{seat}/{self.lives.get(seat, 1)}"}))
 
     def fetch(self):
         rows = [VmRow(name, state, self.clock.utcnow()) for name, state in self.vms.items()]
@@ -237,7 +241,8 @@
 def test_session_of_everyday_work(world, ctl, snapshot):
     wrong = make_document(menus={"deadline_ms": 0}, rule=[])
     world.file("wrong.json", wrong)
-    world.drains = {"e1": drain_rows((3, 2500), (1, 900), (0, None)), "e2": drain_rows((0, None))}
+    running = ((3, 2600), (3, 2500), (1, 900), (0, None))
+    world.drains = {"e1": drain_rows(*running), "e2": drain_rows((0, None))}
     world.drains["e3"] = drain_rows((0, None))
     assert snapshot == transcript(
         ctl,
@@ -510,6 +515,58 @@
     assert started.asked.count("e2") > 3 and started.asked.count("e1") == 2
 
 
+def test_an_entry_replaced_by_an_older_one_undoes_what_its_predecessor_said(started, ctl):
+    """The counter-example to one round: a new e1 takes revision 1 from e2, which then gets 2."""
+
+    def replace():
+        started.stuck = {"e1": 1}
+        started.lives["e1"] = 2
+
+    started.stuck = {"e2": 1}
+    started.asked.clear()
+    started.on_asked[("e2", 3)] = replace
+    started.on_asked[("e2", 4)] = lambda: started.stuck.pop("e2", None)
+    code, payload = as_json(ctl, "apply longer.json --why w --change a2 --wait 5")
+    assert (code, payload["outcome"]) == (ExitCode.RECORDED, "recorded")
+    assert [(row["entry"], row["revision"]) for row in payload["lacking"]] == [("e1", 1)]
+    started.stuck = {}
+    assert ctl("apply longer.json --why w --change a2")[0] is ExitCode.OK
+
+
+@pytest.mark.parametrize(("wait", "code"), [(0, ExitCode.RECORDED), (5, ExitCode.OK)])
+def test_an_entry_replaced_between_the_rounds_is_asked_once_more(started, ctl, wait, code):
+    started.asked.clear()
+    started.on_asked[("e3", 3)] = lambda: started.lives.update(e3=2)
+    ended, payload = as_json(ctl, f"apply longer.json --why w --change a2 --wait {wait}")
+    assert ended is code
+    lacking = [] if code is ExitCode.OK else ["has revision 2, but was started meanwhile"]
+    assert [row["detail"] for row in payload["lacking"]] == lacking
+
+
+def test_without_the_vm_list_a_seat_removed_earlier_still_counts(started, ctl):
+    smaller = make_document()
+    del smaller["entries"]["e3"]
+    started.file("smaller.json", smaller)
+    started.stuck = {"e3": 1}
+    assert ctl("apply smaller.json --why w --wait 0")[0] is ExitCode.RECORDED
+    started.fetch = lambda: succeed(Error("unreachable"))
+    line = "drain zone north-a --why x --at 2026-02-01T00:00Z --wait 1"
+    code, payload = as_json(ctl, line)
+    assert code is ExitCode.RECORDED
+    assert [row["entry"] for row in payload["lacking"]] == ["e3"]
+
+
+def test_a_drain_of_an_entry_waits_for_that_entry(started, ctl):
+    row = {"name": "e2", "kind": "entry", "expected_end_ms": None}
+    done = [[{**row, "in_flight": 0, "done": True}]]
+    busy = [[{**row, "in_flight": 2, "done": False}]] * 4
+    started.drains = {"e1": done, "e2": busy + done, "e3": done}
+    code, payload = as_json(ctl, "drain entry e2 --why w --wait 20")
+    assert (code, payload["drain"]["state"]) == (ExitCode.OK, "done")
+    assert payload["drain"]["actual_s"] == 1
+    assert started.current["document"]["drains"]["e2"]["kind"] == "entry"
+
+
 def test_a_drain_that_does_not_end_in_time_has_its_own_code(started, ctl):
     started.drains = {"e1": drain_rows((2, 60_000)), "e2": drain_rows((0, None))}
     started.drains["e3"] = drain_rows((0, None))
