--- a/packages/core/src/cardamomloft/core/admission.py
+++ b/packages/core/src/cardamomloft/core/admission.py
@@ -21,6 +21,7 @@
 _SURE = 2.0
 _EVICTION = 0.5
 _ZERO = timedelta(0)
+_MILLISECOND = timedelta(milliseconds=1)
 _MIN_RETRY = timedelta(milliseconds=50)
 
 
@@ -252,7 +253,8 @@
     def _refuse_late(self, remaining: timedelta, wait: timedelta, run: timedelta) -> Refusal:
         # After this time the queue, if nobody joins it, is short enough for the same request.
         after = max(_MIN_RETRY, min(wait, wait + run - remaining)) if wait else None
-        detail = f"needs {wait + run} and has {max(remaining, _ZERO)}"
+        needs, has = (wait + run) // _MILLISECOND, max(remaining, _ZERO) // _MILLISECOND
+        detail = f"needs {needs} ms and has {has} ms"
         return Refusal(RefusalReason.DEADLINE, detail, after)
 
     def _overload(self, item: Queued, queue: _Queue) -> Refusal:
--- a/packages/core/src/cardamomloft/core/claims.py
+++ b/packages/core/src/cardamomloft/core/claims.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import typing as t
+from collections.abc import Callable
 from datetime import datetime, timedelta
 
 import msgspec
@@ -25,6 +26,9 @@
 LEASE_USE = timedelta(minutes=10)
 DRIFT = 0.01
 
+REUSED = Refusal(RefusalReason.OPERATION_REUSED, "the id belongs to another request")
+TAKEN = Unknown("another entry has claimed the id, and the store does not say which")
+
 _MAX_CREATES = 3
 
 
@@ -36,6 +40,13 @@
     asked_at: datetime
 
 
+class Lease(t.NamedTuple):
+    """A lease that the store has created for `request`."""
+
+    name: str
+    request: LeaseRequest
+
+
 class CreateClaim(t.NamedTuple):
     """Create `key` under `lease` if it is absent; then :meth:`Attempt.created`."""
 
@@ -77,15 +88,7 @@
 
 
 class WriteBudget:
-    """A token bucket that holds one second's worth of store writes.
-
-    Parameters
-    ----------
-    clock
-        Its monotonic time is used.
-    per_second
-        Writes per second.
-    """
+    """A token bucket that fills with `per_second` store writes and holds one second's worth."""
 
     def __init__(self, clock: Clock, per_second: float) -> None:
         if per_second <= 0:
@@ -106,6 +109,11 @@
         self._tokens -= 1.0
         return True
 
+    def limit(self, per_second: float) -> None:
+        """Change the budget; what has been saved up is kept within the new bound."""
+        self._per_second = per_second
+        self._tokens = min(self._tokens, max(1.0, per_second))
+
     def wait(self) -> timedelta:
         """Return how long until the next write."""
         return timedelta(seconds=max(0.0, 1.0 - self._tokens) / self._per_second)
@@ -162,7 +170,7 @@
         self._max_skew = max_skew
         self._lease_use = lease_use
         self._drift = drift
-        self._lease: tuple[str, LeaseRequest] | None = None
+        self._lease: Lease | None = None
 
     @property
     def keep(self) -> timedelta:
@@ -180,19 +188,19 @@
         """
         now, at = self.clock.monotonic(), self.clock.utcnow()
         if self._lease is not None:
-            request = self._lease[1]
+            request = self._lease.request
             if max(now - request.asked, at - request.asked_at) < self._lease_use:
                 return None
         return LeaseRequest(self.keep + 2 * self._lease_use, now, at)
 
     def on_lease(self, request: LeaseRequest, lease: str) -> None:
         """Use `lease`, which the store has created for `request`, for new claims."""
-        if self._lease is None or self._lease[1].asked <= request.asked:
-            self._lease = (lease, request)
+        if self._lease is None or self._lease.request.asked <= request.asked:
+            self._lease = Lease(lease, request)
 
     def drop_lease(self, lease: str) -> None:
         """Stop using `lease`: the store does not know it any more."""
-        if self._lease is not None and self._lease[0] == lease:
+        if self._lease is not None and self._lease.name == lease:
             self._lease = None
 
     def start(self, own: OwnId, fingerprint: str) -> Result["Attempt", Refusal | Unknown]:
@@ -206,7 +214,7 @@
             return Error(Unknown(f"{text}; if the operation ran, that is no longer recorded"))
         if age >= self.window:
             return Ok(Attempt(self, own, fingerprint, None))
-        if self._lease is None or self._left(self._lease[1]) < self.needed(age):
+        if self._lease is None or self._left(self._lease.request) < self.needed(age):
             return Error(_unavailable("there is no store lease that is long enough for a claim"))
         if not self.budget.try_take():
             return Error(self.overspent())
@@ -223,7 +231,7 @@
 
     def overspent(self) -> Refusal:
         """Return the refusal for want of write budget."""
-        text = "too many new ids of the callers' own making; the request was not run"
+        text = "too many claims on ids of the callers' own making; the request was not run"
         return Refusal(RefusalReason.CLAIM_BUDGET, text, self.budget.wait())
 
 
@@ -236,23 +244,17 @@
     stopped together with its clocks.
     """
 
-    def __init__(
-        self,
-        claims: Claims,
-        own: OwnId,
-        fingerprint: str,
-        lease: tuple[str, LeaseRequest] | None,
-    ) -> None:
+    def __init__(self, claims: Claims, own: OwnId, fingerprint: str, lease: Lease | None) -> None:
         self._claims = claims
         self._own = own
         self._fingerprint = fingerprint
-        self._key = f"claims/{hashlib.sha256(own.text.encode('ascii')).hexdigest()}"
+        self.key = f"claims/{hashlib.sha256(own.text.encode('ascii')).hexdigest()}"
         self._creates = 0
         self._lease = lease
         self._at: datetime | None = None
-        self._record = self._new_record(lease[1]) if lease else None
+        self._record = self._new_record(lease.request) if lease else None
         self._machine = _Machine(self, _creating if lease else _looking)
-        self.step: Step = self.create() if lease else ReadClaim(self._key)
+        self.step: Step = self.create() if lease else ReadClaim(self.key)
 
     def created(self, made: bool, at: datetime | None = None) -> Step:
         """Take the store's definite answer to :class:`CreateClaim`."""
@@ -281,11 +283,7 @@
     def create(self) -> CreateClaim:
         """Return the write of the claim."""
         self._creates += 1
-        return CreateClaim(self._key, msgspec.json.encode(self._record), self._lease[0])
-
-    def look(self) -> ReadClaim:
-        """Return the read of the claim."""
-        return ReadClaim(self._key)
+        return CreateClaim(self.key, msgspec.json.encode(self._record), self._lease.name)
 
     def claimed(self) -> Claimed | Unknown:
         """Return what this process may do with a claim of its own."""
@@ -359,38 +357,18 @@
     return Refusal(RefusalReason.CLAIM_UNAVAILABLE, f"{detail}; the request was not run")
 
 
-def _create(_inputs: _Inputs, attempt: Attempt) -> Step:
-    return attempt.create()
-
-
-def _look(_inputs: _Inputs, attempt: Attempt) -> Step:
-    return attempt.look()
+def _output(method: Callable[[Attempt], Step]) -> Callable[[_Inputs, Attempt], Step]:
+    return lambda _inputs, attempt: method(attempt)
 
 
-def _claimed(_inputs: _Inputs, attempt: Attempt) -> Step:
-    return attempt.claimed()
-
-
-def _held(_inputs: _Inputs, attempt: Attempt) -> Step:
-    return attempt.held()
-
-
-def _expired(_inputs: _Inputs, attempt: Attempt) -> Step:
-    return attempt.absent()
-
-
-def _away(_inputs: _Inputs, _attempt: Attempt) -> Step:
-    return _unavailable("the store for claims does not answer")
-
-
-def _taken(_inputs: _Inputs, _attempt: Attempt) -> Step:
-    return Unknown("another entry has claimed the id, and the store does not say which")
-
-
-def _reused(_inputs: _Inputs, _attempt: Attempt) -> Step:
-    text = "the id belongs to another request; this request was not run"
-    return Refusal(RefusalReason.OPERATION_REUSED, text)
-
+_create = _output(Attempt.create)
+_look = _output(lambda attempt: ReadClaim(attempt.key))
+_claimed = _output(Attempt.claimed)
+_held = _output(Attempt.held)
+_expired = _output(Attempt.absent)
+_away = _output(lambda _attempt: _unavailable("the store for claims does not answer"))
+_reused = _output(lambda _attempt: REUSED)
+_taken = _output(lambda _attempt: TAKEN)
 
 _builder = TypeMachineBuilder(_Inputs, Attempt)
 _creating = _builder.state("creating")
@@ -410,18 +388,14 @@
     _state.upon(_Inputs.reused).to(_over)(_reused)
     _state.upon(_Inputs.unreadable).to(_over)(_taken)
 
+_checking.upon(_Inputs.absent).to(_creating)(_create)
+_looking.upon(_Inputs.absent).to(_over)(_expired)
 for _state in (_checking, _looking):
-    _state.upon(_Inputs.unsure).to(_over)(_away)
-    _state.upon(_Inputs.away).to(_over)(_away)
+    for _input in (_Inputs.unsure, _Inputs.away, _Inputs.spent):
+        _state.upon(_input).to(_over)(_away)
 
 # Losing the race shows that somebody has held the claim and may have run it.
-_finding.upon(_Inputs.unsure).to(_over)(_taken)
-_finding.upon(_Inputs.away).to(_over)(_taken)
-_finding.upon(_Inputs.absent).to(_over)(_taken)
-_finding.upon(_Inputs.spent).to(_over)(_taken)
-
-_checking.upon(_Inputs.absent).to(_creating)(_create)
-_checking.upon(_Inputs.spent).to(_over)(_away)
-_looking.upon(_Inputs.absent).to(_over)(_expired)
+for _input in (_Inputs.unsure, _Inputs.away, _Inputs.absent, _Inputs.spent):
+    _finding.upon(_input).to(_over)(_taken)
 
 _Machine = _builder.build()
--- a/packages/core/src/cardamomloft/core/ledger.py
+++ b/packages/core/src/cardamomloft/core/ledger.py
@@ -19,9 +19,10 @@
 GRACE = timedelta(minutes=5)
 ANSWER_LIMIT = 16 * 1024
 
-# An upper estimate of one entry's objects without its texts and its answer; docs/design/once.md
-# has the measurement.
-ENTRY_BYTES = 1024
+# Upper estimates of the memory of one entry without its id and answer, and of one header without
+# its texts; docs/design/once.md has the measurement.
+ENTRY_BYTES = 768
+HEADER_BYTES = 176
 
 
 class KeptAnswer(t.NamedTuple):
@@ -33,8 +34,9 @@
 
     @property
     def size(self) -> int:
-        """Bytes of the content and the header texts."""
-        return len(self.body) + sum(len(name) + len(value) for name, value in self.headers)
+        """Bytes that keeping the answer takes."""
+        texts = sum(len(name) + len(value) for name, value in self.headers)
+        return len(self.body) + texts + HEADER_BYTES * len(self.headers)
 
 
 class AnswerNotKept(t.NamedTuple):
@@ -117,7 +119,7 @@
         Most bytes held, each entry counted with :data:`ENTRY_BYTES`, its id and its answer. An
         operation in flight is counted with `answer_limit`, so there is always room for it.
     answer_limit
-        Largest answer that is kept, in bytes of content and header texts.
+        Largest :attr:`KeptAnswer.size` that is kept.
     grace
         How long outcomes are held after an id has expired. Within it an expired id that is not
         here has provably not run; later its outcome is unknown.
--- a/packages/core/src/cardamomloft/core/limits.py
+++ b/packages/core/src/cardamomloft/core/limits.py
@@ -247,9 +247,9 @@
         return report is not None and report.revision >= revision
 
     def has_settled(self, seat: str, revision: int, since: timedelta) -> bool:
-        """Tell whether a life that was known at `since` has settled `revision` or a later one."""
+        """Tell whether a life known before `since` has settled `revision` or a later one."""
         report = self._reports.get(seat)
-        return report is not None and report.since <= since and report.settled >= revision
+        return report is not None and report.since < since and report.settled >= revision
 
 
 class Ownership:
--- a/packages/core/src/cardamomloft/core/loans.py
+++ b/packages/core/src/cardamomloft/core/loans.py
@@ -127,9 +127,10 @@
         lending = self.find(borrower, req.number)
         term = min(req.term_ms * _MILLISECOND, longest)
         if lending is None:
-            if spare <= 0 or req.number & _MAX_RENEWALS:
+            amount = min(req.amount, spare)
+            if amount <= 0 or req.number & _MAX_RENEWALS:
                 return denial(req)
-            lending = self._lend(borrower, req.number, min(req.amount, spare), term, now)
+            lending = self._lend(borrower, req.number, amount, term, now)
             return lending.grant(req.key)
         if not lending.amount or req.number < lending.number:
             return None
@@ -160,12 +161,10 @@
         self.lent -= lending.amount
         lending.amount = 0
 
-    def expire(self, now: timedelta) -> bool:
-        """Close and forget the lendings whose term is over; tell whether units came back."""
-        before = self.lent
+    def expire(self, now: timedelta) -> None:
+        """Close and forget the lendings whose term is over."""
         for name in [name for name, lending in self._book.items() if now >= lending.expires]:
             self.close(self._book.pop(name))
-        return self.lent != before
 
     def recall(self, amount: int, now: timedelta) -> list[tuple[str, int]]:
         """Choose lendings of together at least `amount`; return seat and number to recall now."""
@@ -292,7 +291,7 @@
             self._renew(loan, lender, grant)
             return True
         ask = self.asks.get(number)
-        if ask is None or ask.seat != lender.seat or ask.number != grant.number:
+        if ask is None or ask.seat != lender.seat:
             return False
         del self.asks[number]
         self.pauses.pop(lender.seat, None)
--- a/packages/core/src/cardamomloft/core/membership.py
+++ b/packages/core/src/cardamomloft/core/membership.py
@@ -19,7 +19,7 @@
 
 FRESH = timedelta(seconds=4)
 SELDOM_FRESH = timedelta(seconds=60)
-CACHED = timedelta(milliseconds=200)
+CACHED = timedelta(seconds=1)
 MAX_PAST_LIVES = 8
 RING_SUCCESSORS = 3
 SMALL_FLEET = 16
@@ -90,6 +90,7 @@
         self._back: dict[str, datetime] = {}
         self._groups: dict[str | None, list[list[str]]] = {}
         self._groups_until = timedelta(0)
+        self._all_places: frozenset[_Place] = frozenset()
         self._usable_now: list[str] = []
         self._turn = 0
 
@@ -113,6 +114,7 @@
         self._holders = tuple(sorted(set(holders) & set(self._places) - {self._me.seat}))
         self._order = sorted(self._places, key=self._mix)
         self._ring, self._predecessors = self._neighbours()
+        self._all_places = frozenset(self._places.values())
         self._groups_until = timedelta(0)
         for kept in (self._heard, self._past, self._gone, self._back):
             for seat in set(kept) - set(self._places) - {self._me.seat}:
@@ -209,6 +211,12 @@
         heard = self._heard.get(seat)
         return self._clock.monotonic() - heard.at if heard else None
 
+    def hears_any(self) -> bool:
+        """Tell whether any peer's digest came lately."""
+        now = self._clock.monotonic()
+        others = (heard for seat, heard in self._heard.items() if seat != self._me.seat)
+        return any(now - heard.at <= self._fresh for heard in others)
+
     def standing(self, standbys: int) -> tuple[bool, int]:
         """Tell whether this entry is among its region's standby stewards, and the region's size.
 
@@ -332,17 +340,16 @@
             return False
         return heard.digest.state == "leaving"
 
-    def _distances(self, site: str | None) -> t.Callable[[str], int]:
-        """Return the distance of a seat from `site`: same site, zone, region, or elsewhere."""
+    def _distances(self, site: str | None) -> t.Callable[[_Place], int]:
+        """Return the distance of a place from `site`: same site, zone, region, or elsewhere."""
         here = self._places.get(self._me.seat)
-        at_site = [place for place in self._places.values() if site in place]
+        at_site = [place for place in self._all_places if site in place]
         origins = at_site or ([here] if here else [])
         sites = {site} if at_site else {place.site for place in origins}
         zones = {place.zone for place in origins}
         regions = {place.region for place in origins}
 
-        def distance(seat: str) -> int:
-            place = self._places[seat]
+        def distance(place: _Place) -> int:
             near = (place.site in sites, place.zone in zones, place.region in regions)
             return near.index(True) if True in near else len(near)
 
@@ -362,9 +369,10 @@
 
     def _group(self, site: str | None) -> list[list[str]]:
         distance = self._distances(site)
+        far_of = {place: distance(place) for place in self._all_places}
         groups: dict[int, list[str]] = {}
         for seat in self._usable_now:
-            groups.setdefault(distance(seat), []).append(seat)
+            groups.setdefault(far_of[self._places[seat]], []).append(seat)
         return [groups[far] for far in sorted(groups)]
 
     def _mix(self, seat: str) -> bytes:
--- a/packages/core/src/cardamomloft/core/messages.py
+++ b/packages/core/src/cardamomloft/core/messages.py
@@ -85,6 +85,14 @@
     chunk: bytes
 
 
+class VmNotice(t.NamedTuple):
+    """A changed row of the platform's VM list, from a steward; `at` is an ISO 8601 instant."""
+
+    name: str
+    state: str
+    at: str
+
+
 Message = (
     LoanRequest
     | LoanGrant
@@ -95,6 +103,7 @@
     | DocumentReply
     | ChunkRequest
     | ChunkReply
+    | VmNotice
 )
 
 
--- a/packages/core/src/cardamomloft/core/rates.py
+++ b/packages/core/src/cardamomloft/core/rates.py
@@ -23,16 +23,18 @@
 METER_WINDOW = timedelta(milliseconds=200)
 """Over what time the rate in use is measured."""
 
+MIN_PIECES = 16
+"""The least rate worth borrowing, in pieces per second."""
+
 _ZERO = timedelta(0)
 _SECOND = timedelta(seconds=1)
 
 
 class _Bucket:
-    __slots__ = ("asked_at", "at", "level", "metered", "metered_at", "rate", "wants")
+    __slots__ = ("asked_at", "at", "level", "metered", "metered_at", "wants")
 
     def __init__(self, now: timedelta) -> None:
         self.level = 0.0
-        self.rate = 0
         self.at = now
         self.asked_at = now
         self.metered = 0
@@ -55,27 +57,34 @@
     def reserve(self, key: str, nbytes: int) -> timedelta:
         """Charge a piece and return zero, or charge nothing and return when to ask again.
 
+        Whoever has to wait asks for twice the present rate: how much more could be sent shows
+        only when it can be sent.
+
         Parameters
         ----------
         key
-            A RATE limit.
+            A RATE limit; what the document does not limit is never delayed.
         nbytes
             The size of the piece, best 64 KiB or less: the next one waits until it is paid.
         """
+        if not self._shares.has_limit(key):
+            return _ZERO
         now = self._clock.monotonic()
         bucket = self._buckets.get(key)
         if bucket is None:
             bucket = self._buckets[key] = _Bucket(now)
         self._fill(key, bucket, now)
         bucket.asked_at = now
-        if bucket.rate and bucket.level >= 0:
+        rate = self._shares.free(key)
+        if rate and bucket.level >= 0:
             bucket.level -= nbytes
             bucket.metered += nbytes
             return _ZERO
-        self._want(key, bucket)
-        if not bucket.rate:
+        bucket.wants = True
+        self._shares.want(key, max(2 * rate, nbytes * MIN_PIECES))
+        if not rate:
             return RETRY
-        return max(_SECOND * (-bucket.level / bucket.rate), timedelta.resolution)
+        return max(_SECOND * (-bucket.level / rate), timedelta.resolution)
 
     def _on_change(self, key: str) -> None:
         """Count what has come in at the present rate; called before it changes, and often."""
@@ -92,15 +101,9 @@
         for span, rate in self._shares.rates(key, bucket.at):
             full = rate * (BURST / _SECOND)
             bucket.level = min(bucket.level + rate * (span / _SECOND), full)
-            bucket.rate = rate
         bucket.at = now
         if now - bucket.metered_at >= METER_WINDOW:
             rate = bucket.metered / ((now - bucket.metered_at) / _SECOND)
             self._shares.observe(key, int(rate))
             bucket.metered = 0
             bucket.metered_at = now
-
-    def _want(self, key: str, bucket: _Bucket) -> None:
-        """Ask for as much again as there is: a sender that has to wait shows no other measure."""
-        bucket.wants = True
-        self._shares.want(key, max(bucket.rate, 1))
--- a/packages/core/src/cardamomloft/core/requests.py
+++ b/packages/core/src/cardamomloft/core/requests.py
@@ -104,6 +104,10 @@
             )
         )
 
+    def use_blocks(self, blocks: BlockMap) -> None:
+        """Look clients up in another map from now on, because more of it has come."""
+        self._blocks = blocks
+
     def site_of(self, client: int) -> str:
         """Return the site that serves the client's block."""
         return self._blocks.site_of(client)
--- a/packages/core/src/cardamomloft/core/router.py
+++ b/packages/core/src/cardamomloft/core/router.py
@@ -12,6 +12,7 @@
 from datetime import timedelta
 
 from cardamomloft.core.admission import Admission, Queued, QueueKey
+from cardamomloft.core.blocks import BlockMap
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.document import Document, Revision
 from cardamomloft.core.limits import limits_of
@@ -107,15 +108,31 @@
         self.rules: RuleSet | None = None
         self.document: Document | None = None
         self.revision = 0
+        self._links: frozenset[str] = frozenset()
         self.nearby: tuple[Endpoint, ...] = ()
 
-    def configure(self, revision: Revision, *, quarantine: bool) -> None:
-        """Put a revision in force for all later requests; those in flight keep their holds."""
+    def configure(
+        self, revision: Revision, *, quarantine: bool, blocks: BlockMap | None = None
+    ) -> None:
+        """Put a revision in force for all later requests; those in flight keep their holds.
+
+        Parameters
+        ----------
+        revision
+            The revision.
+        quarantine
+            Whether an earlier life of this seat may have left uses behind.
+        blocks
+            The client-block map, if it does not stand in the document itself.
+        """
         document = revision.document
         self.document = document
         self.revision = revision.number
+        self._links = frozenset(
+            f"link/{row['origin']}/{row['target']}" for row in document.get("links", [])
+        )
         self.nearby = tuple(_endpoints_in(document, self.region))
-        self.classifier = Classifier(document)
+        self.classifier = Classifier(document, blocks)
         self.rules = RuleSet(document)
         self.shares.configure(revision.number, limits_of(document), quarantine=quarantine)
         self.steering.configure(document)
@@ -202,6 +219,11 @@
         regions = self.document["regions"].items() if self.document else ()
         return next((name for name, zones in regions if zone in zones), "")
 
+    def link_to(self, endpoint: Endpoint) -> str | None:
+        """Return the key of the rate limit between here and an endpoint, None if it has none."""
+        key = f"link/{self.region}/{endpoint.region}"
+        return key if key in self._links else None
+
     def in_flight(self) -> list[Dispatch]:
         """Return the dispatches that are not finished."""
         return list(self._in_flight.values())
@@ -256,21 +278,22 @@
         out: list[Dispatch | Dropped] = []
         while (item := self.admission.peek(*queue)) is not None:
             entry = self._waiting[item.number]
-            dispatch = self._dispatch_queued(entry)
-            if dispatch is None:
+            outcome = self._dispatch_queued(entry)
+            if outcome is None:
                 break
             self.admission.pop(*queue)
             del self._waiting[item.number]
-            out.append(dispatch)
+            out.append(outcome)
         return out
 
-    def _dispatch_queued(self, entry: _Entry) -> Dispatch | None:
+    def _dispatch_queued(self, entry: _Entry) -> Dispatch | Dropped | None:
         """Choose again at the place where the request waits, since the facts have changed."""
         ticket, place = entry.ticket, entry.choice.place
         match self.steering.choose(ticket.req, ticket.directive, ticket.excluded, place):
             case Result(tag="ok", ok=choice):
                 return self._try_dispatch(ticket, choice)
-        return None
+            case Result(error=refusal):
+                return Dropped(ticket, refusal)
 
     def _try_dispatch(self, ticket: Ticket, choice: Choice) -> Dispatch | None:
         """Take the shares for the first endpoint that has room, all of them or none."""
--- a/packages/core/src/cardamomloft/core/shares.py
+++ b/packages/core/src/cardamomloft/core/shares.py
@@ -31,6 +31,9 @@
 MAX_ASKS = 8
 """Requests under way at one time for one limit."""
 
+REVIEW = timedelta(milliseconds=200)
+"""How often a division that is not settled is looked at without a report."""
+
 _ZERO = timedelta(0)
 _MILLISECOND = timedelta(milliseconds=1)
 
@@ -94,6 +97,10 @@
     def is_busy(self) -> bool:
         return bool(self.used or self.lendings or self.loans)
 
+    def is_clear(self, now: timedelta) -> bool:
+        """Tell whether neither this life nor an earlier one has left anything behind."""
+        return not self.lent and not self.loans and now >= self.ownership.wait_until
+
     def free_own(self) -> int:
         """Return own units neither used nor lent; negative after a cut."""
         return self.ownership.own - self.used - self.lent
@@ -132,6 +139,8 @@
 
     def __init__(self, me: Incarnation, clock: Clock, *, drift: float = 0.01) -> None:
         self.before_rate_change: Callable[[str], None] | None = None
+        # Until this life is recorded, its successor could not know that it had been there.
+        self.may_own = True
         self._me = me
         self._clock = clock
         self._drift = drift
@@ -147,6 +156,8 @@
         self._loan_numbers = loan_numbers(me)
         self._turn = 0
         self._quarantined_at: timedelta | None = None
+        self._configured = 0
+        self._reviewed_at = clock.monotonic()
         self._stopping = False
         self._closed = False
 
@@ -162,15 +173,31 @@
         seats = {seat for a in accounts for seat in (*a.limit.holders, *a.ownership.before)}
         return frozenset(seats - {self._me.seat})
 
+    @property
+    def owns_any(self) -> bool:
+        """Whether this entry owns a unit of anything."""
+        return any(account.ownership.own for account in self._accounts.values())
+
+    @property
+    def awaited(self) -> frozenset[str]:
+        """The seats whose agreement keeps this entry from owning a base share."""
+        seats = set()
+        for key in self._open:
+            account = self._accounts[key]
+            if not account.ownership.complete:
+                seats.update(account.limit.holders, account.ownership.before)
+        seats.discard(self._me.seat)
+        return frozenset(s for s in seats if not self._others.agrees(s, self._revision))
+
     @property
     def is_clear(self) -> bool:
         """Whether after :meth:`hand_over` nothing is used, lent or borrowed any more.
 
         From then on nothing can be acquired, and a successor may start without quarantine.
         """
-        accounts = self._accounts.values()
-        if self._stopping and not self._holds and not any(a.lent or a.loans for a in accounts):
-            self._closed = True
+        if self._stopping and not self._holds:
+            now = self._clock.monotonic()
+            self._closed = all(account.is_clear(now) for account in self._accounts.values())
         return self._closed
 
     def configure(
@@ -189,12 +216,25 @@
         now = self._clock.monotonic()
         if not self._revision and quarantine:
             self._quarantined_at = now
+        self._configured += 1
         known, self._limits, self._revision = self._limits, limits, revision
         held = {key for key, limit in limits.items() if self._me.seat in limit.holders}
         for key in sorted(held | set(self._accounts)):
             self._divide(key, known.get(key), limits.get(key), now)
         self._review()
 
+    def lift_quarantine(self) -> None:
+        """Take it that no earlier life left anything behind, which was not known at first.
+
+        After a second revision it is too late: other waits may have been added to the quarantine.
+        """
+        if self._quarantined_at is None or self._configured > 1:
+            return
+        self._quarantined_at = None
+        for account in self._accounts.values():
+            account.ownership.wait_until = _ZERO
+        self._review()
+
     def acquire(self, key: str, amount: int, deadline: timedelta) -> Result[Hold, Refusal]:
         """Take `amount` units for a use that ends by the monotonic instant `deadline`.
 
@@ -228,6 +268,9 @@
         account = self._accounts[hold.key]
         if hold.loan is None:
             account.used -= hold.amount
+            over = account.used + account.lent - account.ownership.base
+            if -hold.amount < over <= 0:
+                self._review()
         elif account.loans:
             account.loans.end_use(hold.loan, hold.amount, self._clock.monotonic())
 
@@ -236,8 +279,15 @@
         account = self._accounts.get(key)
         return account.free(self._clock.monotonic()) if account else 0
 
+    def has_limit(self, key: str) -> bool:
+        """Tell whether the document has a limit of this name."""
+        return key in self._limits
+
     def want(self, key: str, amount: int) -> None:
-        """Say how many units are wanted beyond those in use; 0 when none are any more."""
+        """Say how many units are wanted beyond those in use; 0 when none are any more.
+
+        Of a RATE limit, say the whole rate that is wanted.
+        """
         account = self._accounts.get(key) or self._open_account(key)
         if account:
             account.wanted = amount
@@ -313,7 +363,8 @@
     def tick(self) -> list[Outgoing]:
         """Let loans run out, and send what is due; call it every 20 to 50 ms."""
         now = self._clock.monotonic()
-        self._review()
+        if now - self._reviewed_at >= REVIEW:
+            self._review()
         outgoing: list[Outgoing] = []
         for key in sorted(self._active):
             account = self._accounts[key]
@@ -359,7 +410,10 @@
             owned.settled = False
 
     def _review(self) -> None:
-        now = self._clock.monotonic()
+        if not self.may_own:
+            return
+        now = self._reviewed_at = self._clock.monotonic()
+        still_open = set()
         settled = True
         for key in sorted(self._open):
             account = self._accounts[key]
@@ -369,8 +423,9 @@
             occupied = account.used + account.lent
             owned.review(occupied, holders, self._others, self._revision, now)
             settled = settled and owned.settled
-            if owned.settled and owned.complete:
-                self._open.discard(key)
+            if not (owned.settled and owned.complete):
+                still_open.add(key)
+        self._open = still_open
         if settled:
             self._settled = self._revision
 
--- a/packages/entry/src/cardamomloft/entry/executor.py
+++ b/packages/entry/src/cardamomloft/entry/executor.py
@@ -42,8 +42,11 @@
 from cardamomloft.upstreams.client import UpstreamClient, UpstreamRequest
 from expression import Result
 from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.python.failure import Failure
 
 PASSED_ON_HEADER = "x-forwarded-by"
+LEASE_PAUSE = timedelta(seconds=1)
+CLIENT_HEADER = "x-client"
 NOT_KEPT_HEADER = ("Cardamomloft-Answer", "not-kept")
 
 FindEntry = Callable[[str], str | None]
@@ -61,6 +64,8 @@
         Gives the callers' address of a seat, or None.
     is_current
         Tells whether a process is the one that last spoke for its seat.
+    on_fault
+        Told of exceptions in runs that nobody waits for.
     """
 
     def __init__(
@@ -76,6 +81,7 @@
         metrics: Metrics,
         address_of: FindEntry,
         is_current: IsCurrent,
+        on_fault: Callable[[Failure], None],
     ) -> None:
         self._me = me
         self._clock = clock
@@ -88,6 +94,9 @@
         self._metrics = metrics
         self._address_of = address_of
         self._is_current = is_current
+        self._on_fault = on_fault
+        self._lease_asked: Deferred[None] | None = None
+        self._lease_due = clock.monotonic()
         self.running = 0
 
     async def handle(
@@ -154,12 +163,43 @@
     async def _claim(self, operation: OwnId, mark: str) -> Claimed | HeldBy | Refusal | Unknown:
         if self._claims is None:
             return Refusal(RefusalReason.CLAIM_BUDGET, "ids of callers' own making are turned off")
+        await self._have_lease(self._claims)
         match self._claims.start(operation, mark):
             case Result(tag="error", error=outcome):
                 return outcome
             case Result(ok=attempt):
                 return await self._settle(attempt)
 
+    async def _have_lease(self, claims: Claims) -> None:
+        """Create the store lease for claims if a new one is due; whoever comes meanwhile waits."""
+        if claims.want_lease() is None:
+            return
+        if self._lease_asked is None:
+            now = self._clock.monotonic()
+            if now < self._lease_due:
+                return
+            self._lease_due = now + LEASE_PAUSE
+            asked = ensureDeferred(self._create_lease(claims))
+            if asked.called:
+                return
+            self._lease_asked = asked
+            asked.addBoth(self._lease_answered)
+        done: Deferred[None] = Deferred()
+        self._lease_asked.addBoth(_pass_through, done)
+        await done
+
+    def _lease_answered(self, result: t.Any) -> t.Any:
+        self._lease_asked = None
+        return result
+
+    async def _create_lease(self, claims: Claims) -> None:
+        request = claims.want_lease()
+        if request is None:
+            return
+        match await self._store.create_lease(request.ttl):
+            case Result(tag="ok", ok=lease):
+                claims.on_lease(request, lease)
+
     async def _settle(self, attempt: Attempt) -> Claimed | HeldBy | Refusal | Unknown:
         step = attempt.step
         while True:
@@ -192,7 +232,8 @@
             case Result(ok=Run()):
                 told = self._join(operation, gone)
                 # The run goes on when the caller leaves: its answer waits for the repeat.
-                ensureDeferred(self._run(operation, req, head, whole))
+                run = ensureDeferred(self._run(operation, req, head, whole))
+                run.addErrback(self._on_fault)
                 return self._words(await told)
             case Result(ok=standing):
                 return await self._stand(standing, gone)
@@ -225,7 +266,14 @@
     def _join(self, operation: str, gone: "Deferred[None]") -> "Deferred[Outcome]":
         told: Deferred[Outcome] = Deferred()
         leave = self._ledger.join(operation, told.callback)
-        gone.addCallback(lambda _: leave())
+
+        def left(_: None) -> None:
+            leave()
+            if not told.called:
+                self._metrics.count("caller-left")
+                told.callback(Unknown("the caller has left"))
+
+        gone.addCallback(left)
         return told
 
     def _words(self, outcome: Outcome) -> Answer:
@@ -254,6 +302,8 @@
         endpoint = Endpoint(f"entry/{executor.seat}", "", "", "", address, 1, 1)
         left_ms = (req.deadline - self._clock.monotonic()) // timedelta(milliseconds=1)
         kept = tuple(h for h in head.headers if h[0] not in ("host", "content-length"))
+        if not any(name == CLIENT_HEADER for name, _ in kept):
+            kept = (*kept, (CLIENT_HEADER, head.client))
         headers = (*kept, (PASSED_ON_HEADER, self._me.seat))
         request_id = f"{self._me.seat}-{self._me.number}-passed"
         sent = await self._client.send(
@@ -275,6 +325,11 @@
         return self._words(Unknown(f"no answer from the executor {executor.seat}"))
 
 
+def _pass_through(result: t.Any, done: "Deferred[None]") -> t.Any:
+    done.callback(None)
+    return result
+
+
 def _after(attempt: Attempt, step: Result[t.Any, t.Any]) -> t.Any:
     match step:
         case Result(tag="ok", ok=following):
--- a/packages/entry/src/cardamomloft/entry/forwarding.py
+++ b/packages/entry/src/cardamomloft/entry/forwarding.py
@@ -7,6 +7,7 @@
 import ipaddress
 import itertools
 import typing as t
+from collections.abc import Callable
 from datetime import timedelta
 
 from cardamomloft.callers.body import RequestBody
@@ -22,8 +23,10 @@
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.ledger import AnswerNotKept, KeptAnswer
 from cardamomloft.core.model import Refusal, RefusalReason, Request, Unknown
+from cardamomloft.core.rates import Pacer
 from cardamomloft.core.router import Dispatch, Dropped, Router, Waiting
 from cardamomloft.entry.metrics import Metrics
+from cardamomloft.entry.pacing import PacedBody, PacedConsumer
 from cardamomloft.upstreams.client import (
     REQUEST_ID_HEADER,
     SendFailure,
@@ -34,6 +37,7 @@
 from expression import Error, Ok, Result
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IConsumer
+from twisted.web.iweb import IBodyProducer
 
 REPEATABLE_BODY = 64 * 1024
 OPERATION_BODY = 1024 * 1024
@@ -42,6 +46,7 @@
 STOP_MARGIN = timedelta(milliseconds=500)
 
 _ZERO = timedelta(0)
+_OWN_TO_ATTEMPT = frozenset({REQUEST_ID_HEADER, "content-length"})
 _NOT_FORWARDED = frozenset({"host", "content-length", "x-client", "x-forwarded-by"})
 
 
@@ -57,6 +62,13 @@
         return self.whole is not None or (self.stream is not None and self.stream.untouched)
 
 
+class Caller:
+    """Whether the caller still waits; a request of one that has left is not tried again."""
+
+    def __init__(self) -> None:
+        self.left = False
+
+
 class Outcome(t.NamedTuple):
     """How an exchange with the upstreams ended, before it is put into words for the caller."""
 
@@ -79,6 +91,12 @@
         Sends to upstreams.
     metrics
         Where counts and latencies go.
+    pacer
+        Holds streams to the shares of links' rates.
+    name
+        Prefix of request ids; unique to this process.
+    on_queued
+        Called soon after a request had to be queued.
     """
 
     def __init__(
@@ -88,9 +106,13 @@
         router: Router,
         client: UpstreamClient,
         metrics: Metrics,
+        pacer: Pacer,
         name: str,
+        on_queued: Callable[[], None] = lambda: None,
     ) -> None:
         self._reactor = reactor
+        self.pacer = pacer
+        self._on_queued = on_queued
         self._clock = clock
         self._router = router
         self._client = client
@@ -98,6 +120,7 @@
         self._name = name
         self._queued: dict[int, Deferred[Result[Dispatch, Refusal]]] = {}
         self._numbers = itertools.count(1)
+        self._queue_call = False
         self.lingering = 0
 
     def classify(self, head: RequestHead) -> Result[Request, Refusal]:
@@ -116,7 +139,6 @@
         for item in self._router.pump():
             waiting = self._queued.pop(item.ticket.number, None)
             if isinstance(item, Dropped):
-                self._metrics.count(f"refused.{item.refusal.reason}")
                 if waiting is not None:
                     waiting.callback(Error(item.refusal))
             elif waiting is None:
@@ -131,12 +153,22 @@
         payload = await self._payload(body)
         if isinstance(payload, Refusal):
             return to_answer(payload)
-        attempt = ensureDeferred(self._run(req, head, payload))
-        gone.addCallback(lambda _: attempt.cancel())
+        caller = Caller()
+        attempt = ensureDeferred(self._run(req, head, payload, caller))
+
+        def left(_: None) -> None:
+            caller.left = True
+            attempt.cancel()
+
+        gone.addCallback(left)
         try:
             outcome = await attempt
         except CancelledError:
+            outcome = SendFailure(False, "cancelled")
+        if caller.left:
             self._metrics.count("caller-left")
+            if isinstance(outcome, Outcome):
+                _HeldSource(self, outcome.answer, outcome.dispatch).abort()
             return failed("the caller has left")
         return self._in_words(req, outcome, body)
 
@@ -155,9 +187,9 @@
                 return to_answer(outcome)
             case SendFailure():
                 self._metrics.count("failed")
-                if body.failure is not None:
+                if body.failure is not None and outcome.not_run:
                     return to_answer(Refusal(RefusalReason.BAD_REQUEST, body.failure))
-                return failed(outcome.detail)
+                return failed(body.failure or outcome.detail)
             case Outcome(answer, dispatch):
                 self._metrics.count("complete")
                 source = _HeldSource(self, answer, dispatch)
@@ -170,7 +202,7 @@
 
         The caller's leaving does not stop it: the answer is kept for the repeat.
         """
-        outcome = await self._run(req, head, Payload(whole, None))
+        outcome = await self._run(req, head, Payload(whole, None), Caller())
         match outcome:
             case SendFailure():
                 return Unknown(outcome.detail)
@@ -200,7 +232,7 @@
                 return Refusal(RefusalReason.BAD_REQUEST, detail)
 
     async def _run(
-        self, req: Request, head: RequestHead, payload: Payload
+        self, req: Request, head: RequestHead, payload: Payload, caller: "Caller"
     ) -> Outcome | Refusal | Unknown | SendFailure:
         """Dispatch and send until there is an answer, or nothing more may be tried."""
         decision = self._router.submit(req)
@@ -218,7 +250,7 @@
                 case Refusal():
                     not_run, refusal = True, result
             decision = Error(refusal)
-            if payload.repeatable:
+            if payload.repeatable and not caller.left:
                 decision = self._router.retry(dispatch, not_run=not_run, refusal=refusal)
             if decision.is_ok():
                 self._metrics.count("retries")
@@ -234,12 +266,19 @@
                     lambda _: self._leave_queue(ticket.number)
                 )
                 self._queued[ticket.number] = waiting
-                # An arrival may have displaced another; that one is told now.
-                self._reactor.callLater(0, self.pump)
+                # An arrival may have displaced another, which is told now, and loans may help.
+                if not self._queue_call:
+                    self._queue_call = True
+                    self._reactor.callLater(0, self._after_queueing)
                 return await waiting
             case _:
                 return t.cast("Result[Dispatch, Refusal]", decision)
 
+    def _after_queueing(self) -> None:
+        self._queue_call = False
+        self._on_queued()
+        self.pump()
+
     def _leave_queue(self, number: int) -> None:
         self._queued.pop(number, None)
         self._router.cancel(number)
@@ -254,7 +293,7 @@
                 method=head.method,
                 path=req.path,
                 headers=tuple(h for h in head.headers if h[0] not in _NOT_FORWARDED),
-                body=payload.stream if payload.whole is None else payload.whole,
+                body=self._body_for(dispatch, payload),
                 timeout=req.deadline - self._clock.monotonic(),
                 request_id=self._request_id(dispatch),
                 idempotent=req.idempotent,
@@ -281,6 +320,19 @@
                     self._give_up(dispatch)
                 return failure
 
+    def _body_for(self, dispatch: Dispatch, payload: Payload) -> IBodyProducer | bytes:
+        if payload.stream is None:
+            return payload.whole or b""
+        link = self._router.link_to(dispatch.endpoint)
+        if link is None:
+            return payload.stream
+        return PacedBody(self._reactor, self.pacer, link, payload.stream)
+
+    def paced(self, dispatch: Dispatch, consumer: IConsumer) -> PacedConsumer | None:
+        """Return a consumer that holds the answer to the link's rate, if the link has one."""
+        link = self._router.link_to(dispatch.endpoint)
+        return None if link is None else PacedConsumer(self._reactor, self.pacer, link, consumer)
+
     def _done(self, dispatch: Dispatch, answer: UpstreamAnswer) -> None:
         elapsed = self._elapsed(dispatch)
         self._metrics.observe(dispatch.ticket.req.service, elapsed)
@@ -331,8 +383,11 @@
 
     def deliver(self, consumer: IConsumer) -> "Deferred[Delivery]":
         """Write the body to `consumer`; release what the exchange held when it is over."""
-        delivered = self._answer.body.deliver(consumer)
-        return delivered.addCallback(self._delivered)
+        paced = self._forwarder.paced(self._dispatch, consumer)
+        if paced is None:
+            return self._answer.body.deliver(consumer).addCallback(self._delivered)
+        delivered = self._answer.body.deliver(paced)
+        return delivered.addCallback(self._delivered).addCallback(_flush, paced)
 
     def abort(self) -> None:
         """Stop the exchange; a body without bytes to come is simply over."""
@@ -353,9 +408,25 @@
             self._forwarder._give_up(self._dispatch)
 
 
+def _flush(delivery: Delivery, paced: PacedConsumer) -> "Deferred[Delivery]":
+    """Pass the delivery on when its last piece has been sent, or drop the rest of a short one."""
+    if not delivery.complete:
+        paced.drop()
+
+    def checked(_: None) -> Delivery:
+        if paced.dropped and delivery.complete:
+            return delivery._replace(complete=False, detail="the consumer stopped")
+        return delivery
+
+    return paced.flushed().addCallback(checked)
+
+
 def _headers_for_caller(answer: UpstreamAnswer) -> tuple[tuple[str, str], ...]:
     # The request id names one attempt between this entry and the upstream only.
-    return tuple(h for h in end_to_end(answer.headers) if h[0] != REQUEST_ID_HEADER)
+    headers = tuple(h for h in end_to_end(answer.headers) if h[0] not in _OWN_TO_ATTEMPT)
+    if answer.length is None:
+        return headers
+    return (*headers, ("content-length", str(answer.length)))
 
 
 def _client_number(text: str) -> int | None:
--- a/packages/entry/src/cardamomloft/entry/main.py
+++ b/packages/entry/src/cardamomloft/entry/main.py
@@ -14,6 +14,7 @@
 
 EXIT_SETTINGS = 2
 EXIT_ADDRESS = 3
+EXIT_BROKEN = 70
 
 
 def entry(*, settings: pathlib.Path, check: bool = False) -> int:
@@ -67,9 +68,15 @@
 
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
-    node.stopped.addCallback(lambda _: reactor.stop())
+    outcome: list[int] = []
+
+    def on_stopped(_: object, code: int) -> None:
+        outcome.append(code)
+        reactor.stop()
+
+    node.stopped.addCallbacks(on_stopped, on_stopped, (0,), {}, (EXIT_BROKEN,), {})
     reactor.run(installSignalHandlers=False)
-    return 0
+    return outcome[0] if outcome else 0
 
 
 def main() -> None:
--- a/packages/entry/src/cardamomloft/entry/node.py
+++ b/packages/entry/src/cardamomloft/entry/node.py
@@ -7,20 +7,23 @@
 import random
 import secrets
 import typing as t
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 from cardamomloft.callers.app import CallersApp, LookupAnswer, LookupEntry, listen
 from cardamomloft.callers.body import RequestBody
 from cardamomloft.callers.exchange import Answer, RequestHead, to_answer
 from cardamomloft.core.admission import Admission
+from cardamomloft.core.blocks import BlockMap
 from cardamomloft.core.checking import check_document
 from cardamomloft.core.claims import Claims
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.document import Revision
 from cardamomloft.core.hints import LoadReport
 from cardamomloft.core.ledger import Ledger
-from cardamomloft.core.membership import Membership
+from cardamomloft.core.membership import Membership, VmRow
 from cardamomloft.core.messages import (
+    ChunkReply,
+    ChunkRequest,
     Digest,
     DocumentReply,
     DocumentRequest,
@@ -30,12 +33,13 @@
     LoanReturn,
     Message,
     Outgoing,
+    VmNotice,
 )
 from cardamomloft.core.model import Incarnation, Refusal, RefusalReason, Request
 from cardamomloft.core.operations import OperationIds
 from cardamomloft.core.rates import Pacer
 from cardamomloft.core.replication import Replica
-from cardamomloft.core.router import Router
+from cardamomloft.core.router import Router, slots_key
 from cardamomloft.core.shares import Shares
 from cardamomloft.core.steering import Steering
 from cardamomloft.core.stewardship import STANDBYS, Stewardship
@@ -44,6 +48,7 @@
 from cardamomloft.entry.forwarding import Forwarder
 from cardamomloft.entry.lifecycle import LifeActions, make_life_cycle
 from cardamomloft.entry.logs import log
+from cardamomloft.entry.maps import MapLoader
 from cardamomloft.entry.metrics import Metrics
 from cardamomloft.entry.seat import SeatRecord
 from cardamomloft.entry.settings import EntrySettings
@@ -59,21 +64,25 @@
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
-TICK = timedelta(milliseconds=25)
+TICK = timedelta(milliseconds=50)
 GOSSIP = timedelta(seconds=1)
-GOSSIP_TARGETS = 4
+GOSSIP_TARGETS = 6
 LOOKUP_ENTRIES = 3
 LOOKUP_VALID = timedelta(seconds=2)
 LINGER = LOOKUP_VALID + timedelta(milliseconds=500)
 CLEAR_PATIENCE = timedelta(seconds=2)
 SEAT_RETRY = timedelta(seconds=2)
 FIRST_READ = timedelta(milliseconds=1500)
-LEASE_CHECK = timedelta(seconds=5)
+ASKED_HOLDERS = 4
+CHUNKS = timedelta(milliseconds=250)
+USELESS = timedelta(seconds=10)
+VMS_PER_ENTRY = timedelta(milliseconds=100)
+CLAIMS_PER_S = 300
 
 _DEFAULTS: dict[str, t.Any] = {
     "store_timeout_ms": 2000,
     "vms_every_ms": 2000,
-    "load_every_ms": 250,
+    "load_every_ms": 500,
     "max_in_flight": 2000,
     "ledger_entries": 20_000,
     "ledger_bytes": 64 * 1024 * 1024,
@@ -114,6 +123,11 @@
         self._upstream_turn = 0
         self.vms_at: timedelta | None = None
         self.store_at: timedelta | None = None
+        self._complete = 0
+        self._refused = 0
+        self._useful_at = clock.monotonic()
+        self._vms_due = timedelta(0)
+        self._vm_rows: dict[str, VmRow] = {}
 
     def _build_platform(self) -> None:
         timeout = timedelta(milliseconds=self._cfg["store_timeout_ms"])
@@ -136,6 +150,7 @@
             check=check_document,
             seeds=cfg.get("peer_seeds", ()),
         )
+        self.maps = MapLoader(rng, self._read_chunk, self._on_map)
         self.ids = OperationIds(self.me, clock, secrets.token_bytes(32))
         self.ledger = Ledger(
             clock, max_entries=cfg["ledger_entries"], max_bytes=cfg["ledger_bytes"]
@@ -183,9 +198,8 @@
         self._every(timedelta(milliseconds=self._cfg["vms_every_ms"]), self._poll_vms)
         self._every(timedelta(milliseconds=self._cfg["load_every_ms"]), self._poll_load)
         self._every(SEAT_RETRY, self._record_seat)
+        self._every(CHUNKS, self._fetch_chunks)
         self._every(FIRST_READ, self._look_for_first)
-        if self.claims is not None:
-            self._every(LEASE_CHECK, self._renew_claims_lease)
 
     def stop(self) -> None:
         """Begin a graceful stop; asking again changes nothing."""
@@ -245,13 +259,15 @@
             timer.stop()
         self.peers.close()
         log("stopped")
-        self.stopped.callback(None)
+        if not self.stopped.called:
+            self.stopped.callback(None)
 
     # Callers.
 
     def ready(self) -> bool:
         """Tell whether callers may be sent here."""
-        return self.life.state() == "ready" and self.replica.ready
+        useful = self._clock.monotonic() - self._useful_at < USELESS
+        return self.life.state() == "ready" and self.replica.ready and useful
 
     def lookup(self, client: str) -> LookupAnswer | Refusal:
         """Name the entries that a client should use, and the prefix for its operation ids."""
@@ -332,16 +348,30 @@
     def _put_in_force(self) -> None:
         """Put the replica's revision in force if it is a new one."""
         held = self.replica.held
-        if held is None or held.number <= self._in_force:
+        if held is None or held.number <= max(self._in_force, self._refused):
             return
+        try:
+            self._configure(held)
+        except Exception:
+            # The revision before stays in force; trying again each tick would end the same.
+            self._refused = held.number
+            log("configuration-failed", revision=held.number)
+            self._on_fault(Failure())
+
+    def _configure(self, held: Revision) -> None:
         if self.me.seat not in held.document["entries"]:
             log("not-in-roster", revision=held.number)
         if self.router is None:
             self._build_router(held)
         self._in_force = held.number
-        self.router.configure(held, quarantine=self.seat.predecessor)
+        self._update_ownership()
+        blocks = self.maps.configure(held.document["clients"])
+        self.router.configure(held, quarantine=self.seat.predecessor, blocks=blocks)
         self.membership.configure(held.document, self.shares.partners)
         self._place_steward()
+        if self.claims is not None:
+            entries = len(held.document["entries"])
+            self.claims.budget.limit(min(self._cfg["claims_per_s"], CLAIMS_PER_S / entries))
         log("in-force", revision=held.number)
         self.life.prepared()
         self._announce()
@@ -353,14 +383,16 @@
         free = self.shares.free
         steering = Steering(zone, region, self._clock, self._rng, free)
         admission = Admission(self._clock)
-        self.router = Router(zone, region, self._clock, self.shares, steering, admission)
+        router = Router(zone, region, self._clock, self.shares, steering, admission)
         self.forwarder = Forwarder(
             self._reactor,
             self._clock,
-            self.router,
+            router,
             self.client,
             self.metrics,
+            self.pacer,
             f"{self.me.seat}-{self.me.number}",
+            self._tick_limits,
         )
         self.executor = Executor(
             self.me,
@@ -374,11 +406,21 @@
             self.metrics,
             self._callers_address,
             self._is_current,
+            self._on_fault,
         )
         stewardship = Stewardship(region, self._clock, self._rng)
         self.steward = StewardRunner(
-            self.me.seat, region, self.store, self.replica, stewardship, self._on_offer
+            self.me.seat,
+            region,
+            self._clock,
+            self._rng,
+            self.store,
+            self.replica,
+            stewardship,
+            self._on_offer,
+            self._on_fault,
         )
+        self.router = router
 
     def _place_steward(self) -> None:
         standby, size = self.membership.standing(STANDBYS)
@@ -399,6 +441,9 @@
 
     def _describe(self, revision: int) -> Digest:
         state = self.life.state()
+        # Entries that paused together must not take each other's word that they are current.
+        if state == "ready" and not self.ready():
+            state = "starting"
         prefix = self.ids.prefix() if state == "ready" else None
         return Digest(
             revision=revision,
@@ -419,14 +464,20 @@
             case DocumentRequest():
                 self._send_all(self.replica.on_document_request(sender, message), sender)
             case DocumentReply():
+                # Announced before it is in force here, so that no hop waits for the one before;
+                # nothing else is handled in between.
                 self._send_all(self.replica.on_document_reply(sender, message))
                 self._put_in_force()
             case LoanRequest() | LoanGrant() | LoanReturn() | LoanRecall():
                 self._send_all(self.shares.on_message(sender, message), sender)
                 if self.forwarder is not None:
                     self.forwarder.pump()
-            case _:
-                self.metrics.count("messages-ignored")
+            case ChunkRequest():
+                self._send_all(self.maps.on_request(sender.seat, message), sender)
+            case ChunkReply():
+                self.maps.take(message.digest, message.chunk)
+            case VmNotice():
+                self._on_vm_notice(message)
 
     def _send_all(self, outgoing: list[Outgoing], to: Incarnation | None = None) -> None:
         for seat, message in outgoing:
@@ -443,10 +494,19 @@
         return row["peers"] if row else None
 
     def _gossip(self) -> None:
+        # One that owns nothing works on loans, and there are none for one that hears nobody.
+        now = self._clock.monotonic()
+        if self.shares.owns_any or self.membership.hears_any():
+            self._useful_at = now
         digest = self._describe(self._in_force)
         self.membership.set_self(digest)
         targets = self.membership.gossip_targets(self._rng, GOSSIP_TARGETS)
         self._send_all([Outgoing(seat, digest) for seat in targets])
+        # A holder whose agreement is missing is asked: its digest may come by chance only.
+        lacking = sorted(self.shares.awaited)
+        asked = self._rng.sample(lacking, min(ASKED_HOLDERS, len(lacking)))
+        question = DocumentRequest(self._in_force)
+        self._send_all([Outgoing(seat, question) for seat in asked])
 
     def _announce(self) -> None:
         """Tell those that wait for our word, and a few others, what has changed here."""
@@ -459,15 +519,14 @@
     # Timers.
 
     def _tick(self) -> None:
-        self._send_all(self.replica.tick())
+        outgoing = self.replica.tick()
         self._put_in_force()
+        self._send_all(outgoing)
         if self.router is None:
             return
         self.router.steering.tick()
-        self.router.report_wants()
-        self.shares.may_own = self.seat.recorded
-        self._send_all(self.shares.tick())
-        self.forwarder.pump()
+        self._update_ownership()
+        self._tick_limits()
         self.steward.tick()
         probe = self.steward.stewardship.peer_to_probe()
         if probe is not None:
@@ -478,15 +537,63 @@
             self._announce()
 
     def _look_for_first(self) -> "Deferred[t.Any] | None":
-        """Read the store while nothing is held: without a roster there is no steward to wait for."""
+        """Read the store while nothing is held: without a roster no steward does."""
         return None if self.replica.held else ensureDeferred(self._read_configuration())
 
+    def complete_revision(self) -> int:
+        """Return the highest revision in force here with all of its client-block map."""
+        if not self.maps.missing:
+            self._complete = self._in_force
+        return self._complete
+
+    def _fetch_chunks(self) -> None:
+        if self.router is None or not self.maps.missing:
+            return
+        entries = self.router.document["entries"].items()
+        region_of = self.router.region_of
+        near = [seat for seat, row in entries if region_of(row["zone"]) == self.router.region]
+        peers = [seat for seat in near if seat != self.me.seat]
+        watching = self.steward.stewardship.watches_configuration
+        self._send_all(self.maps.next_requests(peers, from_store=watching or not peers))
+
+    def _read_chunk(self, digest: str) -> None:
+        ensureDeferred(self._fetch_chunk(digest)).addErrback(self._on_fault)
+
+    async def _fetch_chunk(self, digest: str) -> None:
+        match await self.store.get(f"map/{digest}"):
+            case Result(tag="ok", ok=record) if record is not None:
+                self.maps.take(digest, record.value)
+
+    def _on_map(self, blocks: BlockMap) -> None:
+        if self.router is not None and self.router.classifier is not None:
+            self.router.classifier.use_blocks(blocks)
+
+    def _tick_limits(self) -> None:
+        """Ask for, renew and return loans, and send what now fits; also as soon as one queues."""
+        self.router.report_wants()
+        self._send_all(self.shares.tick())
+        self.forwarder.pump()
+
+    def _update_ownership(self) -> None:
+        self.shares.may_own = self.seat.recorded
+        if not self.seat.predecessor:
+            self.shares.lift_quarantine()
+
     def _record_seat(self) -> "Deferred[t.Any] | None":
         return None if self.seat.recorded else ensureDeferred(self.seat.record())
 
-    def _poll_vms(self) -> "Deferred[None]":
+    def _poll_vms(self) -> "Deferred[None] | None":
+        """Fetch the list; in a large fleet most entries do so seldom and hear from the stewards."""
+        now = self._clock.monotonic()
+        if now < self._vms_due:
+            return None
+        if not (self.steward and self.steward.stewardship.watches_configuration):
+            self._vms_due = now + self._roster_size() * VMS_PER_ENTRY
         return ensureDeferred(self._fetch_vms())
 
+    def _roster_size(self) -> int:
+        return len(self.router.document["entries"]) if self.router else 0
+
     async def _fetch_vms(self) -> None:
         match await self.vms.fetch():
             case Result(tag="ok", ok=rows):
@@ -495,6 +602,32 @@
                 self.metrics.count("vm-list-failures")
                 return
         self.vms_at = self._clock.monotonic()
+        self._tell_changes(rows)
+        self._take_vms(rows)
+
+    def _tell_changes(self, rows: list[VmRow]) -> None:
+        """As a steward, pass changed rows on to the entries of this region."""
+        changed = [row for row in rows if self._vm_rows.get(row.name) != row]
+        first = not self._vm_rows
+        self._vm_rows.update((row.name, row) for row in rows)
+        if first or not self.steward or not self.steward.stewardship.is_steward:
+            return
+        entries = self.router.document["entries"].items()
+        near = [s for s, row in entries if self.router.region_of(row["zone"]) == self.router.region]
+        for row in changed:
+            notice = VmNotice(row.name, row.state, row.at.isoformat())
+            self._send_all([Outgoing(seat, notice) for seat in near if seat != self.me.seat])
+
+    def _on_vm_notice(self, notice: VmNotice) -> None:
+        try:
+            row = VmRow(notice.name, notice.state, datetime.fromisoformat(notice.at))
+        except ValueError:
+            self.metrics.count("messages-ignored")
+            return
+        self._vm_rows[row.name] = row
+        self._take_vms(list(self._vm_rows.values()))
+
+    def _take_vms(self, rows: list[VmRow]) -> None:
         self.membership.on_vms(rows)
         gone = self.membership.gone_seats()
         for row in rows:
@@ -510,7 +643,7 @@
     def _poll_load(self) -> None:
         if self.router is None:
             return
-        endpoints = self.router.nearby
+        endpoints = [e for e in self.router.nearby if self.shares.free(slots_key(e))]
         if not endpoints:
             return
         self._upstream_turn = (self._upstream_turn + 1) % len(endpoints)
@@ -526,21 +659,19 @@
 
         self.client.poll(endpoint).addCallback(take).addErrback(self._on_fault)
 
-    def _renew_claims_lease(self) -> "Deferred[None] | None":
-        request = self.claims.want_lease()
-        return None if request is None else ensureDeferred(self._create_lease(request))
-
-    async def _create_lease(self, request: t.Any) -> None:
-        match await self.store.create_lease(request.ttl):
-            case Result(tag="ok", ok=lease):
-                self.claims.on_lease(request, lease)
-
     def _every(self, interval: timedelta, act: t.Callable[[], t.Any]) -> None:
         timer = LoopingCall(self._guard, act)
         timer.clock = self._reactor
         timer.start(interval.total_seconds())
         self._timers.append(timer)
 
+    def _on_broken(self, failure: Failure) -> None:
+        """End the process: its state contradicts itself, and a new life starts from the truth."""
+        log("broken-invariant", detail=failure.getErrorMessage(), trace=failure.getTraceback())
+        self.life.drained()
+        if not self.stopped.called:
+            self.stopped.errback(failure)
+
     def _guard(self, act: t.Callable[[], t.Any]) -> t.Any:
         """Log a fault of one tick; the next one must still come."""
         try:
@@ -556,6 +687,9 @@
         return done
 
     def _on_fault(self, failure: Failure) -> None:
+        if failure.check(AssertionError):
+            self._on_broken(failure)
+            return
         self.metrics.count("faults")
         log("fault", detail=failure.getErrorMessage(), trace=failure.getTraceback())
 
--- a/packages/entry/src/cardamomloft/entry/seat.py
+++ b/packages/entry/src/cardamomloft/entry/seat.py
@@ -21,7 +21,7 @@
 
 
 class SeatRecord:
-    """This process's hold on the record of its seat.
+    """The record of this process in its seat.
 
     Attributes
     ----------
@@ -37,6 +37,7 @@
         self._key = f"seat/{me.seat}"
         self.recorded = False
         self.predecessor = True
+        self._clean = False
 
     async def record(self) -> bool:
         """Try once to record this life; return whether it is recorded."""
@@ -47,15 +48,19 @@
                 return False
         row = _parse(found)
         if row is not None and row["incarnation"] == self._me.number:
-            # An earlier try took effect although its answer was lost; it had read the same state.
-            self.recorded = True
+            # The last try took effect although its answer was lost: the one before it cannot, as
+            # each is conditional on the version that it had read.
+            self._note_recorded()
             return True
-        clean = found is None or (row is not None and row["stopped"])
+        self._clean = found is None or (row is not None and row["stopped"])
         if await self._write(found, stopped=False):
-            self.recorded = True
-            self.predecessor = not clean
+            self._note_recorded()
         return self.recorded
 
+    def _note_recorded(self) -> None:
+        self.recorded = True
+        self.predecessor = not self._clean
+
     async def note_stop(self) -> bool:
         """Note that this life has ended cleanly; call it when nothing is used or lent."""
         match await self._store.get(self._key):
--- a/packages/entry/src/cardamomloft/entry/status.py
+++ b/packages/entry/src/cardamomloft/entry/status.py
@@ -33,6 +33,7 @@
             counters[f"store.calls.{name}"] = value
         for name, value in node.peers.counters.items():
             counters[f"peers.{name}"] = value
+        counters["peers.denied"] = node.peers.denied
         counters["ledger.entries"] = len(node.ledger)
         return node.metrics.render()
 
@@ -45,7 +46,8 @@
             "incarnation": node.me.number,
             "zone": router.zone if router else "",
             "region": router.region if router else "",
-            "revision": router.revision if router else 0,
+            "revision": node.complete_revision(),
+            "chunks_missing": len(node.maps.missing),
             "settled": node.shares.settled,
             "state": node.life.state(),
             "ready": self.ready(),
@@ -111,30 +113,46 @@
         router = self._node.router
         if router is None or router.document is None:
             return []
-        flights = router.in_flight()
-        rows = []
-        for name, drain in router.document.get("drains", {}).items():
-            kind = drain["kind"]
-            here = [d for d in flights if name in _names(d.endpoint, kind)]
-            shifting = router.steering.drains() if kind in ("zone", "region") else []
-            mine = [p for p in shifting if name in (p.zone, router.region_of(p.zone))]
-            left = max((p.ends_in for p in mine), default=timedelta(0))
-            moving = any(p.traffic > 0 for p in mine)
-            rows.append(
-                {
-                    "name": name,
-                    "kind": kind,
-                    "in_flight": len(here),
-                    "expected_end_ms": left // _MILLISECOND,
-                    "done": not here and not moving,
-                }
-            )
-        return rows
+        drains = router.document.get("drains", {}).items()
+        return [self._drain(name, drain["kind"]) for name, drain in drains]
+
+    def _drain(self, name: str, kind: str) -> dict[str, t.Any]:
+        """Return how far one drain has come here; of an entry only that entry itself can tell."""
+        router = self._node.router
+        if kind == "entry":
+            return self._drain_of_entry(name)
+        flights = [d for d in router.in_flight() if name in _names(d.endpoint, kind)]
+        shifting = router.steering.drains() if kind in ("zone", "region") else []
+        mine = [p for p in shifting if name in (p.zone, router.region_of(p.zone))]
+        moving = any(p.traffic > 0 for p in mine)
+        usual = [router.admission.expected(d.ticket.req.service) for d in flights]
+        left = max([p.ends_in for p in mine] + usual, default=timedelta(0))
+        return _drain_row(name, kind, len(flights), left, moving=moving)
+
+    def _drain_of_entry(self, name: str) -> dict[str, t.Any]:
+        router = self._node.router
+        mine = name == self._node.me.seat
+        flights = router.in_flight() if mine else []
+        usual = [router.admission.expected(d.ticket.req.service) for d in flights]
+        here = self._node.app.in_flight if mine else 0
+        return _drain_row(name, "entry", here, max(usual, default=timedelta(0)), moving=False)
 
     def _age_ms(self, at: timedelta | None) -> int | None:
         return None if at is None else (self._clock.monotonic() - at) // _MILLISECOND
 
 
+def _drain_row(
+    name: str, kind: str, in_flight: int, left: timedelta, *, moving: bool
+) -> dict[str, t.Any]:
+    return {
+        "name": name,
+        "kind": kind,
+        "in_flight": in_flight,
+        "expected_end_ms": left // _MILLISECOND if left or not in_flight else None,
+        "done": not in_flight and not moving,
+    }
+
+
 def _names(endpoint: t.Any, kind: str) -> tuple[str, ...]:
     if kind == "upstream":
         return (endpoint.name,)
--- a/packages/entry/src/cardamomloft/entry/steward.py
+++ b/packages/entry/src/cardamomloft/entry/steward.py
@@ -1,19 +1,24 @@
 """Carrying out a steward's steps: the region's lease and the watch on the configuration."""
 
+import random
 import typing as t
 from collections.abc import Callable
 from datetime import timedelta
 
 from cardamomloft.core.changes import decode_record
+from cardamomloft.core.clock import Clock
 from cardamomloft.core.replication import Replica, pack
 from cardamomloft.core.stewardship import ReadLease, Renew, Step, Stewardship, TryLease, WatchLease
 from cardamomloft.entry.logs import log
 from cardamomloft.platform.store import Record, Store, Watched
 from expression import Result
 from twisted.internet.defer import ensureDeferred
+from twisted.python.failure import Failure
 
 CONFIGURATION_KEY = "config/current"
-WATCH_WAIT = timedelta(seconds=30)
+WATCH_WAIT = timedelta(minutes=5)
+FIRST_BACK_OFF = timedelta(milliseconds=500)
+LAST_BACK_OFF = timedelta(seconds=10)
 
 
 def offer_record(replica: Replica, record: Record | None) -> None:
@@ -37,34 +42,46 @@
     ----------
     on_offer
         Called after the replica has been given something.
+    on_fault
+        Told of exceptions; the step then counts as failed.
     """
 
     def __init__(
         self,
         seat: str,
         region: str,
+        clock: Clock,
+        rng: random.Random,
         store: Store,
         replica: Replica,
         stewardship: Stewardship,
         on_offer: Callable[[], None],
+        on_fault: Callable[[Failure], None],
     ) -> None:
         self._seat = seat
         self._key = f"steward/{region}"
+        self._clock = clock
+        self._rng = rng
         self._store = store
         self._replica = replica
         self.stewardship = stewardship
         self._on_offer = on_offer
+        self._on_fault = on_fault
         self._lease: str | None = None
         self._lease_index = 0
         self._config_index = 0
         self._watching = False
+        self._failures = 0
+        self._watch_at = clock.monotonic()
+        self._offered: Record | None = None
 
     def tick(self) -> None:
         """Do the step that is due; keep the watch on the configuration going while wanted."""
         self._do(self.stewardship.tick())
-        if self.stewardship.watches_configuration and not self._watching:
+        due = self._clock.monotonic() >= self._watch_at
+        if self.stewardship.watches_configuration and not self._watching and due:
             self._watching = True
-            ensureDeferred(self._watch()).addErrback(_log_fault).addBoth(self._watch_ended)
+            ensureDeferred(self._watch()).addErrback(self._watch_failed).addBoth(self._watch_ended)
 
     async def release(self) -> None:
         """Give the lease up, so that a standby takes over without waiting for it to lapse."""
@@ -73,7 +90,11 @@
 
     def _do(self, steps: list[Step]) -> None:
         for step in steps:
-            ensureDeferred(self._carry_out(step)).addErrback(_log_fault)
+            ensureDeferred(self._carry_out(step)).addErrback(self._failed)
+
+    def _failed(self, failure: Failure) -> None:
+        self._on_fault(failure)
+        self._do(self.stewardship.store_failed())
 
     async def _carry_out(self, step: Step) -> None:
         match step:
@@ -132,15 +153,28 @@
             match result:
                 case Result(tag="ok", ok=Watched(record, index)):
                     self._config_index = index
-                    offer_record(self._replica, record)
-                    self._on_offer()
+                    self._offer(record)
+                    self._failures = 0
                 case _:
-                    self._config_index = 0
+                    self._back_off()
                     return
 
-    def _watch_ended(self, _: object) -> None:
-        self._watching = False
+    def _offer(self, record: Record | None) -> None:
+        """Pass on what is new; a watch that ran out has the same record again."""
+        if record is None or self._offered != record:
+            offer_record(self._replica, record)
+        self._offered = record
+        self._on_offer()
 
+    def _watch_failed(self, failure: Failure) -> None:
+        self._back_off()
+        self._on_fault(failure)
 
-def _log_fault(failure: t.Any) -> None:
-    log("fault", detail=failure.getErrorMessage(), trace=failure.getTraceback())
+    def _back_off(self) -> None:
+        self._config_index = 0
+        wait = min(FIRST_BACK_OFF * 2 ** min(self._failures, 6), LAST_BACK_OFF)
+        self._failures += 1
+        self._watch_at = self._clock.monotonic() + wait * self._rng.uniform(0.5, 1.0)
+
+    def _watch_ended(self, _: object) -> None:
+        self._watching = False
--- /dev/null
+++ b/packages/entry/tests/test_seat.py
@@ -0,0 +1,151 @@
+"""The seat record under lost answers, outages, stops and crashes."""
+
+import json
+
+import pytest
+from cardamomloft.core.model import Incarnation
+from cardamomloft.entry.seat import SeatRecord
+from cardamomloft.platform.failures import StoreFailure
+from cardamomloft.platform.store import Record
+from expression import Error, Ok
+from twisted.internet.defer import ensureDeferred, succeed
+
+
+class FakeStore:
+    """One key; `faults` are used in order: None, "away", "lost" (not written), "late" (written)."""
+
+    def __init__(self):
+        self.record = None
+        self.faults = []
+        self.after_get = lambda: None
+
+    def fault(self):
+        return self.faults.pop(0) if self.faults else None
+
+    def get(self, key):
+        assert key == "seat/e1"
+        found = self.record
+        if self.fault() is not None:
+            return succeed(Error(StoreFailure(False, "away")))
+        self.after_get()
+        return succeed(Ok(found))
+
+    def compare_and_swap(self, key, value, version):
+        fault = self.fault()
+        if fault == "away":
+            return succeed(Error(StoreFailure(False, "away")))
+        swapped = fault != "lost" and version == (self.record.version if self.record else 0)
+        if swapped:
+            self.record = Record(value, version + 1)
+        if fault is not None:
+            return succeed(Error(StoreFailure(True, "no answer")))
+        return succeed(Ok(swapped))
+
+    @property
+    def row(self):
+        return json.loads(self.record.value)
+
+
+@pytest.fixture
+def store():
+    return FakeStore()
+
+
+def life(store, number):
+    return SeatRecord(Incarnation("e1", number), store)
+
+
+def run(coroutine):
+    done = []
+    ensureDeferred(coroutine).addBoth(done.append)
+    return done[0]
+
+
+def test_the_first_life_has_no_predecessor(store):
+    first = life(store, "1")
+    assert first.predecessor
+    assert run(first.record())
+    assert (first.recorded, first.predecessor) == (True, False)
+    assert store.row == {"incarnation": "1", "stopped": False}
+
+
+def test_after_a_clean_stop_the_next_life_need_not_wait(store):
+    first, second = life(store, "1"), life(store, "2")
+    assert run(first.record()) and run(first.note_stop())
+    assert store.row["stopped"]
+    assert run(second.record())
+    assert not second.predecessor
+
+
+def test_after_a_crash_the_next_life_has_a_predecessor(store):
+    first, second, third = (life(store, number) for number in "123")
+    run(first.record())
+    assert run(second.record()) and second.predecessor
+    assert run(third.record()) and third.predecessor
+
+
+def test_with_the_store_away_nothing_is_recorded_and_a_predecessor_is_assumed(store):
+    first = life(store, "1")
+    for faults in (["away"], [None, "away"]):
+        store.faults = faults
+        assert not run(first.record())
+        assert (first.recorded, first.predecessor) == (False, True)
+    assert store.record is None
+    assert run(first.record()) and not first.predecessor
+
+
+@pytest.mark.parametrize("fault", ["lost", "late"])
+def test_a_lost_answer_leaves_the_life_unrecorded_until_it_is_read_back(store, fault):
+    first, second = life(store, "1"), life(store, "2")
+    run(first.record())
+    store.faults = [None, fault]
+    assert not run(second.record())
+    assert not second.recorded
+    assert run(second.record())
+    assert second.recorded and second.predecessor
+    assert store.row["incarnation"] == "2"
+
+
+@pytest.mark.parametrize("fault", ["lost", "late"])
+def test_after_a_clean_stop_a_lost_answer_brings_no_predecessor(store, fault):
+    first, second = life(store, "1"), life(store, "2")
+    run(first.record())
+    run(first.note_stop())
+    store.faults = [None, fault]
+    assert not run(second.record()) and second.predecessor
+    assert run(second.record()) and not second.predecessor
+
+
+@pytest.mark.parametrize("fault", ["lost", "late", "away"])
+def test_a_stop_whose_note_is_lost_is_never_taken_for_clean_wrongly(store, fault):
+    first, second = life(store, "1"), life(store, "2")
+    run(first.record())
+    store.faults = [None, fault]
+    assert not run(first.note_stop())
+    assert run(second.record())
+    # Only a note that reached the store counts, and then the stop was clean.
+    assert second.predecessor == (fault != "late")
+
+
+def test_a_life_does_not_note_the_stop_of_another(store):
+    first, second = life(store, "1"), life(store, "2")
+    run(first.record())
+    run(second.record())
+    assert not run(first.note_stop())
+    assert store.row == {"incarnation": "2", "stopped": False}
+
+
+def test_a_late_note_of_a_stop_does_not_overwrite_the_next_life(store):
+    first, second = life(store, "1"), life(store, "2")
+    run(first.record())
+    store.after_get = lambda: setattr(store, "after_get", lambda: None) or run(second.record())
+    assert not run(first.note_stop())
+    assert store.row == {"incarnation": "2", "stopped": False}
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b'{"incarnation": "1"}', b'{"stopped": true}'])
+def test_a_record_that_cannot_be_read_is_a_predecessor(store, value):
+    store.record = Record(value, 7)
+    first = life(store, "1")
+    assert run(first.record())
+    assert first.predecessor
--- a/packages/peers/src/cardamomloft/peers/codec.py
+++ b/packages/peers/src/cardamomloft/peers/codec.py
@@ -27,6 +27,7 @@
     messages.DocumentReply,
     messages.ChunkRequest,
     messages.ChunkReply,
+    messages.VmNotice,
 )
 _HEADERS = {kind: MAGIC + bytes([VERSION, at]) for at, kind in enumerate(_KINDS)}
 
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -4,6 +4,7 @@
 last line one JSON object. Exits 1 if a promise was broken.
 """
 
+import fcntl
 import json
 import pathlib
 import shutil
@@ -219,6 +220,13 @@
 
 def main() -> int:
     """Run both stories and print the outcome."""
+    BUILD.parent.mkdir(exist_ok=True)
+    lock = (BUILD.parent / "demo.lock").open("w")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        print("another demo is running; its addresses are taken", file=sys.stderr)
+        return 3
     shutil.rmtree(BUILD, ignore_errors=True)
     start = time.monotonic()
     with ThreadPoolExecutor() as pool:
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -15,7 +15,7 @@
 import time
 import typing as t
 import urllib.request
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 Document = dict[str, t.Any]
 
@@ -50,6 +50,12 @@
         """Return what it has printed so far."""
         return self.log.read_text(errors="replace").splitlines()
 
+    def listens(self) -> bool:
+        """Tell whether the process has said that it listens; raise if it has ended instead."""
+        if self.popen.poll() is not None:
+            raise RuntimeError(f"{self.name} ended: " + "\n".join(self.lines()[-2:]))
+        return any(line.startswith('{"listening"') for line in self.lines())
+
     def close(self) -> None:
         """End the process, at once if it does not follow."""
         self.signal(signal.SIGCONT)
@@ -101,6 +107,8 @@
         The last octet of the stand-ins' addresses, so that two fleets can run side by side.
     behaviour
         Behaviour of every stand-in upstream, by service (see the stand-ins' settings).
+    net
+        The first two octets of the platform stand-ins' addresses.
     """
 
     def __init__(
@@ -109,11 +117,13 @@
         folder: pathlib.Path,
         number: int,
         behaviour: dict[str, dict[str, t.Any]] | None = None,
+        net: str = "127.0",
     ) -> None:
         self.document = document
         self.folder = folder
-        self.store = f"127.0.3.{number}:8500"
-        self.vms = f"127.0.4.{number}:8600"
+        self.store = f"{net}.3.{number}:8500"
+        self.vms = f"{net}.4.{number}:8600"
+        self.store_control = ""
         self.behaviour = behaviour or {}
         self.processes: dict[str, Process] = {}
         folder.mkdir(parents=True, exist_ok=True)
@@ -136,9 +146,34 @@
             self.start("upstreams", [*module, "upstreams", "--settings", str(cfg)]),
         ]
         for proc in started:
-            wait_until(proc.name, lambda proc=proc: any("listening" in x for x in proc.lines()))
+            wait_until(proc.name, proc.listens)
+        self.store_control = json.loads(started[0].lines()[0])["control"]
         self.set_vms({})
 
+    def set_store(self, **faults: t.Any) -> None:
+        """Change the faults of the store, which is reached so even while it is down."""
+        put_json(f"http://{self.store_control}/control", faults)
+
+    def store_calls(self) -> dict[str, int]:
+        """Return the store's calls by kind since its start."""
+        return get_json(f"http://{self.store_control}/control/counts")["calls"]
+
+    def set_upstreams(self, **behaviour: t.Any) -> None:
+        """Change the behaviour of every upstream."""
+        for row in self.upstream_rows():
+            put_json(f"http://{row['address']}/-/control", behaviour)
+
+    def metrics(self, seat: str) -> dict[str, float]:
+        """Return an entry's counters, without their common prefix and suffix."""
+        url = f"http://{self.document['entries'][seat]['operators']}/metrics"
+        with urllib.request.urlopen(url, timeout=2.0) as resp:
+            lines = resp.read().decode().splitlines()
+        rows = (line.rsplit(" ", 1) for line in lines if "{" not in line)
+        return {
+            name.removeprefix("cardamomloft_").removesuffix("_total"): float(value)
+            for name, value in rows
+        }
+
     def upstream_rows(self) -> list[dict[str, t.Any]]:
         """Return the stand-ins' settings for every upstream of the document."""
         return [
@@ -148,7 +183,7 @@
                 "zone": row["zone"],
                 "address": row["address"],
                 "slots": row["slots"],
-                **self.behaviour.get(service, {}),
+                "behaviour": self.behaviour.get(service, {}),
             }
             for service, service_row in self.document["services"].items()
             for name, row in service_row["upstreams"].items()
@@ -263,7 +298,11 @@
 
     def close(self) -> None:
         """End every process of this fleet."""
-        threads = [threading.Thread(target=p.close) for p in self.processes.values()]
+        self.end(self.processes)
+
+    def end(self, names: Iterable[str]) -> None:
+        """End the named processes at the same time."""
+        threads = [threading.Thread(target=self.processes[name].close) for name in names]
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -276,9 +315,10 @@
     folder: pathlib.Path,
     number: int = 1,
     behaviour: dict[str, dict[str, t.Any]] | None = None,
+    net: str = "127.0",
 ) -> Iterator[Fleet]:
     """Own a fleet: its stand-ins run inside the block, and nothing of it runs after."""
-    fleet = Fleet(document, folder, number, behaviour)
+    fleet = Fleet(document, folder, number, behaviour, net)
     try:
         fleet.start_standins()
         yield fleet
--- a/standins/src/cardamomloft_standins/load.py
+++ b/standins/src/cardamomloft_standins/load.py
@@ -39,8 +39,12 @@
 
 
 class LoadSettings(t.TypedDict, total=False):
-    """What one load process does; `entries` are the callers' addresses to begin with."""
+    """What one load process does; `entries` are the callers' addresses to begin with.
 
+    With `direct` there are no look-ups: each request goes to one of the addresses at random.
+    """
+
+    direct: bool
     entries: list[str]
     seed: int
     duration_s: float
@@ -60,6 +64,11 @@
         self.orders: dict[str, list[str]] = defaultdict(list)
         self.wrong_answers = 0
         self.by_second: dict[str, Counter[int]] = defaultdict(Counter)
+        self.in_time_by_second: dict[str, Counter[int]] = defaultdict(Counter)
+        self.outcomes_by_second: dict[str, Counter[int]] = defaultdict(Counter)
+        self.endpoints_by_second: dict[str, Counter[int]] = defaultdict(Counter)
+        self.tries: dict[str, list[str]] = defaultdict(list)
+        self.started_at = 0.0
         self.refused_late_ms: list[float] = []
         self.last_errors: list[str] = []
 
@@ -73,6 +82,11 @@
             "orders": dict(self.orders),
             "wrong_answers": self.wrong_answers,
             "by_second": {name: dict(rows) for name, rows in self.by_second.items()},
+            "in_time_by_second": {name: dict(r) for name, r in self.in_time_by_second.items()},
+            "outcomes_by_second": {name: dict(r) for name, r in self.outcomes_by_second.items()},
+            "endpoints_by_second": {n: dict(r) for n, r in self.endpoints_by_second.items()},
+            "tries": dict(self.tries),
+            "started_at": self.started_at,
             "last_errors": self.last_errors[-20:],
         }
 
@@ -96,6 +110,7 @@
     async def run(self) -> None:
         """Send for the whole duration, then wait for what is in flight."""
         self._start = time.monotonic()
+        self.report.started_at = time.time()
         streams = [defer.ensureDeferred(self._stream(row)) for row in self._cfg["mix"]]
         await defer.gatherResults(streams)
         if self._running:
@@ -120,12 +135,15 @@
         except Exception as exc:
             self.report.last_errors.append(f"{row['name']}: {type(exc).__name__}: {exc}"[:300])
         elapsed = time.monotonic() - start
+        second = int(time.monotonic() - self._start)
         self.report.outcomes[row["name"]][outcome] += 1
+        self.report.outcomes_by_second[f"{row['name']}:{outcome}"][second] += 1
         if outcome == "complete":
             self.report.latencies[row["name"]].append(elapsed)
-            self.report.by_second[row["name"]][int(time.monotonic() - self._start)] += 1
+            self.report.by_second[row["name"]][second] += 1
             if elapsed * 1000 <= row.get("deadline_ms", 1e9):
                 self.report.in_time[row["name"]] += 1
+                self.report.in_time_by_second[row["name"]][second] += 1
 
     async def _attempts(self, row: MixRow) -> str:
         key: str | None = None
@@ -148,6 +166,8 @@
             else:
                 entry = self._other_entry(entry)
             outcome = await self._send(row, entry, key)
+            if key is not None:
+                self.report.tries[key].append(outcome)
             if outcome != "unreached" and not (outcome in ("unknown", "cut") and key):
                 break
         if key is not None and outcome == "complete" and self._rng.random() < row.get("repeat", 0):
@@ -163,6 +183,7 @@
         for _ in range(_MAX_TRIES):
             if outcome == "unreached":
                 outcome = await self._send(row, self._other_entry(entry), key)
+                self.report.tries[key].append(f"repeat-{outcome}")
         return outcome
 
     def _other_entry(self, entry: str) -> str:
@@ -173,6 +194,8 @@
 
     async def _lookup(self, row: MixRow) -> dict[str, t.Any]:
         now = time.monotonic()
+        if self._cfg.get("direct"):
+            return {"entries": [{"name": "", "address": self._rng.choice(self._cfg["entries"])}]}
         client = row.get("client", "10.0.0.1")
         cached = self._lookups.get(client)
         if cached is not None and cached[0] > now:
@@ -258,6 +281,8 @@
         if "answer_bytes" in row:
             return len(body) == row["answer_bytes"]
         answer = json.loads(body)
+        second = int(time.monotonic() - self._start)
+        self.report.endpoints_by_second[answer["endpoint"]][second] += 1
         return (
             answer["path"].split("?")[0] == row["path"].split("?")[0]
             and answer["received"] == row.get("body_bytes", 0)
