--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -13,13 +13,15 @@
 import time
 import typing as t
 from concurrent.futures import ThreadPoolExecutor
+from datetime import UTC, datetime, timedelta
 
-from fleet import Books, Fleet, percentile, running, sum_up
+from fleet import Books, Fleet, percentile, running, sum_up, wait_until
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BUILD = ROOT / "build" / "demo"
 LOAD_S = 16.0
 STOP_LIMIT_S = 15.0
+NOTICE = timedelta(seconds=4)
 
 
 class Plan(t.NamedTuple):
@@ -143,11 +145,18 @@
         lines.append(f"{len(document['entries'])} entries, rules: {brief(accepted)}")
         lines.append(f"all entries ready after a further {ready:.2f} s")
         fleet.start_load("load", load_settings(fleet, plan))
-        time.sleep(4.0)
+        time.sleep(2.0)
+        lines.append(f"edit of a rule: {brief(edit_rule(fleet))}")
+        time.sleep(1.0)
         zone = list(document["regions"].values())[0][1]
-        code, drained = fleet.ctl("drain", "zone", zone, "--why", "demo drain")
+        # Announced ahead, so that the traffic has moved away under its cap when the drain begins.
+        begin = datetime.now(UTC) + NOTICE
+        code, drained = fleet.ctl(
+            "drain", "zone", zone, "--at", begin.isoformat(), "--why", "demo drain"
+        )
         lines.append(f"drain of zone {zone}: exit {code}: {brief(drained)}")
-        drain_s = float(drained.get("drain_s", -1)) if code == 0 else -1.0
+        drain_s = wait_drained(fleet, zone, begin) if code == 0 else -1.0
+        lines.append(f"zone {zone} was empty {drain_s:.2f} s after the drain began")
         seat = next(s for s, r in document["entries"].items() if r["zone"] != zone)
         stop_s, stop_code = stop_entry(fleet, seat)
         lines.append(f"planned stop of entry {seat}: exit {stop_code} after {stop_s:.2f} s")
@@ -158,6 +167,27 @@
         return Story(plan.name, report, sum_up(fleet.books()), drain_s, stop_code, stop_s, lines)
 
 
+def edit_rule(fleet: Fleet) -> dict[str, t.Any]:
+    """Allow one attempt more in the first rule that has a limit, and apply the file."""
+    document = json.loads(json.dumps(fleet.document))
+    rule = next(rule for rule in document["rules"] if "attempts" in rule["then"])
+    rule["then"]["attempts"] += 1
+    return fleet.apply(document, f"demo: one attempt more in rule {rule['name']}")
+
+
+def wait_drained(fleet: Fleet, zone: str, begin: datetime) -> float:
+    """Wait until every entry reports the drain as done; return the seconds since it began."""
+    time.sleep(max(0.0, (begin - datetime.now(UTC)).total_seconds()))
+
+    def done() -> bool:
+        pages = [fleet.status(seat) or {} for seat in fleet.document["entries"]]
+        rows = [row for page in pages for row in page.get("drains", []) if row["name"] == zone]
+        return len(rows) == len(pages) and all(row["done"] for row in rows)
+
+    wait_until("drain done", done)
+    return (datetime.now(UTC) - begin).total_seconds()
+
+
 def brief(answer: dict[str, t.Any]) -> str:
     """Return what matters of a command's answer on one line."""
     kept = ("outcome", "revision", "exit", "drain_s", "expected_s", "error")
