--- a/packages/entry/src/cardamomloft/entry/executor.py
+++ b/packages/entry/src/cardamomloft/entry/executor.py
@@ -188,6 +188,12 @@
         self._lease_asked.addBoth(_pass_through, done)
         await done
 
+    async def _check_lease(self, lease: str) -> None:
+        """Find out whether a write failed because the store has lost the lease."""
+        match await self._store.renew(lease):
+            case Result(tag="ok", ok=False):
+                self._claims.drop_lease(lease)
+
     def _lease_answered(self, result: t.Any) -> t.Any:
         self._lease_asked = None
         return result
@@ -207,6 +213,8 @@
                 case CreateClaim(key, value, lease):
                     result = await self._store.acquire(key, value, lease)
                     self._metrics.count("claims.written")
+                    if result.is_error():
+                        await self._check_lease(lease)
                     step = _after(attempt, result.map(attempt.created))
                 case ReadClaim(key):
                     result = await self._store.get(key)
--- a/packages/entry/src/cardamomloft/entry/node.py
+++ b/packages/entry/src/cardamomloft/entry/node.py
@@ -85,7 +85,7 @@
     "load_every_ms": 500,
     "max_in_flight": 2000,
     "ledger_entries": 20_000,
-    "ledger_bytes": 64 * 1024 * 1024,
+    "ledger_bytes": 24 * 1024 * 1024,
     "claims_per_s": 20,
 }
 
--- a/packages/entry/tests/test_executor.py
+++ b/packages/entry/tests/test_executor.py
@@ -39,9 +39,16 @@
         self.read_faults = []
         self.leases = []
         self.answer_later = False
+        self.lapsed = set()
+
+    def renew(self, lease):
+        return succeed(Ok(lease not in self.lapsed))
 
     def acquire(self, key, value, lease):
         fault = self.faults.pop(0) if self.faults else None
+        if lease in self.lapsed:
+            # The published service says this with an error that proves nothing.
+            return succeed(Error(StoreFailure(True, "status 500: invalid session")))
         if fault == "away":
             return succeed(Error(StoreFailure(False, "away")))
         made = fault != "lost" and key not in self.claims
@@ -361,6 +368,18 @@
         assert [caller.outcome for caller in callers] == ["complete", "complete"]
 
 
+def test_a_lease_that_the_store_has_lost_is_replaced(fleet):
+    first = fleet.ask("e1", fleet.own_id(1))
+    fleet.finish()
+    assert first.outcome == "complete"
+    fleet.store.lapsed.add("lease-1")
+    fleet.clock.advance(timedelta(seconds=5))
+    assert fleet.ask("e1", fleet.own_id(2)).outcome == "refused"
+    caller = fleet.ask("e1", fleet.own_id(3))
+    fleet.finish()
+    assert caller.outcome == "complete" and len(fleet.store.leases) == 2
+
+
 def test_leases_that_cannot_be_had_cost_the_store_no_more_calls_than_the_budget(fleet):
     fleet.clock.advance(timedelta(hours=1))
     fleet.store.answer_later = True
