Split the entry's node: gossip, VM list, loads, timers

Sending and spreading by seat, watching the VM list, polling loads and repeated calls are modules of their own now; the adapters of store, VM list and upstreams are passed in as one value, so that the tests hand fakes over instead of replacing attributes. No behaviour changes but two: notices of changed VMs go out seat by seat (each link is opened once however many rows), and a revision counts as in force only after it has been configured.

--- a/packages/core/tests/test_steering.py
+++ b/packages/core/tests/test_steering.py
@@ -378,7 +378,7 @@
         rules[0]["then"]["spill"] = []
     bench = Bench(document({}, cap=10.0, rules=rules))
     bench.full = {"slots/a1-0", "slots/a1-1"}
-    for zone in set(("b1", "a2", "b2")) - set(overflow_before):
+    for zone in {"b1", "a2", "b2"} - set(overflow_before):
         bench.full |= {f"slots/{zone}-0", f"slots/{zone}-1"}
     bench.run(seconds(5))
     bench.full -= {"slots/b1-0", "slots/b1-1"}
--- a/packages/entry/src/cardamomloft/entry/node.py
+++ b/packages/entry/src/cardamomloft/entry/node.py
@@ -7,7 +7,7 @@
 import secrets
 import socket
 import typing as t
-from datetime import datetime, timedelta
+from datetime import timedelta
 
 from cardamomloft.callers.app import CallersApp, LookupAnswer, LookupEntry, listen
 from cardamomloft.callers.body import RequestBody
@@ -18,7 +18,6 @@
 from cardamomloft.core.claims import Claims
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.document import Revision
-from cardamomloft.core.hints import LoadReport
 from cardamomloft.core.ledger import Ledger
 from cardamomloft.core.membership import Membership, VmRow
 from cardamomloft.core.messages import (
@@ -46,7 +45,9 @@
 from cardamomloft.entry.control import ControlApp
 from cardamomloft.entry.executor import Executor
 from cardamomloft.entry.forwarding import Forwarder
+from cardamomloft.entry.gossip import INTERVAL, Gossip
 from cardamomloft.entry.lifecycle import LifeActions, make_life_cycle
+from cardamomloft.entry.loads import LoadPoller
 from cardamomloft.entry.logs import log
 from cardamomloft.entry.maps import MapLoader
 from cardamomloft.entry.metrics import Metrics
@@ -54,29 +55,27 @@
 from cardamomloft.entry.settings import EntrySettings
 from cardamomloft.entry.status import StatusPage
 from cardamomloft.entry.steward import CONFIGURATION_KEY, StewardRunner, offer_record
+from cardamomloft.entry.timers import Timers
+from cardamomloft.entry.vms import VmWatch
 from cardamomloft.peers.curve import CurveKeys
 from cardamomloft.peers.node import PeerNode
-from cardamomloft.platform.store import HttpStore
-from cardamomloft.platform.vms import HttpVmList
+from cardamomloft.platform.store import HttpStore, Store
+from cardamomloft.platform.vms import HttpVmList, VmList
 from cardamomloft.upstreams.client import UpstreamClient
 from expression import Result
 from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
 TICK = timedelta(milliseconds=50)
-GOSSIP = timedelta(seconds=1)
-GOSSIP_TARGETS = 6
+COME_BACK = timedelta(seconds=1)
 LOOKUP_ENTRIES = 3
 LOOKUP_VALID = timedelta(seconds=2)
 LINGER = LOOKUP_VALID + timedelta(milliseconds=500)
 CLEAR_PATIENCE = timedelta(seconds=2)
 SEAT_RETRY = timedelta(seconds=2)
 FIRST_READ = timedelta(milliseconds=1500)
-ASKED_HOLDERS = 4
 CHUNKS = timedelta(milliseconds=250)
 USELESS = timedelta(seconds=10)
-VMS_PER_ENTRY = timedelta(milliseconds=100)
 CLAIMS_PER_S = 300
 
 _DEFAULTS: dict[str, t.Any] = {
@@ -90,6 +89,24 @@
 }
 
 
+class Outside(t.NamedTuple):
+    """The adapters of what is not ours."""
+
+    store: Store
+    vms: VmList
+    client: UpstreamClient
+
+
+def connect(reactor: t.Any, cfg: EntrySettings) -> Outside:
+    """Make the adapters that the settings name; nothing is sent yet."""
+    timeout = timedelta(milliseconds=cfg.get("store_timeout_ms", _DEFAULTS["store_timeout_ms"]))
+    return Outside(
+        HttpStore(reactor, _address(cfg["store"]), timeout=timeout),
+        HttpVmList(reactor, _address(cfg["vms"]), timeout=timeout),
+        UpstreamClient(reactor),
+    )
+
+
 class EntryNode:
     """One entry process.
 
@@ -101,10 +118,17 @@
         Checked settings.
     clock, rng
         Sources of time and chance.
+    outside
+        The adapters of platform and upstreams.
     """
 
     def __init__(
-        self, reactor: t.Any, cfg: EntrySettings, clock: Clock, rng: random.Random
+        self,
+        reactor: t.Any,
+        cfg: EntrySettings,
+        clock: Clock,
+        rng: random.Random,
+        outside: Outside,
     ) -> None:
         self._reactor = reactor
         self._cfg: dict[str, t.Any] = {**_DEFAULTS, **cfg}
@@ -114,26 +138,18 @@
         self.metrics = Metrics()
         self.life = make_life_cycle(_Later(reactor, self))
         self.stopped: Deferred[None] = Deferred()
-        self._build_platform()
+        self.store, self.client = outside.store, outside.client
+        self.vms = VmWatch(outside.vms, clock, self.metrics, self._take_vms, self._send_all)
+        self.seat = SeatRecord(self.me, self.store)
         self._build_decisions()
         self._build_edges()
         self._in_force = 0
         self._reported: tuple[object, ...] = ()
-        self._timers: list[LoopingCall] = []
-        self._upstream_turn = 0
-        self.vms_at: timedelta | None = None
+        self._timers = Timers(reactor, self._on_fault)
         self.store_at: timedelta | None = None
         self._complete = 0
         self._refused = 0
         self._useful_at = clock.monotonic()
-        self._vms_due = timedelta(0)
-        self._vm_rows: dict[str, VmRow] = {}
-
-    def _build_platform(self) -> None:
-        timeout = timedelta(milliseconds=self._cfg["store_timeout_ms"])
-        self.store = HttpStore(self._reactor, _address(self._cfg["store"]), timeout=timeout)
-        self.vms = HttpVmList(self._reactor, _address(self._cfg["vms"]), timeout=timeout)
-        self.seat = SeatRecord(self.me, self.store)
 
     def _build_decisions(self) -> None:
         clock, rng, cfg = self._clock, self._rng, self._cfg
@@ -150,6 +166,13 @@
             check=check_document,
             seeds=cfg.get("peer_seeds", ()),
         )
+        self.gossip = Gossip(
+            lambda address, message, to: self.peers.send(address, message, to),
+            rng,
+            self.membership,
+            self.shares,
+            lambda: self._describe(self._in_force),
+        )
         self.maps = MapLoader(rng, self._read_chunk, self._on_map)
         self.ids = OperationIds(self.me, clock, secrets.token_bytes(32))
         self.ledger = Ledger(
@@ -160,7 +183,9 @@
         self.steward: StewardRunner | None = None
 
     def _build_edges(self) -> None:
-        self.client = UpstreamClient(self._reactor)
+        self.loads = LoadPoller(
+            self.client, self._clock, lambda e: self.shares.free(slots_key(e)) > 0
+        )
         self.app = CallersApp(self.lookup, self.handle, self._on_fault)
         self.forwarder: Forwarder | None = None
         self.executor: Executor | None = None
@@ -193,13 +218,14 @@
     async def _begin(self) -> None:
         await self.seat.record()
         await self._read_configuration()
-        self._every(TICK, self._tick)
-        self._every(GOSSIP, self._gossip)
-        self._every(timedelta(milliseconds=self._cfg["vms_every_ms"]), self._poll_vms)
-        self._every(timedelta(milliseconds=self._cfg["load_every_ms"]), self._poll_load)
-        self._every(SEAT_RETRY, self._record_seat)
-        self._every(CHUNKS, self._fetch_chunks)
-        self._every(FIRST_READ, self._look_for_first)
+        every = self._timers.every
+        every(TICK, self._tick)
+        every(INTERVAL, self._spread)
+        every(timedelta(milliseconds=self._cfg["vms_every_ms"]), self._poll_vms)
+        every(timedelta(milliseconds=self._cfg["load_every_ms"]), self._poll_load)
+        every(SEAT_RETRY, self._record_seat)
+        every(CHUNKS, self._fetch_chunks)
+        every(FIRST_READ, self._look_for_first)
 
     def stop(self) -> None:
         """Begin a graceful stop; asking again changes nothing."""
@@ -208,12 +234,12 @@
     def on_ready(self) -> None:
         """Tell peers that callers may come."""
         log("ready", revision=self._in_force)
-        self._announce()
+        self.gossip.announce()
 
     def on_leaving(self) -> None:
         """Leave the look-ups; go on serving callers that asked a moment ago."""
         log("leaving")
-        self._announce()
+        self.gossip.announce()
         self.app.closing()
         hard = self._cfg.get("hard_stop_ms")
         if hard is not None:
@@ -228,11 +254,11 @@
     async def _close(self) -> None:
         await self.app.drained()
         while self.executor is not None and (self.executor.running or self.forwarder.lingering):
-            await self._sleep(TICK)
+            await self._timers.sleep(TICK)
         self._send_all(self.shares.hand_over())
         end = self._clock.monotonic() + CLEAR_PATIENCE
         while not self.shares.is_clear and self._clock.monotonic() < end:
-            await self._sleep(TICK)
+            await self._timers.sleep(TICK)
         if self.shares.is_clear and self.seat.recorded:
             noted = await self.seat.note_stop()
             log("handed-over", noted=noted)
@@ -255,8 +281,7 @@
 
     def on_stopped(self) -> None:
         """Release everything and end the process."""
-        for timer in self._timers:
-            timer.stop()
+        self._timers.stop()
         self.peers.close()
         log("stopped")
         if not self.stopped.called:
@@ -274,7 +299,7 @@
         self.metrics.count("lookups")
         classifier = self.router.classifier if self.router else None
         if classifier is None or not self.replica.ready:
-            return Refusal(RefusalReason.NOT_READY, "no configuration yet", GOSSIP)
+            return Refusal(RefusalReason.NOT_READY, "no configuration yet", COME_BACK)
         site = classifier.site_of(int.from_bytes(socket.inet_aton(client)))
         seats = self.membership.entries_for(site, LOOKUP_ENTRIES)
         executor, prefix, left = self._executor_among(seats)
@@ -329,11 +354,11 @@
             reason = RefusalReason.STOPPING
             if self.life.state() == "starting":
                 reason = RefusalReason.NOT_READY
-            return Refusal(reason, "ask for another entry", GOSSIP)
+            return Refusal(reason, "ask for another entry", COME_BACK)
         if not self.replica.ready:
-            return Refusal(RefusalReason.NOT_READY, "the configuration may be old", GOSSIP)
+            return Refusal(RefusalReason.NOT_READY, "the configuration may be old", COME_BACK)
         if self.app.in_flight > self._cfg["max_in_flight"]:
-            return Refusal(RefusalReason.OVERLOAD, "too many requests here", GOSSIP)
+            return Refusal(RefusalReason.OVERLOAD, "too many requests here", COME_BACK)
         return None
 
     # Configuration.
@@ -363,10 +388,11 @@
             log("not-in-roster", revision=held.number)
         if self.router is None:
             self._build_router(held)
-        self._in_force = held.number
         self._update_ownership()
         blocks = self.maps.configure(held.document["clients"])
         self.router.configure(held, quarantine=self.seat.predecessor, blocks=blocks)
+        self._in_force = held.number
+        self.gossip.configure(held.document)
         self.membership.configure(held.document, self.shares.partners)
         self._place_steward()
         if self.claims is not None:
@@ -374,7 +400,7 @@
             self.claims.budget.limit(min(self._cfg["claims_per_s"], CLAIMS_PER_S / entries))
         log("in-force", revision=held.number)
         self.life.prepared()
-        self._announce()
+        self.gossip.announce()
 
     def _build_router(self, held: Revision) -> None:
         zone = self._cfg["zone"]
@@ -478,44 +504,16 @@
             case ChunkReply():
                 self.maps.take(message.digest, message.chunk)
             case VmNotice():
-                self._on_vm_notice(message)
+                self.vms.on_notice(message)
 
     def _send_all(self, outgoing: list[Outgoing], to: Incarnation | None = None) -> None:
-        for seat, message in outgoing:
-            address = self._peers_address(seat)
-            if address is not None:
-                named = to if to is not None and to.seat == seat else None
-                self.peers.send(address, message, named)
-
-    def _peers_address(self, seat: str) -> str | None:
-        # Seeds are addresses: at the start nobody's seat is known.
-        if ":" in seat:
-            return seat
-        row = self.router.document["entries"].get(seat) if self.router else None
-        return row["peers"] if row else None
+        self.gossip.send(outgoing, to)
 
-    def _gossip(self) -> None:
+    def _spread(self) -> None:
         # One that owns nothing works on loans, and there are none for one that hears nobody.
-        now = self._clock.monotonic()
         if self.shares.owns_any or self.membership.hears_any():
-            self._useful_at = now
-        digest = self._describe(self._in_force)
-        self.membership.set_self(digest)
-        targets = self.membership.gossip_targets(self._rng, GOSSIP_TARGETS)
-        self._send_all([Outgoing(seat, digest) for seat in targets])
-        # A holder whose agreement is missing is asked: its digest may come by chance only.
-        lacking = sorted(self.shares.awaited)
-        asked = self._rng.sample(lacking, min(ASKED_HOLDERS, len(lacking)))
-        question = DocumentRequest(self._in_force)
-        self._send_all([Outgoing(seat, question) for seat in asked])
-
-    def _announce(self) -> None:
-        """Tell those that wait for our word, and a few others, what has changed here."""
-        digest = self._describe(self._in_force)
-        self.membership.set_self(digest)
-        targets = set(self.membership.gossip_targets(self._rng, GOSSIP_TARGETS))
-        targets |= self.shares.partners
-        self._send_all([Outgoing(seat, digest) for seat in sorted(targets)])
+            self._useful_at = self._clock.monotonic()
+        self.gossip.spread()
 
     # Timers.
 
@@ -535,7 +533,7 @@
         state = (self.shares.settled, self.life.state())
         if state != self._reported:
             self._reported = state
-            self._announce()
+            self.gossip.announce()
 
     def _look_for_first(self) -> "Deferred[t.Any] | None":
         """Read the store while nothing is held: without a roster no steward does."""
@@ -550,10 +548,7 @@
     def _fetch_chunks(self) -> None:
         if self.router is None or not self.maps.missing:
             return
-        entries = self.router.document["entries"].items()
-        region_of = self.router.region_of
-        near = [seat for seat, row in entries if region_of(row["zone"]) == self.router.region]
-        peers = [seat for seat in near if seat != self.me.seat]
+        peers = self._near_seats()
         watching = self.steward.stewardship.watches_configuration
         self._send_all(self.maps.next_requests(peers, from_store=watching or not peers))
 
@@ -584,49 +579,21 @@
         return None if self.seat.recorded else ensureDeferred(self.seat.record())
 
     def _poll_vms(self) -> "Deferred[None] | None":
-        """Fetch the list; in a large fleet most entries do so seldom and hear from the stewards."""
-        now = self._clock.monotonic()
-        if now < self._vms_due:
-            return None
-        if not (self.steward and self.steward.stewardship.watches_configuration):
-            self._vms_due = now + self._roster_size() * VMS_PER_ENTRY
-        return ensureDeferred(self._fetch_vms())
-
-    def _roster_size(self) -> int:
-        return len(self.router.document["entries"]) if self.router else 0
-
-    async def _fetch_vms(self) -> None:
-        match await self.vms.fetch():
-            case Result(tag="ok", ok=rows):
-                pass
-            case _:
-                self.metrics.count("vm-list-failures")
-                return
-        self.vms_at = self._clock.monotonic()
-        self._tell_changes(rows)
-        self._take_vms(rows)
-
-    def _tell_changes(self, rows: list[VmRow]) -> None:
-        """As a steward, pass changed rows on to the entries of this region."""
-        changed = [row for row in rows if self._vm_rows.get(row.name) != row]
-        first = not self._vm_rows
-        self._vm_rows.update((row.name, row) for row in rows)
-        if first or not self.steward or not self.steward.stewardship.is_steward:
-            return
-        entries = self.router.document["entries"].items()
-        near = [s for s, row in entries if self.router.region_of(row["zone"]) == self.router.region]
-        for row in changed:
-            notice = VmNotice(row.name, row.state, row.at.isoformat())
-            self._send_all([Outgoing(seat, notice) for seat in near if seat != self.me.seat])
+        if self.router is None:
+            return self.vms.poll(0, watches=False)
+        stewardship = self.steward.stewardship
+        return self.vms.poll(
+            len(self.router.document["entries"]),
+            watches=stewardship.watches_configuration,
+            tells=self._near_seats() if stewardship.is_steward else (),
+        )
 
-    def _on_vm_notice(self, notice: VmNotice) -> None:
-        try:
-            row = VmRow(notice.name, notice.state, datetime.fromisoformat(notice.at))
-        except ValueError:
-            self.metrics.count("messages-ignored")
-            return
-        self._vm_rows[row.name] = row
-        self._take_vms(list(self._vm_rows.values()))
+    def _near_seats(self) -> list[str]:
+        """Return the other seats of this region."""
+        region_of, here = self.router.region_of, self.router.region
+        entries = self.router.document["entries"].items()
+        near = [seat for seat, row in entries if region_of(row["zone"]) == here]
+        return [seat for seat in near if seat != self.me.seat]
 
     def _take_vms(self, rows: list[VmRow]) -> None:
         self.membership.on_vms(rows)
@@ -641,30 +608,10 @@
             self.router.steering.on_leaving(leaving)
             self._place_steward()
 
-    def _poll_load(self) -> None:
+    def _poll_load(self) -> "Deferred[None] | None":
         if self.router is None:
-            return
-        endpoints = [e for e in self.router.nearby if self.shares.free(slots_key(e))]
-        if not endpoints:
-            return
-        self._upstream_turn = (self._upstream_turn + 1) % len(endpoints)
-        endpoint = endpoints[self._upstream_turn]
-        asked = self._clock.monotonic()
-
-        def take(result: Result[t.Any, str]) -> None:
-            match result:
-                case Result(tag="ok", ok=load):
-                    self.router.steering.on_report(endpoint.name, LoadReport(*load, asked))
-                case _:
-                    self.router.steering.on_report_lost(endpoint.name)
-
-        self.client.poll(endpoint).addCallback(take).addErrback(self._on_fault)
-
-    def _every(self, interval: timedelta, act: t.Callable[[], t.Any]) -> None:
-        timer = LoopingCall(self._guard, act)
-        timer.clock = self._reactor
-        timer.start(interval.total_seconds())
-        self._timers.append(timer)
+            return None
+        return self.loads.poll(self.router.nearby, self.router.steering)
 
     def _on_broken(self, failure: Failure) -> None:
         """End the process: its state contradicts itself, and a new life starts from the truth."""
@@ -673,20 +620,6 @@
         if not self.stopped.called:
             self.stopped.errback(failure)
 
-    def _guard(self, act: t.Callable[[], t.Any]) -> t.Any:
-        """Log a fault of one tick; the next one must still come."""
-        try:
-            result = act()
-        except Exception:
-            self._on_fault(Failure())
-            return None
-        return result.addErrback(self._on_fault) if isinstance(result, Deferred) else None
-
-    def _sleep(self, duration: timedelta) -> "Deferred[None]":
-        done: Deferred[None] = Deferred()
-        self._reactor.callLater(duration.total_seconds(), done.callback, None)
-        return done
-
     def _on_fault(self, failure: Failure) -> None:
         if failure.check(AssertionError):
             self._on_broken(failure)
--- a/packages/entry/src/cardamomloft/entry/status.py
+++ b/packages/entry/src/cardamomloft/entry/status.py
@@ -56,7 +56,7 @@
             "services": self._services(),
             "drains": self._drains(),
             "limits": [_limit(row) for row in node.shares.rows()],
-            "vms_age_ms": self._age_ms(node.vms_at),
+            "vms_age_ms": self._age_ms(node.vms.fetched_at),
             "store_age_ms": self._age_ms(node.store_at),
         }
 
--- a/packages/entry/tests/test_node.py
+++ b/packages/entry/tests/test_node.py
@@ -15,8 +15,7 @@
 from cardamomloft.core.messages import Digest, DocumentReply, DocumentRequest
 from cardamomloft.core.model import Incarnation, Refusal, RefusalReason
 from cardamomloft.core.replication import pack
-from cardamomloft.entry.node import EntryNode
-from cardamomloft.entry.seat import SeatRecord
+from cardamomloft.entry.node import EntryNode, Outside
 from cardamomloft.platform.failures import StoreFailure
 from cardamomloft.platform.store import Record
 from expression import Error, Ok
@@ -128,9 +127,9 @@
         self.clock, self.reactor = ManualClock(), Clock()
         self.store = store or FakeStore()
         cfg = {**SETTINGS, **settings}
-        self.node = node = EntryNode(self.reactor, cfg, self.clock, random.Random(1))
-        node.store, node.vms, node.client = self.store, FakeVms(), FakeClient()
-        node.seat = SeatRecord(node.me, self.store)
+        self.vms = FakeVms()
+        outside = Outside(self.store, self.vms, FakeClient())
+        self.node = node = EntryNode(self.reactor, cfg, self.clock, random.Random(1), outside)
         node.peers = self.peers = FakePeers()
         self.ended = []
         node.stopped.addCallbacks(self.ended.append, lambda f: self.ended.append(f.type))
@@ -258,7 +257,7 @@
     assert bench.ask() == RefusalReason.NOT_READY
     assert isinstance(bench.node.lookup("127.0.0.1"), Refusal)
     bench.peers.sent.clear()
-    bench.node._gossip()
+    bench.node._spread()
     assert {m.state for _, m in bench.peers.sent if isinstance(m, Digest)} == {"starting"}
     bench.pass_time(0.5)
     bench.hear(bench.digest(4))
@@ -333,7 +332,7 @@
     store.record(4, document(("e1", "e2")))
     bench = Bench(store).start()
     bench.hear(bench.digest(4))
-    vms = bench.node.vms
+    vms = bench.vms
     vms.rows = [VmRow(seat, "live", bench.clock.utcnow()) for seat in ("e1", "e2")]
     bench.pass_time(3)
     vms.rows = None
@@ -400,7 +399,7 @@
     store.record(4, document(("e1", "e2"), drains=drains))
     bench = Bench(store).start()
     bench.hear(bench.digest(4))
-    bench.node.vms.rows = [VmRow(seat, "live", bench.clock.utcnow()) for seat in ("e1", "e2")]
+    bench.vms.rows = [VmRow(seat, "live", bench.clock.utcnow()) for seat in ("e1", "e2")]
     bench.pass_time(3)
     bench.hear(bench.digest(4))
     assert [entry["name"] for entry in bench.node.lookup("127.0.0.1")["entries"]] == ["e2"]
