--- /dev/null
+++ b/packages/core/src/cardamomloft/core/accounts.py
@@ -0,0 +1,106 @@
+"""What one entry owns, uses, lends and borrows of one limit."""
+
+import typing as t
+from datetime import timedelta
+
+from cardamomloft.core.limits import Limit, LimitKind
+from cardamomloft.core.loans import Lendings, Loans
+from cardamomloft.core.ownership import Ownership
+
+PEAK_WINDOW = timedelta(milliseconds=100)
+"""How long a peak of own use keeps a lender from lending the units."""
+
+_ZERO = timedelta(0)
+
+
+class ShareRow(t.NamedTuple):
+    """One limit as this entry sees it, for status pages; all amounts in units of the limit."""
+
+    key: str
+    kind: LimitKind
+    capacity: int
+    base: int
+    own: int
+    used: int
+    lent: int
+    borrowed: int
+    wanted: int
+    complete: bool
+
+
+class Account:
+    """What this entry owns, uses, lends and borrows of one limit."""
+
+    __slots__ = (
+        "lendings",
+        "limit",
+        "loans",
+        "ownership",
+        "peak",
+        "peak_at",
+        "used",
+        "wanted",
+    )
+
+    def __init__(self, limit: Limit) -> None:
+        self.limit = limit
+        self.ownership = Ownership()
+        self.used = 0
+        self.wanted = 0
+        self.peak = 0
+        self.peak_at = _ZERO
+        self.lendings: Lendings | None = None
+        self.loans: Loans | None = None
+
+    @property
+    def lent(self) -> int:
+        """Own units lent to others."""
+        return self.lendings.lent if self.lendings else 0
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether anything is in use, lent or borrowed."""
+        return bool(self.used or self.lendings or self.loans)
+
+    def is_clear(self, now: timedelta) -> bool:
+        """Tell whether neither this life nor an earlier one has left anything behind."""
+        return not self.lent and not self.loans and now >= self.ownership.wait_until
+
+    def free_own(self) -> int:
+        """Return own units neither used nor lent; negative after a cut."""
+        return self.ownership.own - self.used - self.lent
+
+    def free(self, now: timedelta) -> int:
+        """Return the units that a new use may take."""
+        own = max(self.free_own(), 0)
+        return own + self.loans.free(now) if self.loans else own
+
+    def note_use(self, amount: int, now: timedelta) -> None:
+        """Keep the recent peak of own use."""
+        if amount >= self.peak or now - self.peak_at > PEAK_WINDOW:
+            self.peak = amount
+            self.peak_at = now
+
+    def spare(self, now: timedelta) -> int:
+        """Return what can be lent: all but the recent peak and what is wanted here.
+
+        It is negative if units that are lent are wanted here.
+        """
+        self.note_use(self.used, now)
+        spare = self.free_own() - self.wanted
+        return spare if spare < 0 else max(spare - self.peak + self.used, 0)
+
+    def row(self, key: str) -> ShareRow:
+        """Return the state for status pages."""
+        return ShareRow(
+            key=key,
+            kind=self.limit.kind,
+            capacity=self.limit.capacity,
+            base=self.ownership.base,
+            own=self.ownership.own,
+            used=self.used,
+            lent=self.lent,
+            borrowed=self.loans.borrowed() if self.loans else 0,
+            wanted=self.wanted,
+            complete=self.ownership.complete,
+        )
--- a/packages/core/src/cardamomloft/core/shares.py
+++ b/packages/core/src/cardamomloft/core/shares.py
@@ -2,17 +2,17 @@
 
 Every unit of a limit belongs to at most one entry at any time. It moves for a while by loan
 (:mod:`cardamomloft.core.loans`), and for good by a new division in a later revision
-(:mod:`cardamomloft.core.limits`). A restarted entry owns nothing until the uses and loans of its
+(:mod:`cardamomloft.core.ownership`). A restarted entry owns nothing until the uses and loans of its
 predecessor are over (quarantine), and then only as under a new division.
 """
 
 import itertools
-import typing as t
 from collections.abc import Callable, Iterator, Mapping
 from datetime import timedelta
 
+from cardamomloft.core.accounts import Account, ShareRow
 from cardamomloft.core.clock import Clock
-from cardamomloft.core.limits import CoHolders, Limit, LimitKind, Ownership, base_shares
+from cardamomloft.core.limits import Limit, LimitKind, base_shares
 from cardamomloft.core.loans import Lendings, Loans, denial, loan_numbers, longest_loan
 from cardamomloft.core.messages import (
     Digest,
@@ -23,11 +23,9 @@
     Outgoing,
 )
 from cardamomloft.core.model import Hold, Incarnation, Refusal, RefusalReason
+from cardamomloft.core.ownership import CoHolders
 from expression import Error, Ok, Result
 
-PEAK_WINDOW = timedelta(milliseconds=100)
-"""How long a peak of own use keeps a lender from lending the units."""
-
 MAX_ASKS = 8
 """Requests under way at one time for one limit."""
 
@@ -50,82 +48,6 @@
 _BAD_DEADLINE = _refused(RefusalReason.DEADLINE, "the deadline is past or too far off")
 
 
-class ShareRow(t.NamedTuple):
-    """One limit as this entry sees it, for status pages; all amounts in units of the limit."""
-
-    key: str
-    kind: LimitKind
-    capacity: int
-    base: int
-    own: int
-    used: int
-    lent: int
-    borrowed: int
-    wanted: int
-    complete: bool
-
-
-class _Account:
-    """What this entry owns, uses, lends and borrows of one limit."""
-
-    __slots__ = (
-        "lendings",
-        "limit",
-        "loans",
-        "ownership",
-        "peak",
-        "peak_at",
-        "used",
-        "wanted",
-    )
-
-    def __init__(self, limit: Limit) -> None:
-        self.limit = limit
-        self.ownership = Ownership()
-        self.used = 0
-        self.wanted = 0
-        self.peak = 0
-        self.peak_at = _ZERO
-        self.lendings: Lendings | None = None
-        self.loans: Loans | None = None
-
-    @property
-    def lent(self) -> int:
-        return self.lendings.lent if self.lendings else 0
-
-    @property
-    def is_busy(self) -> bool:
-        return bool(self.used or self.lendings or self.loans)
-
-    def is_clear(self, now: timedelta) -> bool:
-        """Tell whether neither this life nor an earlier one has left anything behind."""
-        return not self.lent and not self.loans and now >= self.ownership.wait_until
-
-    def free_own(self) -> int:
-        """Return own units neither used nor lent; negative after a cut."""
-        return self.ownership.own - self.used - self.lent
-
-    def free(self, now: timedelta) -> int:
-        """Return the units that a new use may take."""
-        own = max(self.free_own(), 0)
-        return own + self.loans.free(now) if self.loans else own
-
-    def note_use(self, amount: int, now: timedelta) -> None:
-        """Keep the recent peak of own use."""
-        if amount >= self.peak or now - self.peak_at > PEAK_WINDOW:
-            self.peak = amount
-            self.peak_at = now
-
-    def spare(self, now: timedelta) -> int:
-        """Return what can be lent: all but the recent peak and what is wanted here.
-
-        It is negative if units that are lent are wanted here.
-        """
-        self.note_use(self.used, now)
-        spare = self.free_own() - self.wanted
-        return spare if spare < 0 else max(spare - self.peak + self.used, 0)
-
-
 class Shares:
     """Every limit at one entry.
 
@@ -147,7 +69,7 @@
         self._revision = 0
         self._settled = 0
         self._limits: Mapping[str, Limit] = {}
-        self._accounts: dict[str, _Account] = {}
+        self._accounts: dict[str, Account] = {}
         self._active: set[str] = set()
         self._open: set[str] = set()
         self._holds: set[int] = set()
@@ -345,7 +267,7 @@
 
     def rows(self) -> list[ShareRow]:
         """Return the state of every limit that this entry holds or uses, for status pages."""
-        return [_row(key, account) for key, account in sorted(self._accounts.items())]
+        return [account.row(key) for key, account in sorted(self._accounts.items())]
 
     def on_message(self, sender: Incarnation, message: LoanMessage) -> list[Outgoing]:
         """Take a loan message from another entry and return the answers."""
@@ -385,7 +307,7 @@
         me = self._me.seat
         account = self._accounts.get(key)
         if account is None:
-            account = self._accounts[key] = _Account(new)
+            account = self._accounts[key] = Account(new)
         else:
             old = account.limit
         limit = account.limit = new or old._replace(capacity=0, holders=())
@@ -404,7 +326,7 @@
         self._delay(account, old, now)
         self._open.add(key)
 
-    def _delay(self, account: _Account, old: Limit | None, now: timedelta) -> None:
+    def _delay(self, account: Account, old: Limit | None, now: timedelta) -> None:
         """Let what may last longer than the new limit's longest use end first."""
         owned = account.ownership
         if self._quarantined_at is not None:
@@ -439,20 +361,20 @@
         longest = limit.longest_use + longest_loan(limit, self._drift)
         return longest * (1 + 3 * self._drift)
 
-    def _open_account(self, key: str) -> _Account | None:
+    def _open_account(self, key: str) -> Account | None:
         """Return a new account of a limit of which this entry holds nothing."""
         limit = self._limits.get(key)
         if limit is None:
             return None
-        account = self._accounts[key] = _Account(limit)
+        account = self._accounts[key] = Account(limit)
         return account
 
-    def _touch(self, account: _Account) -> None:
+    def _touch(self, account: Account) -> None:
         if account.limit.kind is LimitKind.RATE and self.before_rate_change:
             self.before_rate_change(account.limit.key)
 
     def _lend(
-        self, account: _Account, borrower: Incarnation, req: LoanRequest, now: timedelta
+        self, account: Account, borrower: Incarnation, req: LoanRequest, now: timedelta
     ) -> LoanGrant | None:
         if account.lendings is None:
             account.lendings = Lendings(self._drift)
@@ -462,7 +384,7 @@
         return account.lendings.answer(borrower, req, spare, longest, now)
 
     def _take(
-        self, account: _Account | None, lender: Incarnation, grant: LoanGrant, now: timedelta
+        self, account: Account | None, lender: Incarnation, grant: LoanGrant, now: timedelta
     ) -> LoanReturn | None:
         loans = account.loans if account else None
         if not grant.amount:
@@ -473,13 +395,13 @@
             return None
         return LoanReturn(grant.number, grant.key)
 
-    def _close(self, account: _Account | None, borrower: Incarnation, msg: LoanReturn) -> None:
+    def _close(self, account: Account | None, borrower: Incarnation, msg: LoanReturn) -> None:
         lendings = account.lendings if account else None
         lending = lendings.find(borrower, msg.number) if lendings is not None else None
         if lending:
             lendings.close(lending)
 
-    def _tick_lender(self, key: str, account: _Account, now: timedelta) -> Iterator[Outgoing]:
+    def _tick_lender(self, key: str, account: Account, now: timedelta) -> Iterator[Outgoing]:
         lendings = account.lendings
         if lendings is None:
             return
@@ -490,7 +412,7 @@
         for seat, number in lendings.recall(short, now):
             yield Outgoing(seat, LoanRecall(number, key))
 
-    def _tick_borrower(self, key: str, account: _Account, now: timedelta) -> Iterator[Outgoing]:
+    def _tick_borrower(self, key: str, account: Account, now: timedelta) -> Iterator[Outgoing]:
         loans = account.loans
         if loans is not None:
             limit = account.limit
@@ -506,7 +428,7 @@
         elif not account.loans:
             account.loans = None
 
-    def _borrow(self, account: _Account, now: timedelta) -> Iterator[Outgoing]:
+    def _borrow(self, account: Account, now: timedelta) -> Iterator[Outgoing]:
         """Ask for what is wanted, and for more the more is borrowed already."""
         if account.loans is None:
             account.loans = Loans(self._drift)
@@ -538,18 +460,3 @@
     def _request(self, limit: Limit, number: int, amount: int) -> LoanRequest:
         term = longest_loan(limit, self._drift) // _MILLISECOND
         return LoanRequest(number, limit.key, amount, term)
-
-
-def _row(key: str, account: _Account) -> ShareRow:
-    return ShareRow(
-        key=key,
-        kind=account.limit.kind,
-        capacity=account.limit.capacity,
-        base=account.ownership.base,
-        own=account.ownership.own,
-        used=account.used,
-        lent=account.lent,
-        borrowed=account.loans.borrowed() if account.loans else 0,
-        wanted=account.wanted,
-        complete=account.ownership.complete,
-    )
--- a/packages/core/tests/test_loan_protocol.py
+++ b/packages/core/tests/test_loan_protocol.py
@@ -10,7 +10,7 @@
 
 import pytest
 from cardamomloft.core.clock import ManualClock
-from cardamomloft.core.limits import Limit, LimitKind, Ownership
+from cardamomloft.core.limits import Limit, LimitKind
 from cardamomloft.core.loans import Lendings, Loans
 from cardamomloft.core.messages import Digest
 from cardamomloft.core.model import Hold, Incarnation
