--- a/packages/core/tests/test_loan_protocol.py
+++ b/packages/core/tests/test_loan_protocol.py
@@ -14,6 +14,7 @@
 from cardamomloft.core.loans import Lendings, Loans
 from cardamomloft.core.messages import Digest
 from cardamomloft.core.model import Hold, Incarnation
+from cardamomloft.core.ownership import Ownership
 from cardamomloft.core.shares import Shares
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
