Name the process, not the seat, in the steward's lease

The new life of the seat was heard, so the standbys took the dead holder for alive until its lease of 10 s ended. The lease now names seat and incarnation, and only messages of that process count. The test that causes it (a new life of the holder's seat is heard) failed before.

--- a/packages/core/src/cardamomloft/core/stewardship.py
+++ b/packages/core/src/cardamomloft/core/stewardship.py
@@ -127,7 +127,7 @@
 
     @_machine.input()
     def lease_held(self, holder: str) -> None:
-        """Take the answer that the entry in seat `holder` has the lease."""
+        """Take the answer that `holder` has the lease, which it names as ``seat/number``."""
 
     @_machine.input()
     def lease_granted(self) -> None:
@@ -228,9 +228,12 @@
         self._standby = standby
         self._size = max(size, 1)
 
-    def heard(self, seat: str) -> None:
-        """Note that the entry in `seat` sent a message."""
-        if seat == self._holder:
+    def heard(self, process: str) -> None:
+        """Note that a process, named as in the lease, sent a message.
+
+        A new life of the holder's seat has no lease, so hearing it must not pass for the holder.
+        """
+        if process == self._holder:
             self._holder_heard = self._clock.monotonic()
 
     def peer_to_probe(self) -> str | None:
@@ -239,7 +242,7 @@
         if not self._standby or self._holder is None or now - self._probed < SILENCE / 3:
             return None
         self._probed = now
-        return self._holder
+        return self._holder.partition("/")[0]
 
     def tick(self) -> list[Step]:
         """Return the step to do now, if one is due and none is out."""
--- a/packages/core/tests/test_stewardship.py
+++ b/packages/core/tests/test_stewardship.py
@@ -134,3 +134,20 @@
     region.store_up = True
     region.run(120)
     assert len(region.stewards()) == 1
+
+
+def test_a_new_life_of_the_stewards_seat_does_not_pass_for_the_steward():
+    """It has no lease, so while it is heard the standbys must watch all the same."""
+    clock = ManualClock()
+    standby = Stewardship("r", clock, random.Random(1))
+    standby.place(standby=True, size=4)
+    while not standby.tick():
+        clock.advance(STEP)
+    standby.lease_held("e1/old")
+    for _ in range(40):
+        clock.advance(STEP)
+        standby.heard("e1/new")
+    assert standby.watches_configuration
+    assert standby.peer_to_probe() == "e1"
+    standby.heard("e1/old")
+    assert not standby.watches_configuration
--- a/packages/entry/src/cardamomloft/entry/node.py
+++ b/packages/entry/src/cardamomloft/entry/node.py
@@ -437,7 +437,7 @@
         )
         stewardship = Stewardship(region, self._clock, self._rng)
         self.steward = StewardRunner(
-            self.me.seat,
+            self.me,
             region,
             self._clock,
             self._rng,
@@ -482,7 +482,7 @@
 
     def _on_message(self, sender: Incarnation, message: Message) -> None:
         if self.steward is not None:
-            self.steward.stewardship.heard(sender.seat)
+            self.steward.stewardship.heard(str(sender))
         match message:
             case Digest():
                 self.membership.on_digest(sender, message)
--- a/packages/entry/src/cardamomloft/entry/steward.py
+++ b/packages/entry/src/cardamomloft/entry/steward.py
@@ -7,6 +7,7 @@
 
 from cardamomloft.core.changes import decode_record
 from cardamomloft.core.clock import Clock
+from cardamomloft.core.model import Incarnation
 from cardamomloft.core.replication import Replica, pack
 from cardamomloft.core.stewardship import ReadLease, Renew, Step, Stewardship, TryLease, WatchLease
 from cardamomloft.entry.logs import log
@@ -48,7 +49,7 @@
 
     def __init__(
         self,
-        seat: str,
+        me: Incarnation,
         region: str,
         clock: Clock,
         rng: random.Random,
@@ -58,7 +59,7 @@
         on_offer: Callable[[], None],
         on_fault: Callable[[Failure], None],
     ) -> None:
-        self._seat = seat
+        self._me = me
         self._key = f"steward/{region}"
         self._clock = clock
         self._rng = rng
@@ -116,7 +117,7 @@
                 pass
             case _:
                 return self.stewardship.store_failed()
-        match await self._store.acquire(self._key, self._seat.encode(), lease):
+        match await self._store.acquire(self._key, str(self._me).encode(), lease):
             case Result(tag="ok", ok=True):
                 self._lease = lease
                 log("steward", key=self._key)
--- a/packages/entry/tests/test_steward.py
+++ b/packages/entry/tests/test_steward.py
@@ -7,6 +7,7 @@
 import pytest
 from cardamomloft.core.changes import canonical, next_record
 from cardamomloft.core.clock import ManualClock
+from cardamomloft.core.model import Incarnation
 from cardamomloft.core.stewardship import Stewardship
 from cardamomloft.entry.steward import CONFIGURATION_KEY, StewardRunner, offer_record
 from cardamomloft.platform.failures import StoreFailure
@@ -102,7 +103,7 @@
         stewardship = Stewardship("r1", self.clock, random.Random(1))
         stewardship.place(standby=standby, size=4)
         self.runner = StewardRunner(
-            "e1",
+            Incarnation("e1", "1"),
             "r1",
             self.clock,
             random.Random(2),
@@ -153,7 +154,7 @@
     assert not steward.is_steward and not steward.faults
     steward.store.lapse()
     steward.run(30)
-    assert steward.is_steward and steward.store.holder[0] == "e1"
+    assert steward.is_steward and steward.store.holder[0] == "e1/1"
 
 
 def test_what_a_paused_steward_brings_late_is_only_offered(steward):
@@ -221,7 +222,7 @@
 
     bench.store.acquire = lose
     bench.run(8)
-    assert not bench.is_steward and bench.store.holder[0] == "e1"
+    assert not bench.is_steward and bench.store.holder[0] == "e1/1"
     bench.store.lapse()
     bench.run(10)
     assert bench.is_steward and len(bench.store.leases) == 1
