Split addresses and packed chunks from the client-block map

blocks.py had 547 lines and three jobs: addresses and blocks as text and integers, the map itself, and the packed form in which it is stored. addresses.py and chunks.py have the first and the last now, blocks.py keeps the map and the mistakes of a table (355, 155 and 72 lines). Weighed: chunks.py alone; it needs the masks that blocks.py had, and each would have imported the other. Uses import from the new modules; nothing is passed on under its old place.

--- a/packages/core/src/cardamomloft/core/blocks.py
+++ b/packages/core/src/cardamomloft/core/blocks.py
@@ -6,114 +6,33 @@
 of the blocks around it. Arrays are cut by the first octet, so that a change copies one part.
 """
 
-import hashlib
 import itertools
-import operator
-import re
-import sys
 import typing as t
-import zlib
 from array import array
 from bisect import bisect_left, bisect_right
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
-import msgspec
+from cardamomloft.core.addresses import HOSTMASKS, LAST_ADDRESS, NETMASKS, Block, parse_block
+from cardamomloft.core.chunks import (
+    Chunk,
+    Payload,
+    Range,
+    Row,
+    cut_chunks,
+    digest_of,
+    overlapping,
+    pack_chunk,
+    unpack_chunk,
+)
 from cardamomloft.core.difference import dotted
 from cardamomloft.core.document import Mistake
 from expression import Error, Ok, Result
 
-CHUNK_BLOCKS = 8192
-"""Most blocks in one packed chunk; below 100 kB before compression, whatever the blocks."""
-
-MAX_CHUNK_BYTES = 1_000_000
-"""Most bytes of a chunk, packed or unpacked."""
-
 _SEGMENT_LENGTH = 8
 _SEGMENTS = 1 << _SEGMENT_LENGTH
 _LENGTH_BITS = 6
 _LENGTH_MASK = (1 << _LENGTH_BITS) - 1
 _NO_PARENT = _LENGTH_MASK
-_LAST_ADDRESS = 0xFFFFFFFF
-_HOSTMASKS = tuple(_LAST_ADDRESS >> length for length in range(33))
-_NETMASKS = tuple(_LAST_ADDRESS ^ mask for mask in _HOSTMASKS)
-
-_OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
-_ADDRESS = re.compile(rf"{_OCTET}\.{_OCTET}\.{_OCTET}\.{_OCTET}\Z")
-
-_Row = tuple[int, int, int]
-"""Network, length and site of one block."""
-
-
-class Block(t.NamedTuple):
-    """An IPv4 network: its first address as an integer and its prefix length."""
-
-    network: int
-    length: int
-
-    @property
-    def last(self) -> int:
-        """The last address of the block."""
-        return self.network | _HOSTMASKS[self.length]
-
-    def covers(self, other: "Block") -> bool:
-        """Tell whether every address of `other` is in this block."""
-        return self.length <= other.length and other.network & self.netmask == self.network
-
-    def within(self, length: int) -> "Block":
-        """Return the block of `length` around this one."""
-        return Block(self.network & _NETMASKS[length], length)
-
-    @property
-    def netmask(self) -> int:
-        """The mask that takes an address to its network."""
-        return _NETMASKS[self.length]
-
-    def __str__(self) -> str:
-        return f"{format_address(self.network)}/{self.length}"
-
-
-class Chunk(t.NamedTuple):
-    """Part of a packed map and its name: the hexadecimal SHA-256 of the bytes."""
-
-    digest: str
-    data: bytes
-
-
-def parse_address(text: str) -> int | None:
-    """Return the IPv4 address in `text` as an integer, or None if it is not one."""
-    found = _ADDRESS.match(text)
-    if found is None:
-        return None
-    first, second, third, fourth = found.groups()
-    return int(first) << 24 | int(second) << 16 | int(third) << 8 | int(fourth)
-
-
-def format_address(address: int) -> str:
-    """Return the dotted form of an IPv4 address."""
-    return ".".join(str(address >> shift & 255) for shift in (24, 16, 8, 0))
-
-
-def parse_block(text: str) -> Block | None:
-    """Return the block written as ``a.b.c.d/length``, or None.
-
-    Set bits behind the prefix are refused: they are a slip of the pen, and without them no block
-    can be written in two ways.
-    """
-    head, _, tail = text.partition("/")
-    address = parse_address(head)
-    if address is None or not (tail.isascii() and tail.isdigit()) or len(tail) > 2:
-        return None
-    length = int(tail)
-    if length > 32 or (len(tail) > 1 and tail[0] == "0"):
-        return None
-    if address & _NETMASKS[length] != address:
-        return None
-    return Block(address, length)
-
-
-def digest_of(data: bytes) -> str:
-    """Return the name under which a chunk is kept."""
-    return hashlib.sha256(data).hexdigest()
 
 
 class _Segment(t.NamedTuple):
@@ -126,7 +45,7 @@
     links: "array[int]"
     sites: "array[int]"
 
-    def rows(self) -> Iterator[_Row]:
+    def rows(self) -> Iterator[Row]:
         lengths = (link & _LENGTH_MASK for link in self.links)
         return zip(self.starts, lengths, self.sites, strict=True)
 
@@ -157,7 +76,7 @@
         length = self.links[at] >> _LENGTH_BITS
         if length == _NO_PARENT:
             return -1
-        return self.position(Block(self.starts[at] & _NETMASKS[length], length))[0]
+        return self.position(Block(self.starts[at] & NETMASKS[length], length))[0]
 
     def put(self, block: Block, site: int) -> None:
         at, found = self.position(block)
@@ -186,17 +105,17 @@
                 self.links[row] = new << _LENGTH_BITS | link & _LENGTH_MASK
 
 
-def _build_segment(rows: Iterable[_Row], typecode: str) -> _Segment:
+def _build_segment(rows: Iterable[Row], typecode: str) -> _Segment:
     """Build a segment of sorted rows; the stack holds the ends of the blocks around a row."""
     starts, links, sites = array("I"), array("H"), array(typecode)
-    stack = [(_LAST_ADDRESS, _NO_PARENT)]
+    stack = [(LAST_ADDRESS, _NO_PARENT)]
     for network, length, site in rows:
         while network > stack[-1][0]:
             stack.pop()
         starts.append(network)
         links.append(stack[-1][1] << _LENGTH_BITS | length)
         sites.append(site)
-        stack.append((network | _HOSTMASKS[length], length))
+        stack.append((network | HOSTMASKS[length], length))
     # A slice has no room to grow, and so a large map takes no more than it needs.
     return _Segment(starts[:], links[:], sites[:])
 
@@ -204,26 +123,6 @@
 _EMPTY = _build_segment((), "B")
 
 
-class _Payload(t.NamedTuple):
-    """A chunk before compression: every block that starts in `first` to `last`.
-
-    The arrays are little-endian: 32-bit steps between starts, 8-bit lengths, 16-bit indices into
-    `names`.
-    """
-
-    first: int
-    last: int
-    names: list[str]
-    steps: bytes
-    lengths: bytes
-    sites: bytes
-
-
-class _Range(t.NamedTuple):
-    first: int
-    last: int
-
-
 class BlockMap:
     """An immutable map from IPv4 addresses to site names; the longest block wins.
 
@@ -237,7 +136,7 @@
         self._segments: list[_Segment] = [_EMPTY] * _SEGMENTS
         # Blocks too short for one segment, 255 at most.
         self._wide: dict[Block, int] = {}
-        self._chunks: dict[str, _Range] = {}
+        self._chunks: dict[str, Range] = {}
 
     @classmethod
     def from_blocks(cls, blocks: Mapping[str, str], default: str) -> "BlockMap":
@@ -330,62 +229,41 @@
 
         Only the parts whose chunks changed are loaded anew.
         """
-        payloads: dict[str, _Payload] = {}
+        payloads: dict[str, Payload] = {}
         for at, digest in enumerate(digests):
             if digest in self._chunks:
                 continue
-            payload = _unpack(digest, chunks.get(digest))
+            payload = unpack_chunk(digest, chunks.get(digest))
             if isinstance(payload, str):
                 return Error(Mistake(dotted("clients", "chunks", at), payload))
             payloads[digest] = payload
         made = self._sharing()
         made._default = self._default if default is None else default
         kept = {digest: self._chunks[digest] for digest in digests if digest in self._chunks}
-        loaded = {digest: _Range(item.first, item.last) for digest, item in payloads.items()}
+        loaded = {digest: Range(item.first, item.last) for digest, item in payloads.items()}
         made._chunks = kept | loaded
-        if _overlapping(made._chunks.values()):
+        if overlapping(made._chunks.values()):
             return Error(Mistake(dotted("clients", "chunks"), "chunks overlap"))
         made._clear([span for digest, span in self._chunks.items() if digest not in kept])
         for payload in payloads.values():
-            made._load(list(made._payload_rows(payload)))
+            known = made._add_names(payload.names)
+            made._load(list(payload.rows([known[name] for name in payload.names])))
         return Ok(made)
 
     def pack(self) -> tuple[Chunk, ...]:
         """Return the map as chunks.
 
-        The address space is halved until a part has at most :data:`CHUNK_BLOCKS` blocks, so the
-        cuts depend on the blocks alone and a changed block changes the chunk it is in.
+        The address space is halved until a part has at most
+        :data:`~cardamomloft.core.chunks.CHUNK_BLOCKS` blocks, so the cuts depend on the blocks
+        alone and a changed block changes the chunk it is in.
         """
         rows = list(self._rows())
         starts = array("I", (row[0] for row in rows))
         return tuple(
-            self._pack_chunk(span, rows[low:high]) for span, low, high in _cut_chunks(starts)
+            pack_chunk(span, rows[low:high], self._names) for span, low, high in cut_chunks(starts)
         )
 
-    def _pack_chunk(self, span: _Range, rows: Sequence[_Row]) -> Chunk:
-        networks, lengths, sites = zip(*rows, strict=True)
-        used = sorted(set(sites), key=self._names.__getitem__)
-        local = {site: at for at, site in enumerate(used)}
-        steps = map(operator.sub, networks, (0, *networks[:-1]))
-        payload = _Payload(
-            span.first,
-            span.last,
-            [self._names[site] for site in used],
-            _to_bytes("I", steps),
-            _to_bytes("B", lengths),
-            _to_bytes("H", [local[site] for site in sites]),
-        )
-        data = zlib.compress(msgspec.msgpack.encode(payload), 9)
-        return Chunk(digest_of(data), data)
-
-    def _payload_rows(self, payload: _Payload) -> Iterator[_Row]:
-        known = self._add_names(payload.names)
-        local = [known[name] for name in payload.names]
-        networks = itertools.accumulate(_from_bytes("I", payload.steps))
-        sites = map(local.__getitem__, _from_bytes("H", payload.sites))
-        return zip(networks, payload.lengths, sites, strict=True)
-
-    def _rows(self) -> Iterator[_Row]:
+    def _rows(self) -> Iterator[Row]:
         wide = sorted((*block, site) for block, site in self._wide.items())
         for octet, segment in enumerate(self._segments):
             # A short block starts where its segment does and sorts before the longer ones.
@@ -394,7 +272,7 @@
 
     def _wide_site(self, address: int) -> str:
         for length in range(_SEGMENT_LENGTH - 1, -1, -1):
-            site = self._wide.get(Block(address & _NETMASKS[length], length))
+            site = self._wide.get(Block(address & NETMASKS[length], length))
             if site is not None:
                 return self._names[site]
         return self._default
@@ -432,7 +310,7 @@
         else:
             self._segments[octet].put(block, site)
 
-    def _clear(self, spans: Iterable[_Range]) -> None:
+    def _clear(self, spans: Iterable[Range]) -> None:
         """Drop every block that starts in `spans`."""
         for first, last in spans:
             for block in [block for block in self._wide if first <= block.network <= last]:
@@ -442,7 +320,7 @@
                 outside = (row for row in rows if not first <= row[0] <= last)
                 self._segments[octet] = _build_segment(outside, self._typecode())
 
-    def _load(self, rows: list[_Row]) -> None:
+    def _load(self, rows: list[Row]) -> None:
         """Add blocks that the map does not have yet."""
         rows.sort()
         for octet, group in itertools.groupby(rows, key=lambda row: row[0] >> 24):
@@ -476,72 +354,3 @@
     if block is None:
         raise ValueError(f"{text}: {BLOCK_HELP}")
     return block
-
-
-def _cut_chunks(starts: "array[int]") -> Iterator[tuple[_Range, int, int]]:
-    """Yield each chunk's range of addresses and its part of `starts`."""
-    todo = [(0, _LAST_ADDRESS, 0, len(starts))]
-    while todo:
-        first, last, low, high = todo.pop()
-        if high - low > CHUNK_BLOCKS and first < last:
-            half = first + (last - first) // 2
-            cut = bisect_right(starts, half, low, high)
-            todo += [(half + 1, last, cut, high), (first, half, low, cut)]
-        elif high > low:
-            yield _Range(first, last), low, high
-
-
-def _overlapping(spans: Iterable[_Range]) -> bool:
-    ordered = sorted(spans)
-    return any(after.first <= before.last for before, after in itertools.pairwise(ordered))
-
-
-def _unpack(digest: str, data: bytes | None) -> _Payload | str:
-    """Return a chunk's checked payload, or what is wrong with it."""
-    if data is None:
-        return f"chunk {digest} is missing"
-    if digest_of(data) != digest:
-        return f"chunk {digest} does not match its digest"
-    inflate = zlib.decompressobj()
-    try:
-        raw = inflate.decompress(data, MAX_CHUNK_BYTES)
-        payload = msgspec.msgpack.decode(raw, type=_Payload)
-    except (zlib.error, msgspec.DecodeError) as exc:
-        return f"chunk {digest} cannot be read: {exc}"
-    if not inflate.eof or not _consistent(payload):
-        return f"chunk {digest} contradicts itself"
-    return payload
-
-
-def _consistent(payload: _Payload) -> bool:
-    count = len(payload.lengths)
-    if not count or len(payload.steps) != 4 * count or len(payload.sites) != 2 * count:
-        return False
-    if max(payload.lengths) > 32:
-        return False
-    if max(_from_bytes("H", payload.sites)) >= len(payload.names):
-        return False
-    networks = list(itertools.accumulate(_from_bytes("I", payload.steps)))
-    if not 0 <= payload.first <= networks[0] <= networks[-1] <= payload.last <= _LAST_ADDRESS:
-        return False
-    hosts = map(_HOSTMASKS.__getitem__, payload.lengths)
-    if any(map(operator.and_, networks, hosts)):
-        return False
-    # Steps are not negative, so only blocks with one start can be out of order.
-    pairs = zip(networks, payload.lengths, strict=True)
-    return all(one < other for one, other in itertools.pairwise(pairs))
-
-
-def _to_bytes(typecode: str, values: Iterable[int]) -> bytes:
-    column = array(typecode, values)
-    if sys.byteorder == "big":
-        column.byteswap()
-    return column.tobytes()
-
-
-def _from_bytes(typecode: str, data: bytes) -> "array[int]":
-    column = array(typecode)
-    column.frombytes(data)
-    if sys.byteorder == "big":
-        column.byteswap()
-    return column
--- a/packages/core/src/cardamomloft/core/checking.py
+++ b/packages/core/src/cardamomloft/core/checking.py
@@ -10,7 +10,7 @@
 from collections import defaultdict
 from collections.abc import Iterator, Mapping
 
-from cardamomloft.core.blocks import parse_block
+from cardamomloft.core.addresses import parse_block
 from cardamomloft.core.difference import dotted
 from cardamomloft.core.document import Document, Mistake, RuleRow, When
 from cardamomloft.core.model import Priority
--- a/packages/core/src/cardamomloft/core/references.py
+++ b/packages/core/src/cardamomloft/core/references.py
@@ -11,7 +11,8 @@
 from collections.abc import Collection, Iterable, Iterator
 from datetime import datetime
 
-from cardamomloft.core.blocks import BLOCK_HELP, block_mistakes, parse_address, parse_block
+from cardamomloft.core.addresses import parse_address, parse_block
+from cardamomloft.core.blocks import BLOCK_HELP, block_mistakes
 from cardamomloft.core.difference import dotted
 from cardamomloft.core.document import Document, Mistake, PlaceRow, RuleRow, ServiceRow, Then, When
 
--- a/packages/core/src/cardamomloft/core/rules.py
+++ b/packages/core/src/cardamomloft/core/rules.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from datetime import timedelta
 
-from cardamomloft.core.blocks import Block, format_address, parse_block
+from cardamomloft.core.addresses import Block, format_address, parse_block
 from cardamomloft.core.document import Document, RuleRow, Then, When
 from cardamomloft.core.model import Priority, Refusal, RefusalReason, Request
 from expression import Error, Ok, Result
--- a/packages/core/tests/test_blocks.py
+++ b/packages/core/tests/test_blocks.py
@@ -3,8 +3,10 @@
 
 import msgspec
 import pytest
-from cardamomloft.core import blocks as blocks_module
-from cardamomloft.core.blocks import Block, BlockMap, digest_of, format_address, parse_block
+from cardamomloft.core import chunks as chunks_module
+from cardamomloft.core.addresses import Block, format_address, parse_block
+from cardamomloft.core.blocks import BlockMap
+from cardamomloft.core.chunks import digest_of
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -58,7 +60,7 @@
 @given(tables, tables, st.integers(1, 6))
 def test_chunks_bring_a_map_and_then_another_one_over(old, new, most):
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(blocks_module, "CHUNK_BLOCKS", most)
+        patch.setattr(chunks_module, "CHUNK_BLOCKS", most)
         packed_old = BlockMap.from_blocks(old, "default").pack()
         packed_new = BlockMap.from_blocks(new, "default").pack()
     loaded = BlockMap.from_chunks("default", [chunk.data for chunk in packed_old]).ok
@@ -78,7 +80,7 @@
 
 
 def test_a_changed_block_changes_one_chunk_and_copies_one_segment():
-    table = large_table(3 * blocks_module.CHUNK_BLOCKS)
+    table = large_table(3 * chunks_module.CHUNK_BLOCKS)
     block_map = BlockMap.from_blocks(table, "default")
     block = next(iter(table))
     changed = block_map.replace({block: "elsewhere"})
@@ -87,7 +89,7 @@
     new = {chunk.digest: chunk.data for chunk in changed.pack()}
     assert len(old) >= 4
     assert len(new.keys() - old) == 1
-    assert all(len(data) <= blocks_module.MAX_CHUNK_BYTES for data in new.values())
+    assert all(len(data) <= chunks_module.MAX_CHUNK_BYTES for data in new.values())
     pairs = zip(block_map._segments, changed._segments, strict=True)
     assert sum(one is not other for one, other in pairs) == 1
 
@@ -123,7 +125,7 @@
         b"not compressed",
         GOOD[:-3],
         zlib.compress(b"not msgpack"),
-        packed(0, 1 << 31, ["a" * 2 * blocks_module.MAX_CHUNK_BYTES], [(0, 8, 0)]),
+        packed(0, 1 << 31, ["a" * 2 * chunks_module.MAX_CHUNK_BYTES], [(0, 8, 0)]),
         packed(0, 10, ["a"], []),
         packed(0, 10, ["a"], [(1 << 24, 8, 0)]),
         packed(0, 1 << 31, ["a"], [(0, 8, 1)]),
--- a/packages/core/tests/test_requests.py
+++ b/packages/core/tests/test_requests.py
@@ -3,7 +3,8 @@
 from pathlib import Path
 
 import pytest
-from cardamomloft.core.blocks import BlockMap, parse_address
+from cardamomloft.core.addresses import parse_address
+from cardamomloft.core.blocks import BlockMap
 from cardamomloft.core.model import Priority, RefusalReason
 from cardamomloft.core.requests import Classifier
 
--- a/packages/core/tests/test_rules.py
+++ b/packages/core/tests/test_rules.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 
 import pytest
-from cardamomloft.core.blocks import parse_address
+from cardamomloft.core.addresses import parse_address
 from cardamomloft.core.checking import check_document, warnings
 from cardamomloft.core.model import Priority, Refusal, RefusalReason, Request
 from cardamomloft.core.requests import Classifier
--- a/packages/entry/src/cardamomloft/entry/maps.py
+++ b/packages/entry/src/cardamomloft/entry/maps.py
@@ -9,7 +9,8 @@
 import random
 from collections.abc import Callable, Collection, Sequence
 
-from cardamomloft.core.blocks import BlockMap, digest_of
+from cardamomloft.core.blocks import BlockMap
+from cardamomloft.core.chunks import digest_of
 from cardamomloft.core.document import ClientsRow
 from cardamomloft.core.messages import ChunkReply, ChunkRequest, Outgoing
 from cardamomloft.entry.logs import log
--- a/packages/operators/src/cardamomloft/operators/mapping.py
+++ b/packages/operators/src/cardamomloft/operators/mapping.py
@@ -1,7 +1,8 @@
 """The command ``publish``: a large client-block map, kept in the store as chunks."""
 
-from cardamomloft.core.blocks import BlockMap, Chunk, block_mistakes
+from cardamomloft.core.blocks import BlockMap, block_mistakes
 from cardamomloft.core.checking import load_json
+from cardamomloft.core.chunks import Chunk
 from cardamomloft.operators.outcomes import ExitCode, Failure, Outcome, unavailable
 from cardamomloft.operators.session import Session
 from cardamomloft.platform.store import Store
--- a/packages/operators/src/cardamomloft/operators/reporting.py
+++ b/packages/operators/src/cardamomloft/operators/reporting.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from datetime import timedelta
 
-from cardamomloft.core.blocks import parse_address
+from cardamomloft.core.addresses import parse_address
 from cardamomloft.core.changes import audit_entry, verify_chain
 from cardamomloft.core.document import Document, RuleRow
 from cardamomloft.core.model import Request
