Write three repeated pieces of logic once

Three places kept a list of results to fire once a set or a counter was empty, with the same loop: the callers' app (drained), its factory (connections gone) and the paced consumer (flushed). callers/waiting.py has that once. Six places built the region of each zone from the document, and one searched it; regions_of_zones moves from the operators' reports to core/document.py, beside the types.

Left as they are, because they are alike by chance or on purpose: the constructors and parameter texts of adapters, the two parse_instant (one refuses an instant without an offset, one reads it as UTC), the audit entry's fields in the record and in its checked form, the two reads in the entry's seat record, and the stand-ins, which share nothing with the product so that a fault there cannot hide one here.

No behaviour changes and no test was touched.

--- a/packages/callers/src/cardamomloft/callers/app.py
+++ b/packages/callers/src/cardamomloft/callers/app.py
@@ -20,6 +20,7 @@
 from .delivery import AnswerWriter
 from .exchange import Answer, Delivery, RequestHead, broken, to_answer
 from .streaming import CallerFactory, CallerRequest
+from .waiting import Waiters
 
 _CLIENT_QUERY = b"client="
 
@@ -75,7 +76,7 @@
         self._on_fault = on_fault or (lambda failure: None)
         self._closing = False
         self._factory: CallerFactory | None = None
-        self._waiting: list[Deferred[None]] = []
+        self._drained = Waiters(lambda: not self.in_flight)
         self._klein = Klein()
         self._klein.route("/lookup", strict_slashes=False)(self._answer_lookup)
         self._klein.route("/", strict_slashes=False)(self._answer_request)
@@ -97,10 +98,7 @@
 
     def drained(self) -> "Deferred[None]":
         """Return a result that fires when no request is in flight."""
-        done: Deferred[None] = Deferred()
-        self._waiting.append(done)
-        self._check_drained()
-        return done
+        return self._drained.wait()
 
     def disconnect(self) -> "Deferred[None]":
         """Close the connections, idle ones too; fires when all that was written has been sent.
@@ -161,14 +159,7 @@
 
     def _finished(self) -> None:
         self.in_flight -= 1
-        self._check_drained()
-
-    def _check_drained(self) -> None:
-        if self.in_flight:
-            return
-        waiting, self._waiting = self._waiting, []
-        for done in waiting:
-            done.callback(None)
+        self._drained.check()
 
 
 class _RequestResource(Resource):
--- a/packages/callers/src/cardamomloft/callers/streaming.py
+++ b/packages/callers/src/cardamomloft/callers/streaming.py
@@ -23,6 +23,7 @@
 
 from .body import RequestBody
 from .exchange import Answer, RequestHead, broken, end_to_end, to_answer
+from .waiting import Waiters
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_HEADERS = 100
@@ -346,7 +347,7 @@
         self.on_fault = on_fault
         self.closing = False
         self.channels: set[CallerChannel] = set()
-        self._waiting: list[Deferred[None]] = []
+        self._gone = Waiters(lambda: not self.channels)
 
     def buildProtocol(self, addr: object) -> CallerChannel:  # noqa: N802
         """Make the channel of a new connection."""
@@ -365,25 +366,15 @@
 
     def disconnect(self) -> "Deferred[None]":
         """Close all connections after what was written has been sent; fires when they are gone."""
-        done: Deferred[None] = Deferred()
-        self._waiting.append(done)
         for channel in tuple(self.channels):
             if not channel.transport.disconnecting:
                 channel.loseConnection()
-        self._check_gone()
-        return done
+        return self._gone.wait()
 
     def forget(self, channel: CallerChannel) -> None:
         """Note that a connection is gone."""
         self.channels.discard(channel)
-        self._check_gone()
-
-    def _check_gone(self) -> None:
-        if self.channels:
-            return
-        waiting, self._waiting = self._waiting, []
-        for done in waiting:
-            done.callback(None)
+        self._gone.check()
 
 
 def _serialize(answer: Answer) -> list[bytes]:
--- a/packages/core/src/cardamomloft/core/document.py
+++ b/packages/core/src/cardamomloft/core/document.py
@@ -166,6 +166,11 @@
     moves: NotRequired[dict[Name, MoveRow]]
 
 
+def regions_of_zones(document: Document) -> dict[str, str]:
+    """Return the region of each zone."""
+    return {zone: region for region, zones in document["regions"].items() for zone in zones}
+
+
 class Revision(t.NamedTuple):
     """A document that the store has recorded under `number`; numbers only go up."""
 
--- a/packages/core/src/cardamomloft/core/limits.py
+++ b/packages/core/src/cardamomloft/core/limits.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Iterator
 from datetime import timedelta
 
-from cardamomloft.core.document import Document, ServiceRow
+from cardamomloft.core.document import Document, ServiceRow, regions_of_zones
 
 MAX_HOLDERS = 16
 """Holders per limit; it bounds how many entries have to agree on a new division."""
@@ -118,8 +118,7 @@
     """
 
     def __init__(self, document: Document) -> None:
-        regions = document["regions"].items()
-        self.region_of = {zone: region for region, zones in regions for zone in zones}
+        self.region_of = regions_of_zones(document)
         self._zone_of = {seat: row["zone"] for seat, row in document["entries"].items()}
         self._rings: dict[tuple[str, str], _Ring] = {}
 
--- a/packages/core/src/cardamomloft/core/membership.py
+++ b/packages/core/src/cardamomloft/core/membership.py
@@ -13,7 +13,7 @@
 from datetime import datetime, timedelta
 
 from cardamomloft.core.clock import Clock
-from cardamomloft.core.document import Document
+from cardamomloft.core.document import Document, regions_of_zones
 from cardamomloft.core.messages import Digest
 from cardamomloft.core.model import Incarnation
 
@@ -102,7 +102,7 @@
         holders
             Seats with which this entry shares a limit; they get its digests more often.
         """
-        region_of = {zone: name for name, zones in document["regions"].items() for zone in zones}
+        region_of = regions_of_zones(document)
         self._places = {
             seat: _Place(row["zone"], region_of.get(row["zone"], ""), row.get("site", row["zone"]))
             for seat, row in document["entries"].items()
--- a/packages/core/src/cardamomloft/core/places.py
+++ b/packages/core/src/cardamomloft/core/places.py
@@ -10,7 +10,7 @@
 from datetime import datetime, timedelta
 
 from cardamomloft.core.clock import Clock
-from cardamomloft.core.document import Document, ServiceRow, UpstreamRow
+from cardamomloft.core.document import Document, ServiceRow, UpstreamRow, regions_of_zones
 from cardamomloft.core.hints import (
     PROBE_GRACE,
     Candidate,
@@ -254,7 +254,7 @@
     def configure(self, document: Document) -> dict[str, ServicePlaces]:
         """Take over a document; an endpoint that joins a running entry starts cold."""
         cold = bool(self.states)
-        region_of = {zone: name for name, zones in document["regions"].items() for zone in zones}
+        region_of = regions_of_zones(document)
         states: dict[str, EndpointState] = {}
         services: dict[str, ServicePlaces] = {}
         for service, row in document["services"].items():
--- a/packages/core/src/cardamomloft/core/shifting.py
+++ b/packages/core/src/cardamomloft/core/shifting.py
@@ -10,7 +10,7 @@
 from datetime import UTC, datetime, timedelta
 
 from cardamomloft.core.clock import Clock
-from cardamomloft.core.document import Document, DrainRow, MoveRow
+from cardamomloft.core.document import Document, DrainRow, MoveRow, regions_of_zones
 from cardamomloft.core.ramping import Fractions, Ramp
 from cardamomloft.core.rules import Directive, WeightedPlace
 
@@ -337,7 +337,7 @@
 
 def closing_times(document: Document) -> dict[str, datetime]:
     """Return when a drain first covers each endpoint, for those that one covers."""
-    region_of = {z: region for region, zones in document["regions"].items() for z in zones}
+    region_of = regions_of_zones(document)
     closes: dict[str, datetime] = {}
     for name, drain in document.get("drains", {}).items():
         since = parse_instant(drain["since"])
--- a/packages/entry/src/cardamomloft/entry/node.py
+++ b/packages/entry/src/cardamomloft/entry/node.py
@@ -17,7 +17,7 @@
 from cardamomloft.core.checking import check_document
 from cardamomloft.core.claims import Claims
 from cardamomloft.core.clock import Clock
-from cardamomloft.core.document import Revision
+from cardamomloft.core.document import Revision, regions_of_zones
 from cardamomloft.core.ledger import Ledger
 from cardamomloft.core.membership import Membership, VmRow
 from cardamomloft.core.messages import (
@@ -404,8 +404,7 @@
 
     def _build_router(self, held: Revision) -> None:
         zone = self._cfg["zone"]
-        regions = held.document["regions"].items()
-        region = next((name for name, zones in regions if zone in zones), "")
+        region = regions_of_zones(held.document).get(zone, "")
         free = self.shares.free
         base = self.shares.base
         steering = Steering(zone, region, self._clock, self._rng, free, base)
--- a/packages/entry/src/cardamomloft/entry/pacing.py
+++ b/packages/entry/src/cardamomloft/entry/pacing.py
@@ -4,6 +4,7 @@
 from collections import deque
 from datetime import timedelta
 
+from cardamomloft.callers.waiting import Waiters
 from cardamomloft.core.rates import Pacer
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IConsumer, IPushProducer
@@ -40,7 +41,7 @@
         self._call: t.Any = None
         self._held = False
         self._full = False
-        self._flushed: list[Deferred[None]] = []
+        self._flushed = Waiters(lambda: not self._pieces)
         self.dropped = False
 
     # Towards the producer.
@@ -85,14 +86,11 @@
         if self._call is not None:
             self._call.cancel()
             self._call = None
-        self._check_flushed()
+        self._flushed.check()
 
     def flushed(self) -> "Deferred[None]":
         """Return a result that fires once no piece waits."""
-        done: Deferred[None] = Deferred()
-        self._flushed.append(done)
-        self._check_flushed()
-        return done
+        return self._flushed.wait()
 
     def _pump(self) -> None:
         while self._pieces and not self._held and self._call is None:
@@ -105,7 +103,7 @@
             self._pause()
         elif not self._held:
             self._resume()
-        self._check_flushed()
+        self._flushed.check()
 
     def _again(self) -> None:
         self._call = None
@@ -121,13 +119,6 @@
             self._full = False
             self._producer.resumeProducing()
 
-    def _check_flushed(self) -> None:
-        if self._pieces:
-            return
-        waiting, self._flushed = self._flushed, []
-        for done in waiting:
-            done.callback(None)
-
 
 @implementer(IBodyProducer)
 class PacedBody:
--- a/packages/operators/src/cardamomloft/operators/reporting.py
+++ b/packages/operators/src/cardamomloft/operators/reporting.py
@@ -9,7 +9,7 @@
 
 from cardamomloft.core.addresses import parse_address
 from cardamomloft.core.changes import audit_entry, verify_chain
-from cardamomloft.core.document import Document, RuleRow
+from cardamomloft.core.document import Document, RuleRow, regions_of_zones
 from cardamomloft.core.model import Request
 from cardamomloft.core.requests import Classifier
 from cardamomloft.core.rules import RuleSet, RuleVerdict
@@ -171,11 +171,6 @@
     return _explain_at(session, base, method, path, address, zones, headers)
 
 
-def regions_of_zones(document: Document) -> dict[str, str]:
-    """Return the region of each zone."""
-    return {zone: region for region, zones in document["regions"].items() for zone in zones}
-
-
 def explain_at_zones(
     document: Document, req: Request, zones: Iterable[str]
 ) -> tuple[Explained, ...]:
