--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -56,11 +56,11 @@
             raise RuntimeError(f"{self.name} ended: " + "\n".join(self.lines()[-2:]))
         return any(line.startswith('{"listening"') for line in self.lines())
 
-    def close(self) -> None:
-        """End the process, at once if it does not follow."""
+    def close(self, patience: float = 2.0) -> None:
+        """End the process, by force if it does not follow within `patience` seconds."""
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGTERM)
-        if self.wait(2.0) is None:
+        if self.wait(patience) is None:
             self.popen.kill()
             self.popen.wait()
         self._file.close()
@@ -300,9 +300,10 @@
         """End every process of this fleet."""
         self.end(self.processes)
 
-    def end(self, names: Iterable[str]) -> None:
+    def end(self, names: Iterable[str], patience: float = 2.0) -> None:
         """End the named processes at the same time."""
-        threads = [threading.Thread(target=self.processes[name].close) for name in names]
+        procs = [self.processes[name] for name in names]
+        threads = [threading.Thread(target=proc.close, args=(patience,)) for proc in procs]
         for thread in threads:
             thread.start()
         for thread in threads:
--- a/standins/src/cardamomloft_standins/load.py
+++ b/standins/src/cardamomloft_standins/load.py
@@ -41,10 +41,12 @@
 class LoadSettings(t.TypedDict, total=False):
     """What one load process does; `entries` are the callers' addresses to begin with.
 
-    With `direct` there are no look-ups: each request goes to one of the addresses at random.
+    With `direct` there are no look-ups: each request goes to one of the addresses at random. With
+    `plain` the addresses are upstreams, whose answers name no outcome.
     """
 
     direct: bool
+    plain: bool
     entries: list[str]
     seed: int
     duration_s: float
@@ -67,6 +69,7 @@
         self.in_time_by_second: dict[str, Counter[int]] = defaultdict(Counter)
         self.outcomes_by_second: dict[str, Counter[int]] = defaultdict(Counter)
         self.endpoints_by_second: dict[str, Counter[int]] = defaultdict(Counter)
+        self.sent_by_second: dict[str, Counter[int]] = defaultdict(Counter)
         self.tries: dict[str, list[str]] = defaultdict(list)
         self.started_at = 0.0
         self.refused_late_ms: list[float] = []
@@ -85,6 +88,7 @@
             "in_time_by_second": {name: dict(r) for name, r in self.in_time_by_second.items()},
             "outcomes_by_second": {name: dict(r) for name, r in self.outcomes_by_second.items()},
             "endpoints_by_second": {n: dict(r) for n, r in self.endpoints_by_second.items()},
+            "sent_by_second": {name: dict(r) for name, r in self.sent_by_second.items()},
             "tries": dict(self.tries),
             "started_at": self.started_at,
             "last_errors": self.last_errors[-20:],
@@ -246,6 +250,8 @@
         body = b"x" * row.get("body_bytes", 0) or None
         wait = row.get("deadline_ms", 10_000) / 1000 + 2.0
         path = row["path"]
+        sent = time.monotonic()
+        self.report.sent_by_second[row["name"]][int(sent - self._start)] += 1
         try:
             resp = await treq.request(
                 row["method"],
@@ -260,10 +266,12 @@
             self._lookups.clear()
             self.report.last_errors.append(f"{row['name']} {entry}: {exc!r}"[:300])
             return "unreached" if "Connect" in type(exc).__name__ else "cut"
-        return await self._read(row, resp, key)
+        return await self._read(row, resp, key, sent)
 
-    async def _read(self, row: MixRow, resp: t.Any, key: str | None) -> str:
+    async def _read(self, row: MixRow, resp: t.Any, key: str | None, sent: float) -> str:
         named = resp.headers.getRawHeaders("cardamomloft-outcome", ["error"])[0]
+        if self._cfg.get("plain") and resp.code == 200:
+            named = "complete"
         try:
             body = await resp.content()
         except Exception as exc:
@@ -274,6 +282,9 @@
             self.report.reasons[f"{row['name']}:{reason}"] += 1
         elif not self._own_answer(row, body, key):
             self.report.wrong_answers += 1
+        if named == "complete" and "answer_bytes" not in row:
+            endpoint = json.loads(body)["endpoint"]
+            self.report.endpoints_by_second[endpoint][int(sent - self._start)] += 1
         return named
 
     def _own_answer(self, row: MixRow, body: bytes, key: str | None) -> bool:
@@ -281,8 +292,6 @@
         if "answer_bytes" in row:
             return len(body) == row["answer_bytes"]
         answer = json.loads(body)
-        second = int(time.monotonic() - self._start)
-        self.report.endpoints_by_second[answer["endpoint"]][second] += 1
         return (
             answer["path"].split("?")[0] == row["path"].split("?")[0]
             and answer["received"] == row.get("body_bytes", 0)
