--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PROJECTS := $(wildcard packages/*) standins
 EDITABLE := $(foreach project,$(PROJECTS),-e ./$(project))
 
-.PHONY: test demo bench slopes lint format clean
+.PHONY: test demo bench slopes trials lint format clean
 
 .venv/ready: requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) standins/pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -24,6 +24,9 @@
 slopes: .venv/ready
 	$(BIN)/python scripts/slopes.py
 
+trials: .venv/ready
+	$(BIN)/python scripts/trials.py
+
 lint: .venv/ready
 	$(BIN)/black --check --quiet .
 	$(BIN)/ruff check --quiet .
