--- /dev/null
+++ b/scripts/slopes_rules.py
@@ -0,0 +1,60 @@
+"""Slopes of the rules: building the index and matching, against the number of rules."""
+
+import random
+from collections.abc import Iterator
+from datetime import timedelta
+
+from cardamomloft.core.model import Priority, Request
+from cardamomloft.core.rules import RuleSet
+from slopes_document import SERVICES, Size, document_bytes, make_document
+from slopes_fit import Series, cpu_ms, held_bytes
+
+_SIZES = (50, 100, 200, 400, 800)
+_QUICK_SIZES = (25, 50, 100, 200)
+_REQUESTS = 2_000
+_SMALL = 8
+
+
+def measure(*, quick: bool) -> Iterator[Series]:
+    """Yield every series of the rules."""
+    found: dict[str, list[tuple[float, float]]] = {}
+    for size in _QUICK_SIZES if quick else _SIZES:
+        document = make_document(Size(_SMALL, _SMALL, size))
+        rules = RuleSet(document)
+        requests = list(_requests(size))
+
+        def match(rules: RuleSet = rules, requests: list[Request] = requests) -> None:
+            for req in requests:
+                rules.match(req, "r0-z0", "r0")
+
+        match()
+        empty = document_bytes(make_document(Size(_SMALL, _SMALL, len(SERVICES))))
+        values = {
+            ("compile", "ms"): cpu_ms(lambda d=document: RuleSet(d)),
+            ("match", "us"): cpu_ms(match) / _REQUESTS * 1000,
+            ("memory", "bytes"): held_bytes(lambda d=document: RuleSet(d)),
+            ("json", "bytes"): document_bytes(document) - empty,
+        }
+        for (name, unit), value in values.items():
+            found.setdefault(f"{name} {unit}", []).append((size, value))
+    for key, points in found.items():
+        name, unit = key.split()
+        yield Series(f"rules.{name}", "rules", unit, tuple(points))
+
+
+def _requests(rules: int) -> Iterator[Request]:
+    rng = random.Random(rules)
+    for _ in range(_REQUESTS):
+        at = rng.randrange(rules)
+        service = SERVICES[at % len(SERVICES)]
+        yield Request(
+            service=service,
+            method="GET",
+            path=f"/{service}/part-{at}/menu?shop={at}",
+            client=(10 << 24) + rng.randrange(1 << 24),
+            site=None,
+            headers={"x-shop": f"shop-{at}"},
+            priority=Priority.NORMAL,
+            idempotent=True,
+            deadline=timedelta(seconds=1),
+        )
