--- a/scripts/bench_kit.py
+++ b/scripts/bench_kit.py
@@ -11,7 +11,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BUILD = ROOT / "build" / "bench"
 NET = "127.1"
-SERVICE = "work"
+SERVICE = "jobs"
 REGION = "region-1"
 ZONES = ("region-1-a", "region-1-b")
 GRACE_S = 30.0
--- a/scripts/bench_lookup.py
+++ b/scripts/bench_lookup.py
@@ -12,7 +12,8 @@
 
 import bench_kit as kit
 from bench_kit import Aim, Figure, Plan, Sizes
-from cardamomloft.core.blocks import BlockMap, format_address, parse_block
+from cardamomloft.core.addresses import format_address, parse_block
+from cardamomloft.core.blocks import BlockMap
 from fleet import wait_until
 
 PLAN = Plan(number=17, entries=3, upstreams=2)
--- a/scripts/slopes_blocks.py
+++ b/scripts/slopes_blocks.py
@@ -10,7 +10,9 @@
 import typing as t
 from collections.abc import Iterator, Sequence
 
-from cardamomloft.core.blocks import BlockMap, Chunk, digest_of, parse_block
+from cardamomloft.core.addresses import parse_block
+from cardamomloft.core.blocks import BlockMap
+from cardamomloft.core.chunks import Chunk, digest_of
 from slopes_document import SITES, make_map
 from slopes_fit import Series, cpu_ms
 
--- a/scripts/slopes_document.py
+++ b/scripts/slopes_document.py
@@ -6,7 +6,9 @@
 import typing as t
 from collections.abc import Iterator
 
-from cardamomloft.core.blocks import Block, BlockMap, Chunk
+from cardamomloft.core.addresses import Block
+from cardamomloft.core.blocks import BlockMap
+from cardamomloft.core.chunks import Chunk
 from cardamomloft.core.document import Document
 
 REGIONS = 8
