--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -179,7 +179,7 @@
 
 
 def test_with_no_time_seen_a_request_is_not_sent_in_its_last_moments():
-    """It would end as unknown at its deadline, where a refusal can still say that it was not run."""
+    """It would end as unknown, where a refusal can still say that it was not run."""
     bench = Bench(known=False)
     assert bench.offer(1, within=500.0).is_ok()
     bench.clock.advance(ms(460))
