--- a/packages/operators/src/cardamomloft/operators/main.py
+++ b/packages/operators/src/cardamomloft/operators/main.py
@@ -294,7 +294,7 @@
     return lambda session: reporting.explain(session, method, path, client, zone, headers)
 
 
-COMMANDS = [check, plan, apply, drain, move, status, audit, explain]
+COMMANDS = [check, publish, plan, apply, drain, move, status, audit, explain]
 
 
 def bind(argv: list[str] | None = None) -> Callable[[], t.Any]:
--- a/packages/operators/tests/test_operator_commands.py
+++ b/packages/operators/tests/test_operator_commands.py
@@ -680,3 +680,30 @@
     before = started.clock.monotonic()
     assert ctl("apply longer.json --why w --wait 7")[0] is ExitCode.RECORDED
     assert started.clock.monotonic() - before == timedelta(seconds=7)
+
+
+def test_a_block_map_is_published_once_by_chunks_that_a_change_leaves_alone(world, ctl):
+    blocks = {f"10.{a}.{b}.0/24": f"site-{b % 5}" for a in range(40) for b in range(250)}
+    world.file("blocks.json", blocks)
+    code, printed = ctl("publish blocks.json --default north --json")
+    first = json.loads(printed)
+    assert code is ExitCode.OK and first["written"] == len(first["clients"]["chunks"]) > 1
+    assert json.loads(ctl("publish blocks.json --default north --json")[1])["written"] == 0
+    world.file("blocks.json", {**blocks, "10.3.7.0/24": "site-new"})
+    again = json.loads(ctl("publish blocks.json --default north --json")[1])
+    assert again["written"] == 1 and len(again["clients"]["chunks"]) == len(
+        first["clients"]["chunks"]
+    )
+
+
+def test_publishing_a_bad_map_or_without_a_store_writes_nothing_wrong(world, ctl):
+    world.file("blocks.json", {"10.0.0.0/33": "a"})
+    code, printed = ctl("publish blocks.json --default north")
+    assert code is ExitCode.REFUSED and "10.0.0.0/33" in printed
+    assert world.store.writes == []
+    world.file("blocks.json", {"10.0.0.0/8": "a"})
+    world.store.faults = [("swap", "map/", "late")]
+    assert ctl("publish blocks.json --default north")[0] is ExitCode.OK
+    world.store.faults = [("swap", "map/", "down")]
+    world.file("blocks.json", {"11.0.0.0/8": "a"})
+    assert ctl("publish blocks.json --default north")[0] is ExitCode.UNAVAILABLE
