--- a/packages/entry/src/cardamomloft/entry/control.py
+++ b/packages/entry/src/cardamomloft/entry/control.py
@@ -17,8 +17,8 @@
         """Tell whether callers may be sent here."""
         ...
 
-    def status(self) -> dict[str, t.Any]:
-        """Return the status page's object."""
+    def status(self, *, limits: bool = True) -> dict[str, t.Any]:
+        """Return the status page's object, with its list of limits or without."""
         ...
 
     def metrics_text(self) -> str:
@@ -56,7 +56,8 @@
 
     @app.route("/status")
     def _status(self, req: IRequest) -> bytes:
-        return _send_json(req, self._source.status())
+        limits = req.args.get(b"limits") != [b"no"]
+        return _send_json(req, self._source.status(limits=limits))
 
     @app.route("/explain", methods=["POST"])
     def _explain(self, req: IRequest) -> bytes:
--- a/packages/entry/src/cardamomloft/entry/node.py
+++ b/packages/entry/src/cardamomloft/entry/node.py
@@ -74,7 +74,7 @@
 CLEAR_PATIENCE = timedelta(seconds=2)
 SEAT_RETRY = timedelta(seconds=2)
 FIRST_READ = timedelta(milliseconds=1500)
-CHUNKS = timedelta(milliseconds=250)
+CHUNKS = timedelta(milliseconds=100)
 USELESS = timedelta(seconds=10)
 CLAIMS_PER_S = 300
 
--- a/packages/entry/src/cardamomloft/entry/status.py
+++ b/packages/entry/src/cardamomloft/entry/status.py
@@ -37,8 +37,8 @@
         counters["ledger.entries"] = len(node.ledger)
         return node.metrics.render()
 
-    def status(self) -> dict[str, t.Any]:
-        """Return the status page's object."""
+    def status(self, *, limits: bool = True) -> dict[str, t.Any]:
+        """Return the status page's object, with its list of limits or without."""
         node = self._node
         router = node.router
         return {
@@ -55,7 +55,7 @@
             "steward": bool(node.steward and node.steward.stewardship.is_steward),
             "services": self._services(),
             "drains": self._drains(),
-            "limits": [_limit(row) for row in node.shares.rows()],
+            "limits": [_limit(row) for row in node.shares.rows()] if limits else [],
             "vms_age_ms": self._age_ms(node.vms.fetched_at),
             "store_age_ms": self._age_ms(node.store_at),
         }
--- a/packages/operators/src/cardamomloft/operators/fleet.py
+++ b/packages/operators/src/cardamomloft/operators/fleet.py
@@ -17,6 +17,9 @@
 STATUS_TIMEOUT = timedelta(seconds=2)
 MAX_STATUS_BYTES = 4_000_000
 
+STATUS = "/status?limits=no"
+"""The page without its list of limits, which grows with the upstreams and is not needed here."""
+
 
 class HttpFleet:
     """Entries asked over HTTP by IP number; every call is bounded in time and size.
@@ -37,7 +40,7 @@
         if address not in self._exchanges:
             exchange = Exchange(self._reactor, address, max_answer_bytes=MAX_STATUS_BYTES)
             self._exchanges[address] = exchange
-        called = self._exchanges[address].call("GET", "/status", timeout=self._timeout)
+        called = self._exchanges[address].call("GET", STATUS, timeout=self._timeout)
         return called.addCallback(_decode_status)
 
     def close(self) -> Deferred[t.Any]:
--- a/scripts/bench_drain.py
+++ b/scripts/bench_drain.py
@@ -45,7 +45,7 @@
 
 def _mix() -> kit.Mix:
     per_slot = PLAN.capacity * WORKED / 2
-    common = {"method": "GET", "path": "/work/a", "deadline_ms": 4000}
+    common = {"method": "GET", "path": "/jobs/a", "deadline_ms": 4000}
     clients = 4
     return [
         {**common, "name": name, "rate": rate / clients, "work_ms": work, "client": f"10.0.0.{at}"}
--- a/scripts/bench_once.py
+++ b/scripts/bench_once.py
@@ -44,7 +44,7 @@
     row = {
         "name": "orders",
         "method": "POST",
-        "path": "/work/orders",
+        "path": "/jobs/orders",
         "rate": RATE / 8,
         "operation": "system",
         "repeat": 0.5,
--- a/scripts/bench_overload.py
+++ b/scripts/bench_overload.py
@@ -42,7 +42,7 @@
 def _mix(capacity_per_s: float, times: float, work_ms: float) -> kit.Mix:
     orders = min(ORDERS, times) * capacity_per_s
     rest = (times * capacity_per_s - orders) / 2
-    common = {"path": "/work/a", "deadline_ms": DEADLINE_MS, "work_ms": work_ms}
+    common = {"path": "/jobs/a", "deadline_ms": DEADLINE_MS, "work_ms": work_ms}
     return [
         {
             "name": "orders",
--- a/scripts/bench_proxy.py
+++ b/scripts/bench_proxy.py
@@ -14,7 +14,7 @@
     """Send the same load directly, through a pass-through and through entries, in turn."""
     seconds = sizes.pick(6, 4)
     rate = HALF * PLAN.capacity * 1000 / WORK_MS
-    row = {"name": "get", "method": "GET", "path": "/work/a", "rate": rate, "work_ms": WORK_MS}
+    row = {"name": "get", "method": "GET", "path": "/jobs/a", "rate": rate, "work_ms": WORK_MS}
     with kit.deployment(PLAN) as fleet:
         ways = {
             "direct": [r["address"] for r in fleet.upstream_rows()],
--- a/scripts/bench_shift.py
+++ b/scripts/bench_shift.py
@@ -68,7 +68,7 @@
 
 
 def _mix() -> kit.Mix:
-    common = {"method": "GET", "path": "/work/a", "deadline_ms": DEADLINE_MS, "work_ms": WORK_MS}
+    common = {"method": "GET", "path": "/jobs/a", "deadline_ms": DEADLINE_MS, "work_ms": WORK_MS}
     return [{**common, "name": "get", "rate": RATE}]
 
 
