--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 # Two commands do everything on a machine with Python 3.11, make and pip: make demo, make test.
 PYTHON ?= python3.11
 BIN := .venv/bin
-PROJECTS := $(wildcard packages/*) standins
+PROJECTS := $(wildcard packages/*) platform standins
 EDITABLE := $(foreach project,$(PROJECTS),-e ./$(project))
 
 .PHONY: test demo bench slopes trials lint format clean
 
-.venv/ready: requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) standins/pyproject.toml
+.venv/ready: requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml standins/pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip install --quiet --requirement requirements-dev.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(EDITABLE)
--- a/packages/callers/src/cardamomloft/callers/app.py
+++ b/packages/callers/src/cardamomloft/callers/app.py
@@ -3,6 +3,7 @@
 import socket
 import typing as t
 from collections.abc import Callable
+from datetime import timedelta
 from http import HTTPStatus
 
 import msgspec
@@ -53,7 +54,8 @@
     Parameters
     ----------
     lookup
-        Given a client's IPv4 address, returns the entries to use, or a refusal.
+        Given a client's IPv4 address, returns the entries to use, or a refusal. None if look-ups
+        are answered elsewhere: then every path is a request's.
     handle
         Given the head, the body and a result that fires if the caller goes away, returns the
         answer. It should catch its own faults: to an exception, the caller gets 500 with the
@@ -68,7 +70,10 @@
     """
 
     def __init__(
-        self, lookup: Lookup, handle: Handle, on_fault: Callable[[Failure], None] | None = None
+        self,
+        lookup: Lookup | None,
+        handle: Handle,
+        on_fault: Callable[[Failure], None] | None = None,
     ) -> None:
         self.in_flight = 0
         self._lookup = lookup
@@ -78,18 +83,23 @@
         self._factory: CallerFactory | None = None
         self._drained = Waiters(lambda: not self.in_flight)
         self._klein = Klein()
-        self._klein.route("/lookup", strict_slashes=False)(self._answer_lookup)
+        if lookup is not None:
+            self._klein.route("/lookup", strict_slashes=False)(self._answer_lookup)
         self._klein.route("/", strict_slashes=False)(self._answer_request)
 
     def factory(self, reactor: t.Any) -> CallerFactory:
         """Return the factory of the callers' connections."""
         if self._factory is None:
-            self._factory = CallerFactory(
-                reactor, self._klein.resource(), self._on_fault, self._look_up
-            )
+            look_up = None if self._lookup is None else self._look_up
+            self._factory = CallerFactory(reactor, self._klein.resource(), self._on_fault, look_up)
             self._factory.closing = self._closing
         return self._factory
 
+    def keep_idle(self, duration: timedelta) -> None:
+        """Keep idle connections for `duration` from now on; callers may count on it."""
+        if self._factory is not None:
+            self._factory.timeOut = duration.total_seconds()
+
     def closing(self) -> None:
         """Answer with ``Connection: close`` from now on."""
         self._closing = True
--- a/packages/callers/src/cardamomloft/callers/exchange.py
+++ b/packages/callers/src/cardamomloft/callers/exchange.py
@@ -124,6 +124,23 @@
     return _explain(HTTPStatus.INTERNAL_SERVER_ERROR, UNKNOWN, "internal-error", detail)
 
 
+def late(detail: str) -> Answer:
+    """Return 504 for a request whose time is over; it may have run."""
+    return _explain(HTTPStatus.GATEWAY_TIMEOUT, UNKNOWN, "deadline-passed", detail)
+
+
+def with_fractions(answer: Answer) -> Answer:
+    """Return `answer` with a Retry-After in fractions of a second, for callers that read them."""
+    wait_ms = next((value for name, value in answer.headers if name == RETRY_MS_HEADER), None)
+    if wait_ms is None:
+        return answer
+    exact = ("Retry-After", f"{int(wait_ms) / 1000:.3f}")
+    headers = tuple(
+        exact if name == "Retry-After" else (name, value) for name, value in answer.headers
+    )
+    return answer._replace(headers=headers)
+
+
 @singledispatch
 def to_answer(outcome: object) -> Answer:
     """Return the answer that tells a caller about `outcome`.
--- a/packages/callers/src/cardamomloft/callers/streaming.py
+++ b/packages/callers/src/cardamomloft/callers/streaming.py
@@ -240,10 +240,12 @@
         Klein sees only whether it is a look-up: callers' paths reach the upstreams as they were
         sent, so nothing may decode, merge or redirect them.
         """
-        self.postpath = [b"lookup" if self.path == b"/lookup" else b""]
+        lookup = self.channel.factory.lookup
+        is_lookup = lookup is not None and self.path == b"/lookup"
+        self.postpath = [b"lookup" if is_lookup else b""]
         try:
-            if self.path == b"/lookup" and self.method == b"GET":
-                self.answer_at_once(self.channel.factory.lookup(self))
+            if is_lookup and self.method == b"GET":
+                self.answer_at_once(lookup(self))
             else:
                 self.channel.factory.resource.render(self)
         except Exception:
@@ -339,7 +341,7 @@
         reactor: IReactorTime,
         resource: IResource,
         on_fault: t.Callable[[Failure], None],
-        lookup: t.Callable[[CallerRequest], Answer],
+        lookup: t.Callable[[CallerRequest], Answer] | None,
     ) -> None:
         super().__init__(timeout=IDLE_TIMEOUT_S, reactor=reactor)
         self.lookup = lookup
--- /dev/null
+++ b/packages/core/src/cardamomloft/core/entrybook.py
@@ -0,0 +1,81 @@
+"""The entries that record themselves in the control store."""
+
+from collections import deque
+from datetime import timedelta
+
+from cardamomloft.core.registrations import RETURN_TIME, EntryRecord
+
+
+class EntryBook:
+    """Which entries are there, and among how many a budget is to be divided.
+
+    Parameters
+    ----------
+    own
+        This entry, which is there whatever the store says.
+    memory
+        How long an entry that has gone still counts for `sharing`: the length of the longest
+        sliding window of a budget, in which it may have spent its part.
+    """
+
+    def __init__(self, own: EntryRecord, memory: timedelta) -> None:
+        self._own = own
+        self._memory = memory
+        self._records: dict[str, EntryRecord] = {}
+        self._missing: set[str] = set()
+        self._patience_until = timedelta(0)
+        self._counts: deque[tuple[timedelta, int]] = deque()
+
+    def records(self, *, with_own: bool) -> list[EntryRecord]:
+        """Return the entries that are there; this one only if it may be named."""
+        others = [record for name, record in self._records.items() if name != self._own.name]
+        return [*others, self._own] if with_own else others
+
+    def sharing(self, now: timedelta) -> int:
+        """Return the largest number of entries that were there at one time lately, at least 1."""
+        self._count(now)
+        return max(count for _, count in self._counts)
+
+    def add(self, record: EntryRecord, now: timedelta) -> bool:
+        """Take an entry's record; return whether that changes anything."""
+        changed = self._records.get(record.name) != record
+        self._records[record.name] = record
+        self._missing.discard(record.name)
+        self._count(now)
+        return changed
+
+    def withdraw(self, name: str, now: timedelta) -> bool:
+        """Forget an entry; soon after the store's return only if it stays away."""
+        if name not in self._records:
+            return False
+        if now < self._patience_until:
+            self._missing.add(name)
+            return False
+        del self._records[name]
+        self._count(now)
+        return True
+
+    def listed(self, names: set[str], now: timedelta) -> list[str]:
+        """Withdraw all that are not among `names`; return those withdrawn."""
+        return [
+            name for name in list(self._records) if name not in names and self.withdraw(name, now)
+        ]
+
+    def store_returned(self, now: timedelta) -> None:
+        """Note that the store answers again: records that lapsed meanwhile may come back."""
+        self._patience_until = now + RETURN_TIME
+
+    def tick(self, now: timedelta) -> list[str]:
+        """Withdraw what did not come back in time; return the names."""
+        if now < self._patience_until:
+            return []
+        missing, self._missing = self._missing, set()
+        return [name for name in missing if self.withdraw(name, now)]
+
+    def _count(self, now: timedelta) -> None:
+        count = len(self._records.keys() | {self._own.name})
+        # A count holds until the next one: the first must reach back to the memory's begin.
+        while len(self._counts) > 1 and now - self._counts[1][0] > self._memory:
+            self._counts.popleft()
+        if not self._counts or self._counts[-1][1] != count:
+            self._counts.append((now, count))
--- /dev/null
+++ b/packages/core/src/cardamomloft/core/registrations.py
@@ -0,0 +1,297 @@
+"""What entries learn from the control store: the configuration, upstreams, drained zones, entries.
+
+Each item of the store becomes one fact of these types, decoded where it is read. The book of
+upstreams applies them and tells which endpoints may get new work.
+"""
+
+import typing as t
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+
+from cardamomloft.core.routes import RoutePlan
+
+RETURN_TIME = timedelta(milliseconds=2200)
+"""How long registrations that lapsed while the store was away may take to come back.
+
+The platform promises about 2 s after the store's return; 200 ms are for our own interval.
+"""
+
+
+class Registration(t.NamedTuple):
+    """One life of an upstream endpoint, as it describes itself in the store.
+
+    `id` is new with each start. `cold_left` is how long it said that it will be cold, counted
+    from when the registration was written.
+    """
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    draining: bool
+    cold_left: timedelta
+
+
+class EntryRecord(t.NamedTuple):
+    """One running entry, as it records itself in the store; `address` is for callers."""
+
+    name: str
+    address: str
+    zone: str
+    region: str
+
+
+class PlanRead(t.NamedTuple):
+    """The configuration as it now is."""
+
+    plan: RoutePlan
+
+
+class UpstreamRegistered(t.NamedTuple):
+    """An endpoint is registered, newly or with other values."""
+
+    registration: Registration
+
+
+class UpstreamWithdrawn(t.NamedTuple):
+    """The registration of endpoint `id` is no longer there."""
+
+    id: str
+
+
+class ZoneDrained(t.NamedTuple):
+    """Endpoints of `zone` must get nothing more."""
+
+    zone: str
+
+
+class ZoneRestored(t.NamedTuple):
+    """Endpoints of `zone` may be used again."""
+
+    zone: str
+
+
+class EntryRecorded(t.NamedTuple):
+    """An entry is there."""
+
+    record: EntryRecord
+
+
+class EntryWithdrawn(t.NamedTuple):
+    """The record of entry `name` is gone."""
+
+    name: str
+
+
+class Unreadable(t.NamedTuple):
+    """The item under `key` can't be decoded; the last good state of it stays."""
+
+    key: str
+    detail: str
+
+
+Fact = (
+    PlanRead
+    | UpstreamRegistered
+    | UpstreamWithdrawn
+    | ZoneDrained
+    | ZoneRestored
+    | EntryRecorded
+    | EntryWithdrawn
+    | Unreadable
+)
+
+
+class LoadReport(t.NamedTuple):
+    """What an endpoint said of its load; `own` were this entry's requests there at that time."""
+
+    running: int
+    waiting: int
+    slots: int
+    own: int
+    at: timedelta
+
+
+class Upstream:
+    """One life of an endpoint, with what this entry knows of it.
+
+    Attributes
+    ----------
+    in_flight
+        This entry's own requests there.
+    report
+        The last load report, or None.
+    cold_until
+        Monotonic instant until which it is cold.
+    joined_at
+        Monotonic instant at which it was first seen; None if it was there at the start.
+    failures
+        Own requests in a row that failed.
+    rest_until
+        Monotonic instant until which it is left alone after failures or refusals.
+    """
+
+    __slots__ = (
+        "cold_sends",
+        "cold_until",
+        "failures",
+        "in_flight",
+        "joined_at",
+        "leaving",
+        "missing",
+        "region",
+        "registration",
+        "report",
+        "rest_until",
+    )
+
+    def __init__(self, registration: Registration, region: str, now: timedelta) -> None:
+        self.registration = registration
+        self.region = region
+        self.in_flight = 0
+        self.report: LoadReport | None = None
+        self.cold_until = now + registration.cold_left
+        self.joined_at: timedelta | None = now
+        self.failures = 0
+        self.rest_until = timedelta(0)
+        self.cold_sends: list[timedelta] = []
+        self.leaving = False
+        self.missing = False
+
+    @property
+    def id(self) -> str:
+        """The id of this life."""
+        return self.registration.id
+
+    def __repr__(self) -> str:
+        return f"Upstream({self.registration.service}/{self.id}@{self.registration.address})"
+
+
+class UpstreamBook:
+    """All registered endpoints.
+
+    Parameters
+    ----------
+    regions
+        The region of each zone.
+
+    Attributes
+    ----------
+    version
+        Grows whenever the set of usable endpoints may have changed.
+    """
+
+    def __init__(self, regions: Mapping[str, str]) -> None:
+        self.regions = regions
+        self.version = 0
+        self.drained_zones: set[str] = set()
+        self._by_id: dict[str, Upstream] = {}
+        self._by_service: dict[str, list[Upstream]] = {}
+        self._patience_until = timedelta(0)
+        self._started = False
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def get(self, upstream_id: str) -> Upstream | None:
+        """Return the endpoint with this id, or None."""
+        return self._by_id.get(upstream_id)
+
+    def of_service(self, service: str) -> list[Upstream]:
+        """Return the endpoints of `service` that may get new work, by registration."""
+        return self._by_service.get(service, [])
+
+    def zones(self) -> set[str]:
+        """Return the zones that have registered endpoints."""
+        return {upstream.registration.zone for upstream in self._by_id.values()}
+
+    def register(self, registration: Registration, now: timedelta) -> bool:
+        """Take a registration; return whether anything but its age has changed."""
+        known = self._by_id.get(registration.id)
+        region = self.regions.get(registration.zone, "")
+        if known is None:
+            upstream = Upstream(registration, region, now)
+            if not self._started:
+                upstream.joined_at = None
+            self._by_id[registration.id] = upstream
+            self._rebuild()
+            return True
+        changed = known.missing or known.registration._replace(
+            cold_left=registration.cold_left
+        ) != (registration)
+        known.registration = registration
+        known.missing = False
+        if registration.cold_left:
+            known.cold_until = max(known.cold_until, now + registration.cold_left)
+        if changed:
+            self._rebuild()
+        return changed
+
+    def withdraw(self, upstream_id: str, now: timedelta) -> bool:
+        """Forget an endpoint; soon after the store's return only if it stays away."""
+        upstream = self._by_id.get(upstream_id)
+        if upstream is None:
+            return False
+        if now < self._patience_until:
+            upstream.missing = True
+            return False
+        del self._by_id[upstream_id]
+        self._rebuild()
+        return True
+
+    def listed(self, ids: Iterable[str], now: timedelta) -> list[str]:
+        """Withdraw all that are not among `ids`, the whole of a list; return the ids withdrawn."""
+        present = set(ids)
+        absent = [upstream_id for upstream_id in self._by_id if upstream_id not in present]
+        self._started = True
+        return [upstream_id for upstream_id in absent if self.withdraw(upstream_id, now)]
+
+    def store_returned(self, now: timedelta) -> None:
+        """Note that the store answers again: what lapsed meanwhile may still come back."""
+        self._patience_until = now + RETURN_TIME
+
+    def tick(self, now: timedelta) -> list[str]:
+        """Withdraw what did not come back in time; return the ids withdrawn."""
+        if now < self._patience_until:
+            return []
+        missing = [upstream.id for upstream in self._by_id.values() if upstream.missing]
+        return [upstream_id for upstream_id in missing if self.withdraw(upstream_id, now)]
+
+    def drain_zone(self, zone: str) -> bool:
+        """Use no endpoint of `zone` any more; return whether that is new."""
+        if zone in self.drained_zones:
+            return False
+        self.drained_zones.add(zone)
+        self._rebuild()
+        return True
+
+    def restore_zone(self, zone: str, now: timedelta, cold_times: Mapping[str, timedelta]) -> bool:
+        """Use endpoints of `zone` again, at first as cold; return whether that is new.
+
+        Nobody used them meanwhile, so they have forgotten what they had at hand.
+        """
+        if zone not in self.drained_zones:
+            return False
+        self.drained_zones.discard(zone)
+        for upstream in self._by_id.values():
+            if upstream.registration.zone == zone:
+                cold_time = cold_times.get(upstream.registration.service, timedelta(0))
+                upstream.cold_until = max(upstream.cold_until, now + cold_time)
+        self._rebuild()
+        return True
+
+    def mark_leaving(self, upstream: Upstream) -> None:
+        """Give an endpoint no new work, since it refused one as not the one expected."""
+        if not upstream.leaving:
+            upstream.leaving = True
+            self._rebuild()
+
+    def _rebuild(self) -> None:
+        self.version += 1
+        self._by_service = {}
+        for upstream in sorted(self._by_id.values(), key=lambda known: known.id):
+            row = upstream.registration
+            if row.draining or upstream.leaving or row.zone in self.drained_zones:
+                continue
+            self._by_service.setdefault(row.service, []).append(upstream)
--- /dev/null
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -0,0 +1,205 @@
+"""Which endpoint a request goes to.
+
+Placement by object is worth more than anything else here: an endpoint that has handled an object
+recently is about three times as fast. So an object has one first endpoint and one fixed second
+choice, by rendezvous hashing over the registered endpoints, and leaves the first only when it
+would wait there longer than the second would need.
+"""
+
+import typing as t
+from collections.abc import Collection, Mapping
+from datetime import timedelta
+
+from cardamomloft.core.affinity import ranked
+from cardamomloft.core.budgets import ColdLimit, may_send_cold
+from cardamomloft.core.model import Refusal, RefusalReason
+from cardamomloft.core.registrations import Upstream, UpstreamBook
+from cardamomloft.core.routes import RouteRule, ServicePolicy
+
+REPORT_LIFE = timedelta(seconds=1)
+"""How long a load report says more than this entry's own counts; it fades out over this time.
+
+An endpoint's load turns over in about its waiting plus working time, some hundred milliseconds.
+"""
+
+MAX_RESTING = 0.5
+"""The part of a service's endpoints that may rest after failures at one time.
+
+When more of them fail, the cause is likelier a link or this entry than the endpoints.
+"""
+
+_FIRST_REST = timedelta(milliseconds=300)
+_LONGEST_REST = timedelta(seconds=4)
+_FAILURES_TO_REST = 2
+_REFUSAL_REST = timedelta(milliseconds=60)
+_RANKS_KEPT = 20_000
+_ZERO = timedelta(0)
+
+
+class Preferences(t.NamedTuple):
+    """What weighs in the choice of endpoints.
+
+    Attributes
+    ----------
+    far_weight
+        Weight of an endpoint in another region against 1 in the own one.
+    first_bound, second_bound, other_bound
+        Load in parts of the slots up to which an object stays with its first endpoint, goes to
+        its second, or to any other.
+    """
+
+    far_weight: float = 0.3
+    first_bound: float = 2.0
+    second_bound: float = 1.5
+    other_bound: float = 1.0
+
+
+class Selector:
+    """Chooses endpoints for one entry.
+
+    Parameters
+    ----------
+    book
+        The registered endpoints.
+    region
+        This entry's region.
+    cold
+        What a cold endpoint bears beyond its service's rate.
+    preferences
+        What weighs in the choice.
+    """
+
+    def __init__(
+        self, book: UpstreamBook, region: str, cold: ColdLimit, preferences: Preferences
+    ) -> None:
+        self._book = book
+        self._region = region
+        self._cold = cold
+        self._preferences = preferences
+        self._version = -1
+        self._ranks: dict[tuple[str, str, frozenset[str]], list[Upstream]] = {}
+        self.policies: Mapping[str, ServicePolicy] = {}
+        self.entries = 1
+
+    def choose(
+        self,
+        rule: RouteRule,
+        service: str,
+        key: str,
+        tried: Collection[str],
+        now: timedelta,
+    ) -> Upstream | Refusal:
+        """Return the endpoint for a request.
+
+        Parameters
+        ----------
+        rule
+            The rule that matched.
+        service
+            The service that was chosen among the rule's.
+        key
+            The placement key; any text that differs from request to request if there is none.
+        tried
+            Ids of endpoints that had this request already.
+        now
+            Monotonic instant.
+        """
+        order = self._order(service, key, rule.homes)
+        if not order:
+            return Refusal(RefusalReason.NO_PLACE, f"{service} has no endpoint")
+        fit = [up for up in order if up.id not in tried and up.rest_until <= now]
+        if len(fit) < len(order) * (1 - MAX_RESTING):
+            fit = [up for up in order if up.id not in tried]
+        warm = [up for up in fit if up.cold_until <= now]
+        chosen = self._with_room(warm, now)
+        if chosen is not None:
+            return chosen
+        cold = self._cold_with_room([up for up in fit if up.cold_until > now], now)
+        if cold is not None:
+            return cold
+        if warm:
+            return min(warm[:2], key=lambda up: expected_load(up, now) / up.registration.slots)
+        return Refusal(RefusalReason.OVERLOAD, f"no endpoint of {service} has room")
+
+    def _with_room(self, warm: list[Upstream], now: timedelta) -> Upstream | None:
+        """Return the first in order of preference that has room within its bound."""
+        preferences = self._preferences
+        bounds = (preferences.first_bound, preferences.second_bound)
+        for place, upstream in enumerate(warm):
+            bound = bounds[place] if place < len(bounds) else preferences.other_bound
+            if expected_load(upstream, now) < bound * upstream.registration.slots:
+                return upstream
+        return None
+
+    def _cold_with_room(self, cold: list[Upstream], now: timedelta) -> Upstream | None:
+        for upstream in cold:
+            policy = self.policies.get(upstream.registration.service)
+            rate = policy.cold_per_s if policy else 0.0
+            if may_send_cold(upstream.cold_sends, rate, self._cold, self.entries, now):
+                return upstream
+        return None
+
+    def _order(self, service: str, key: str, homes: frozenset[str]) -> list[Upstream]:
+        if self._version != self._book.version or len(self._ranks) > _RANKS_KEPT:
+            self._ranks.clear()
+            self._version = self._book.version
+        found = self._ranks.get((service, key, homes))
+        if found is None:
+            found = self._rank(service, key, homes)
+            self._ranks[service, key, homes] = found
+        return found
+
+    def _rank(self, service: str, key: str, homes: frozenset[str]) -> list[Upstream]:
+        candidates = [
+            up for up in self._book.of_service(service) if not homes or up.region in homes
+        ]
+        return ranked(key, candidates, lambda up: up.id, self._weight)
+
+    def _weight(self, upstream: Upstream) -> float:
+        near = upstream.region == self._region
+        return upstream.registration.slots * (1.0 if near else self._preferences.far_weight)
+
+    # What became of requests.
+
+    def sent(self, upstream: Upstream, now: timedelta) -> None:
+        """Note that a request goes to `upstream`."""
+        upstream.in_flight += 1
+        if upstream.cold_until > now:
+            upstream.cold_sends.append(now)
+
+    def ended(self, upstream: Upstream) -> None:
+        """Note that a request there is over."""
+        upstream.in_flight -= 1
+
+    def answered(self, upstream: Upstream) -> None:
+        """Note an answer from an endpoint at work."""
+        upstream.failures = 0
+        upstream.rest_until = _ZERO
+
+    def refused(self, upstream: Upstream, now: timedelta) -> None:
+        """Note that the endpoint refused a request as full."""
+        upstream.rest_until = max(upstream.rest_until, now + _REFUSAL_REST)
+
+    def failed(self, upstream: Upstream, now: timedelta) -> None:
+        """Note that a request there failed; after some in a row the endpoint rests."""
+        upstream.failures += 1
+        if upstream.failures >= _FAILURES_TO_REST:
+            rest = _FIRST_REST * 2 ** min(upstream.failures - _FAILURES_TO_REST, 4)
+            upstream.rest_until = now + min(rest, _LONGEST_REST)
+
+
+def expected_load(upstream: Upstream, now: timedelta) -> float:
+    """Return how many requests an endpoint probably has, running and waiting.
+
+    The last report holds for all entries together; what this entry has sent since is added, and
+    others' part of it fades with the report's age.
+    """
+    report = upstream.report
+    own = upstream.in_flight
+    if report is None:
+        return own
+    age = now - report.at
+    if age >= REPORT_LIFE:
+        return own
+    others = max(0, report.running + report.waiting - report.own)
+    return own + others * (1 - age / REPORT_LIFE)
--- a/packages/entry/src/cardamomloft/entry/executor.py
+++ b/packages/entry/src/cardamomloft/entry/executor.py
@@ -38,7 +38,7 @@
 )
 from cardamomloft.entry.forwarding import OPERATION_ANSWER, OPERATION_BODY, Forwarder
 from cardamomloft.entry.metrics import Metrics
-from cardamomloft.platform.store import Store
+from cardamomloft.store.keyvalue import Store
 from cardamomloft.upstreams.client import UpstreamClient, UpstreamRequest
 from expression import Result
 from twisted.internet.defer import Deferred, ensureDeferred
--- a/packages/entry/src/cardamomloft/entry/forwarding.py
+++ b/packages/entry/src/cardamomloft/entry/forwarding.py
@@ -28,12 +28,12 @@
 from cardamomloft.entry.metrics import Metrics
 from cardamomloft.entry.pacing import PacedBody, PacedConsumer
 from cardamomloft.upstreams.client import (
-    REQUEST_ID_HEADER,
     SendFailure,
     UpstreamAnswer,
     UpstreamClient,
     UpstreamRequest,
 )
+from cardamomloft.upstreams.dialect import REQUEST_ID_HEADER
 from expression import Error, Ok, Result
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IConsumer
--- a/packages/entry/src/cardamomloft/entry/node.py
+++ b/packages/entry/src/cardamomloft/entry/node.py
@@ -59,8 +59,8 @@
 from cardamomloft.entry.vms import VmWatch
 from cardamomloft.peers.curve import CurveKeys
 from cardamomloft.peers.node import PeerNode
-from cardamomloft.platform.store import HttpStore, Store
-from cardamomloft.platform.vms import HttpVmList, VmList
+from cardamomloft.store.keyvalue import HttpStore, Store
+from cardamomloft.store.vms import HttpVmList, VmList
 from cardamomloft.upstreams.client import UpstreamClient
 from expression import Result
 from twisted.internet.defer import Deferred, ensureDeferred
--- a/packages/entry/src/cardamomloft/entry/seat.py
+++ b/packages/entry/src/cardamomloft/entry/seat.py
@@ -9,7 +9,7 @@
 import typing as t
 
 from cardamomloft.core.model import Incarnation
-from cardamomloft.platform.store import Record, Store
+from cardamomloft.store.keyvalue import Record, Store
 from expression import Result
 
 
--- a/packages/entry/src/cardamomloft/entry/vms.py
+++ b/packages/entry/src/cardamomloft/entry/vms.py
@@ -7,7 +7,7 @@
 from cardamomloft.core.membership import VmRow
 from cardamomloft.core.messages import Outgoing, VmNotice
 from cardamomloft.entry.metrics import Metrics
-from cardamomloft.platform.vms import VmList
+from cardamomloft.store.vms import VmList
 from expression import Result
 from twisted.internet.defer import Deferred, ensureDeferred
 
--- a/packages/entry/tests/test_executor.py
+++ b/packages/entry/tests/test_executor.py
@@ -21,8 +21,8 @@
 from cardamomloft.core.operations import OperationIds
 from cardamomloft.entry.executor import PASSED_ON_HEADER, Executor
 from cardamomloft.entry.metrics import Metrics
-from cardamomloft.platform.failures import StoreFailure
-from cardamomloft.platform.store import Record
+from cardamomloft.store.failures import StoreFailure
+from cardamomloft.store.keyvalue import Record
 from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer
 from expression import Error, Ok
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
--- a/packages/entry/tests/test_node.py
+++ b/packages/entry/tests/test_node.py
@@ -16,8 +16,8 @@
 from cardamomloft.core.model import Incarnation, Refusal, RefusalReason
 from cardamomloft.core.replication import pack
 from cardamomloft.entry.node import EntryNode, Outside
-from cardamomloft.platform.failures import StoreFailure
-from cardamomloft.platform.store import Record
+from cardamomloft.store.failures import StoreFailure
+from cardamomloft.store.keyvalue import Record
 from expression import Error, Ok
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
--- a/packages/entry/tests/test_seat.py
+++ b/packages/entry/tests/test_seat.py
@@ -5,8 +5,8 @@
 import pytest
 from cardamomloft.core.model import Incarnation
 from cardamomloft.entry.seat import SeatRecord
-from cardamomloft.platform.failures import StoreFailure
-from cardamomloft.platform.store import Record
+from cardamomloft.store.failures import StoreFailure
+from cardamomloft.store.keyvalue import Record
 from expression import Error, Ok
 from twisted.internet.defer import ensureDeferred, succeed
 
--- a/packages/entry/tests/test_steward.py
+++ b/packages/entry/tests/test_steward.py
@@ -10,8 +10,8 @@
 from cardamomloft.core.model import Incarnation
 from cardamomloft.core.stewardship import Stewardship
 from cardamomloft.entry.steward import CONFIGURATION_KEY, StewardRunner, offer_record
-from cardamomloft.platform.failures import StoreFailure
-from cardamomloft.platform.store import Record, Watched
+from cardamomloft.store.failures import StoreFailure
+from cardamomloft.store.keyvalue import Record, Watched
 from expression import Error, Ok
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
 
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/control.py
@@ -0,0 +1,48 @@
+"""What a gateway asks of the control store, whatever protocol the store speaks."""
+
+import typing as t
+from datetime import timedelta
+
+from cardamomloft.core.registrations import EntryRecord, Fact
+from cardamomloft.store.failures import StoreFailure
+from expression import Result
+from twisted.internet.defer import Deferred
+
+
+class Listing(t.NamedTuple):
+    """All that the store holds, as facts; `index` is where to go on."""
+
+    facts: tuple[Fact, ...]
+    index: int
+
+
+class Changes(t.NamedTuple):
+    """What has changed since the last index; `lost`: the store has forgotten, list again."""
+
+    facts: tuple[Fact, ...]
+    index: int
+    lost: bool = False
+
+
+class Control(t.Protocol):
+    """The control store. No Deferred fails; failures are outcomes."""
+
+    def read(self) -> "Deferred[Result[Listing, StoreFailure]]":
+        """List everything. Changes made meanwhile come with `changes` from the index returned."""
+        ...
+
+    def changes(self, after: int) -> "Deferred[Result[Changes, StoreFailure]]":
+        """Return what has changed after the index `after`, at once or nearly so."""
+        ...
+
+    def record(self, record: EntryRecord, life: timedelta) -> "Deferred[Result[str, StoreFailure]]":
+        """Record a running entry under a new lease of `life`; return the lease."""
+        ...
+
+    def renew(self, lease: str) -> "Deferred[Result[bool, StoreFailure]]":
+        """Renew a lease; return False if it had lapsed."""
+        ...
+
+    def withdraw(self, lease: str) -> "Deferred[Result[None, StoreFailure]]":
+        """End a lease, and the record with it."""
+        ...
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -0,0 +1,343 @@
+"""From a call to its answer: choosing, sending, repeating where that is harmless.
+
+A refusal (not run) is given only while no endpoint can have run the request: nothing was sent, or
+every endpoint that got it has definitely refused it.
+"""
+
+import random
+import typing as t
+from collections.abc import Callable
+from datetime import timedelta
+
+from cardamomloft.callers.body import RequestBody
+from cardamomloft.callers.exchange import (
+    Answer,
+    RequestHead,
+    Source,
+    complete,
+    end_to_end,
+    failed,
+    late,
+    to_answer,
+    with_fractions,
+)
+from cardamomloft.core.budgets import RetryBudget
+from cardamomloft.core.clock import Clock
+from cardamomloft.core.model import Endpoint, Refusal, RefusalReason
+from cardamomloft.core.registrations import LoadReport, Upstream, UpstreamBook
+from cardamomloft.core.retries import may_retry
+from cardamomloft.core.selection import Selector
+from cardamomloft.entry.metrics import Metrics
+from cardamomloft.gateway.calls import Call
+from cardamomloft.gateway.records import RequestLog
+from cardamomloft.upstreams.client import (
+    SendFailure,
+    UpstreamAnswer,
+    UpstreamClient,
+    UpstreamRequest,
+)
+from cardamomloft.upstreams.dialect import parse_header_load
+from expression import Result
+from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
+
+WHOLE_BODY = 1024 * 1024
+"""Bytes up to which a request's body is held, so that it can be sent again after a refusal."""
+
+WHOLE_ANSWER = 256 * 1024
+"""Bytes up to which an answer is held until it is whole, so that one cut short can be repeated."""
+
+MAX_SENDS = 4
+"""Endpoints tried for one request, connections that failed included."""
+
+LEAST_TIME = timedelta(milliseconds=5)
+"""With less time than this left nothing is sent: it would end while its connection is opened."""
+
+MIN_BACK = timedelta(milliseconds=150)
+MAX_BACK = timedelta(milliseconds=600)
+"""Bounds of the time after which refused callers are asked to come back, spread evenly.
+
+Work at an endpoint takes some hundred milliseconds, so slots become free within that time.
+"""
+
+
+class Served(t.NamedTuple):
+    """An endpoint's answer."""
+
+    answer: Answer
+
+
+class Refused(t.NamedTuple):
+    """The endpoint has definitely refused the request; it was not run."""
+
+    detail: str
+    misdirected: bool
+
+
+class Failed(t.NamedTuple):
+    """There is no whole answer; `not_run` only if nothing was sent."""
+
+    not_run: bool
+    detail: str
+    late: bool
+
+
+Sent = Served | Refused | Failed
+
+
+class Forwarder:
+    """Carries the requests of one gateway.
+
+    Parameters
+    ----------
+    reactor
+        For timers.
+    clock, rng
+        Sources of time and chance.
+    selector
+        Chooses endpoints.
+    book
+        The registered endpoints.
+    client
+        Sends to them.
+    budget_for
+        Returns the budget of repeats of a service.
+    metrics
+        Where counts and latencies go.
+    records
+        Writes the log lines of requests.
+    """
+
+    def __init__(
+        self,
+        reactor: t.Any,
+        clock: Clock,
+        rng: random.Random,
+        selector: Selector,
+        book: UpstreamBook,
+        client: UpstreamClient,
+        budget_for: Callable[[str], RetryBudget],
+        metrics: Metrics,
+        records: RequestLog,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._rng = rng
+        self._selector = selector
+        self._book = book
+        self._client = client
+        self._budget_for = budget_for
+        self._metrics = metrics
+        self._records = records
+
+    async def carry(
+        self, call: Call, head: RequestHead, body: RequestBody, gone: "Deferred[None]"
+    ) -> Answer:
+        """Answer a call; if the caller leaves, its work is given up."""
+        attempt = ensureDeferred(self._carry(call, head, body))
+        left = False
+
+        def leave(_: None) -> None:
+            nonlocal left
+            left = True
+            attempt.cancel()
+
+        gone.addCallback(leave)
+        try:
+            return await attempt
+        except CancelledError:
+            if not left:
+                raise
+            self._metrics.count("caller-left")
+            self._records.write(call, "caller-left", self._clock.monotonic())
+            return failed("the caller has left")
+
+    async def _carry(self, call: Call, head: RequestHead, body: RequestBody) -> Answer:
+        payload = await self._payload(body)
+        if isinstance(payload, Refusal):
+            return self.refuse(payload)
+        return await _Passage(self, call, head, payload).run()
+
+    async def _payload(self, body: RequestBody) -> bytes | RequestBody | Refusal:
+        """Hold bodies whole so that they can be sent again; leave very large ones to stream."""
+        if body.length == 0:
+            return b""
+        if isinstance(body.length, int) and body.length > WHOLE_BODY:
+            return body
+        match await body.collect(WHOLE_BODY):
+            case Result(tag="ok", ok=whole):
+                return whole
+            case Result(error=detail):
+                return Refusal(RefusalReason.BAD_REQUEST, detail)
+
+    def refuse(self, refusal: Refusal) -> Answer:
+        """Return the answer that says "not run", with when to come back unless that is useless."""
+        self._metrics.count(f"refused.{refusal.reason}")
+        if refusal.retry_after is None and refusal.reason not in _FINAL:
+            spread = MIN_BACK + (MAX_BACK - MIN_BACK) * self._rng.random()
+            refusal = refusal._replace(retry_after=spread)
+        return with_fractions(to_answer(refusal))
+
+
+_FINAL = frozenset({RefusalReason.NO_SERVICE, RefusalReason.BAD_REQUEST, RefusalReason.TOO_LARGE})
+
+
+class _Passage:
+    """One request on its way: what was tried, and what that proves."""
+
+    def __init__(
+        self, owner: Forwarder, call: Call, head: RequestHead, payload: bytes | RequestBody
+    ) -> None:
+        self._owner = owner
+        self._call = call
+        self._head = head
+        self._payload = payload
+        self._tried: list[str] = []
+        self._arrivals = 0
+        self._ran = False
+        self._budget = owner._budget_for(call.service)
+        self._selector = owner._selector
+
+    async def run(self) -> Answer:
+        """Send until there is an answer or nothing more may be tried."""
+        self._budget.on_request(self._now())
+        last: Sent | None = None
+        while True:
+            chosen = self._choose(last)
+            if not isinstance(chosen, Upstream):
+                return self._give_up(last, chosen)
+            last = await self._send(chosen)
+            if isinstance(last, Served):
+                return self._served(last)
+            if not self._may_repeat(last):
+                return self._give_up(last, None)
+
+    def _now(self) -> timedelta:
+        return self._owner._clock.monotonic()
+
+    def _choose(self, last: Sent | None) -> Upstream | Refusal:
+        call, now = self._call, self._now()
+        if call.until - now < LEAST_TIME:
+            return Refusal(RefusalReason.DEADLINE, "no time is left")
+        return self._selector.choose(call.rule, call.service, call.key, self._tried, now)
+
+    # Sending.
+
+    async def _send(self, upstream: Upstream) -> Sent:
+        selector, now = self._selector, self._now()
+        self._tried.append(upstream.id)
+        if self._arrivals:
+            self._budget.spend(now)
+            self._owner._metrics.count("repeats")
+        self._arrivals += 1
+        selector.sent(upstream, now)
+        try:
+            result = await self._owner._client.send(self._request_for(upstream, now))
+            outcome = await self._read(upstream, result)
+        finally:
+            selector.ended(upstream)
+        self._learn(upstream, outcome)
+        return outcome
+
+    def _request_for(self, upstream: Upstream, now: timedelta) -> UpstreamRequest:
+        call, row = self._call, upstream.registration
+        endpoint = Endpoint(
+            row.id, row.service, row.zone, upstream.region, row.address, row.slots, 0
+        )
+        return UpstreamRequest(
+            endpoint=endpoint,
+            method=self._head.method,
+            path=call.target,
+            headers=self._head.headers,
+            body=self._payload,
+            timeout=call.until - now,
+            request_id=call.id,
+            idempotent=call.rule.idempotent,
+            expected=row.id,
+        )
+
+    async def _read(self, upstream: Upstream, result: Result[UpstreamAnswer, SendFailure]) -> Sent:
+        match result:
+            case Result(tag="error", error=failure):
+                return Failed(failure.not_run, failure.detail, self._is_late())
+            case Result(ok=answer):
+                pass
+        self._note_load(upstream, answer)
+        if answer.not_run:
+            answer.body.abort()
+            dialect = self._owner._client.dialect
+            return Refused(f"status {answer.status}", answer.status == dialect.misdirected)
+        headers = _for_caller(answer)
+        if answer.length is not None and answer.length > WHOLE_ANSWER:
+            return Served(complete(answer.status, headers, t.cast(Source, answer.body)))
+        match await answer.body.collect(WHOLE_ANSWER):
+            case Result(tag="ok", ok=content):
+                return Served(complete(answer.status, headers, content))
+            case Result(error=detail):
+                return Failed(False, detail, self._is_late())
+
+    def _is_late(self) -> bool:
+        return self._call.until - self._now() < LEAST_TIME
+
+    # Learning.
+
+    def _note_load(self, upstream: Upstream, answer: UpstreamAnswer) -> None:
+        name = self._owner._client.dialect.load
+        text = next((value for key, value in answer.headers if key == name), None)
+        load = parse_header_load(text)
+        if load is not None:
+            # This request is still counted here, and not by the endpoint any more.
+            own = max(0, upstream.in_flight - 1)
+            upstream.report = LoadReport(*load, own=own, at=self._now())
+
+    def _learn(self, upstream: Upstream, outcome: Sent) -> None:
+        now = self._now()
+        match outcome:
+            case Served():
+                self._selector.answered(upstream)
+            case Refused(misdirected=True):
+                self._owner._book.mark_leaving(upstream)
+                self._owner._records.write(self._call, "misdirected", now, upstream=upstream)
+            case Refused():
+                self._selector.refused(upstream, now)
+            case Failed():
+                self._arrivals -= outcome.not_run
+                self._ran = self._ran or not outcome.not_run
+                self._selector.failed(upstream, now)
+
+    def _may_repeat(self, outcome: Sent) -> bool:
+        not_run = isinstance(outcome, Refused) or (isinstance(outcome, Failed) and outcome.not_run)
+        if not isinstance(self._payload, bytes) and not self._payload.untouched:
+            return False
+        call, now = self._call, self._now()
+        attempts = min(call.rule.attempts - self._arrivals, MAX_SENDS - len(self._tried))
+        harmless = may_retry(call.rule.idempotent, not_run, attempts, call.until - now, LEAST_TIME)
+        entries = self._selector.entries
+        return harmless and (not self._arrivals or self._budget.may_repeat(entries, now))
+
+    # The end.
+
+    def _served(self, outcome: Served) -> Answer:
+        owner, now = self._owner, self._now()
+        owner._metrics.count("complete")
+        owner._metrics.observe(self._call.service, now - self._call.arrived)
+        owner._records.served(self._call, outcome.answer.status, self._tried, now)
+        return outcome.answer
+
+    def _give_up(self, last: Sent | None, refusal: Refusal | None) -> Answer:
+        owner, now = self._owner, self._now()
+        detail = refusal.detail if refusal is not None else getattr(last, "detail", "")
+        outcome = "refused"
+        if self._ran:
+            outcome = "late" if isinstance(last, Failed) and last.late else "failed"
+        owner._records.write(self._call, outcome, now, detail=detail, tried=self._tried)
+        if not self._ran:
+            return owner.refuse(refusal or Refusal(RefusalReason.SHED, detail))
+        owner._metrics.count(outcome)
+        return late(detail) if outcome == "late" else failed(detail)
+
+
+def _for_caller(answer: UpstreamAnswer) -> tuple[tuple[str, str], ...]:
+    headers = tuple(pair for pair in end_to_end(answer.headers) if pair[0] != "content-length")
+    if answer.length is None:
+        return headers
+    return (*headers, ("content-length", str(answer.length)))
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -0,0 +1,354 @@
+"""The gateway: assembles the decisions and the edges, and owns their life."""
+
+import random
+import typing as t
+from datetime import timedelta
+from functools import singledispatchmethod
+
+from cardamomloft.callers.app import CallersApp, listen
+from cardamomloft.callers.body import RequestBody
+from cardamomloft.callers.exchange import Answer, RequestHead
+from cardamomloft.core.budgets import ColdLimit, RetryBudget
+from cardamomloft.core.clock import Clock
+from cardamomloft.core.entrybook import EntryBook
+from cardamomloft.core.model import Refusal, RefusalReason
+from cardamomloft.core.naming import entries_for
+from cardamomloft.core.registrations import (
+    EntryRecord,
+    EntryRecorded,
+    EntryWithdrawn,
+    Fact,
+    PlanRead,
+    Unreadable,
+    UpstreamBook,
+    UpstreamRegistered,
+    UpstreamWithdrawn,
+    ZoneDrained,
+    ZoneRestored,
+)
+from cardamomloft.core.routes import RoutePlan
+from cardamomloft.core.selection import Preferences, Selector
+from cardamomloft.entry.lifecycle import make_life_cycle
+from cardamomloft.entry.logs import log
+from cardamomloft.entry.metrics import Metrics
+from cardamomloft.entry.timers import Timers
+from cardamomloft.gateway.calls import CallerHeaders, Reader
+from cardamomloft.gateway.control import Control, Listing
+from cardamomloft.gateway.following import Follower
+from cardamomloft.gateway.forwarding import Forwarder
+from cardamomloft.gateway.presence import Presence
+from cardamomloft.gateway.records import RequestLog
+from cardamomloft.gateway.settings import GatewaySettings, bounds_of
+from cardamomloft.upstreams.client import UpstreamClient
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.interfaces import IListeningPort
+from twisted.python.failure import Failure
+
+RECORD_LIFE = timedelta(seconds=3)
+"""How long the record of an entry that died stays. Look-ups go on naming it that long."""
+
+LINGER_PART = 0.5
+"""Part of the stop time in which new requests are still served: callers that keep an old look-up
+still come. At the end of it the listener closes, and they try another entry."""
+
+HARD_STOP_PART = 0.92
+"""Part of the stop time after which the process ends whatever is in flight."""
+
+FOLLOW_PART = 0.4
+"""Part of the drain time between two questions to the store. A question that fails is repeated
+soon, so that two of them fit into the time."""
+
+_TICK = timedelta(milliseconds=200)
+
+
+class Named(t.NamedTuple):
+    """The answer to a look-up: where to send requests, and for how long that holds."""
+
+    addresses: list[str]
+    life: timedelta
+
+
+class Gateway:
+    """One gateway process.
+
+    Parameters
+    ----------
+    reactor
+        The event loop.
+    cfg
+        Checked settings.
+    clock, rng
+        Sources of time and chance.
+    control
+        The control store.
+    client
+        Sends to upstreams.
+    headers
+        How callers name things.
+    """
+
+    def __init__(
+        self,
+        reactor: t.Any,
+        cfg: GatewaySettings,
+        clock: Clock,
+        rng: random.Random,
+        control: Control,
+        client: UpstreamClient,
+        headers: CallerHeaders,
+    ) -> None:
+        self._reactor = reactor
+        self._cfg = cfg
+        self._clock = clock
+        self._rng = rng
+        self._control = control
+        self._client = client
+        self._headers = headers
+        self._bounds = bounds_of(cfg)
+        self.metrics = Metrics()
+        self.stopped: Deferred[None] = Deferred()
+        self.life = make_life_cycle(self)
+        self._timers = Timers(reactor, self._on_fault)
+        self._port: IListeningPort | None = None
+        self._reader: Reader | None = None
+        self._listed = False
+        self._build()
+
+    def _build(self) -> None:
+        cfg, clock, bounds = self._cfg, self._clock, self._bounds
+        own = EntryRecord(cfg["name"], cfg["callers"], cfg["zone"], cfg["region"])
+        self.book = UpstreamBook(cfg["zones"])
+        self.entries = EntryBook(own, bounds.retry_window)
+        cold = ColdLimit(cfg["cold"]["overage"], cfg["cold"]["slack"])
+        self.selector = Selector(self.book, cfg["region"], cold, Preferences())
+        self._budgets: dict[str, RetryBudget] = {}
+        self.forwarder = Forwarder(
+            self._reactor,
+            clock,
+            self._rng,
+            self.selector,
+            self.book,
+            self._client,
+            self._budget_for,
+            self.metrics,
+            RequestLog(lambda: self._reader.plan.number if self._reader else 0),
+        )
+        self.app = CallersApp(None, self.handle, self._on_fault)
+        self.presence = Presence(self._control, own, RECORD_LIFE)
+        self.follower = Follower(
+            self._reactor,
+            self._control,
+            self._rng,
+            bounds.drain_time * FOLLOW_PART,
+            self._on_listing,
+            self._on_changes,
+            self._on_returned,
+        )
+
+    def _budget_for(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            cfg = self._cfg["retries"]
+            budget = RetryBudget(cfg["ratio"], cfg["slack"], self._bounds.retry_window)
+            self._budgets[service] = budget
+        return budget
+
+    # Life.
+
+    def start(self) -> None:
+        """Listen and begin to follow the store.
+
+        Raises
+        ------
+        twisted.internet.error.CannotListenError
+            If the callers' address can't be had.
+        """
+        self._port = listen(self._reactor, self._cfg["callers"], self.app)
+        self.follower.start(self._on_fault)
+        self._timers.every(_TICK, self._tick)
+        log("started", entry=self._cfg["name"], zone=self._cfg["zone"])
+
+    def stop(self) -> None:
+        """Stop without cutting off requests; asking again changes nothing."""
+        self.life.stop()
+
+    def ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self.life.state() == "ready"
+
+    def on_ready(self) -> None:
+        """Let the other entries name this one."""
+        log("ready", configuration=self._reader.plan.number, upstreams=len(self.book))
+        self._timers.every(self.presence.interval, self.presence.keep)
+
+    def on_leaving(self) -> None:
+        """Leave the look-ups, and go on serving those who asked before."""
+        log("leaving", in_flight=self.app.in_flight)
+        self.presence.withdraw()
+        self.app.closing()
+        stop_time = self._bounds.stop_time.total_seconds()
+        self._reactor.callLater(stop_time * LINGER_PART, self.life.lingered)
+        self._reactor.callLater(stop_time * HARD_STOP_PART, self.life.drained)
+
+    def on_closing(self) -> None:
+        """Take no new connections, and finish what is in flight."""
+        log("closing", in_flight=self.app.in_flight)
+        if self._port is not None:
+            self._port.stopListening()
+        self.app.drained().addCallback(lambda _: self.app.disconnect())
+        self.app.drained().addCallback(lambda _: self._reactor.callLater(0, self.life.drained))
+
+    def on_stopped(self) -> None:
+        """Release everything and end the process."""
+        self._timers.stop()
+        self.follower.stop()
+        log("stopped", in_flight=self.app.in_flight)
+        if not self.stopped.called:
+            self.stopped.callback(None)
+
+    # Callers.
+
+    def handle(
+        self, head: RequestHead, body: RequestBody, gone: "Deferred[None]"
+    ) -> "Deferred[Answer]":
+        """Answer one request."""
+        return ensureDeferred(self._handle(head, body, gone))
+
+    async def _handle(self, head: RequestHead, body: RequestBody, gone: "Deferred[None]") -> Answer:
+        self.metrics.count("requests")
+        if not self.life.admits() or self._reader is None:
+            reason = RefusalReason.STOPPING
+            if self.life.state() == "starting":
+                reason = RefusalReason.NOT_READY
+            return self.forwarder.refuse(Refusal(reason, "ask another entry"))
+        call = self._reader.read(head, self._clock.monotonic())
+        if isinstance(call, Refusal):
+            log("request-refused", reason=call.reason, detail=call.detail, path=head.path)
+            return self.forwarder.refuse(call)
+        return await self.forwarder.carry(call, head, body, gone)
+
+    def lookup(self, host: str, zone: str, region: str) -> Named | Refusal:
+        """Name the entries that a client should use for `host`."""
+        self.metrics.count("lookups")
+        if self._reader is None:
+            return Refusal(RefusalReason.NOT_READY, "no configuration yet")
+        homes = self._reader.homes.get(host, frozenset())
+        records = self.entries.records(with_own=self.ready())
+        named = entries_for(records, zone, region, homes, self._cfg["zones"])
+        if not named:
+            return Refusal(RefusalReason.NOT_READY, "no entry is ready")
+        return Named([record.address for record in named], self._bounds.lookup_life)
+
+    # The store.
+
+    def _on_listing(self, listing: Listing) -> None:
+        now = self._clock.monotonic()
+        self._on_changes(listing.facts)
+        upstreams = {
+            fact.registration.id for fact in listing.facts if isinstance(fact, UpstreamRegistered)
+        }
+        entries = {fact.record.name for fact in listing.facts if isinstance(fact, EntryRecorded)}
+        drained = {fact.zone for fact in listing.facts if isinstance(fact, ZoneDrained)}
+        unreadable = {fact.key for fact in listing.facts if isinstance(fact, Unreadable)}
+        if not unreadable:
+            self._log_gone(self.book.listed(upstreams, now))
+        self.entries.listed(entries, now)
+        for zone in self.book.drained_zones - drained:
+            self._take(ZoneRestored(zone))
+        self._listed = True
+        self._check_prepared()
+
+    def _on_changes(self, facts: tuple[Fact, ...]) -> None:
+        for fact in facts:
+            self._take(fact)
+        self.selector.entries = self.entries.sharing(self._clock.monotonic())
+
+    def _on_returned(self) -> None:
+        now = self._clock.monotonic()
+        self.book.store_returned(now)
+        self.entries.store_returned(now)
+
+    @singledispatchmethod
+    def _take(self, fact: Fact) -> None:
+        raise TypeError(f"not a fact: {fact!r}")
+
+    @_take.register
+    def _(self, fact: PlanRead) -> None:
+        self._put_in_force(fact.plan)
+
+    @_take.register
+    def _(self, fact: UpstreamRegistered) -> None:
+        row = fact.registration
+        if self.book.register(row, self._clock.monotonic()):
+            log(
+                "upstream",
+                id=row.id,
+                service=row.service,
+                address=row.address,
+                zone=row.zone,
+                draining=row.draining,
+                cold_ms=row.cold_left // timedelta(milliseconds=1),
+            )
+
+    @_take.register
+    def _(self, fact: UpstreamWithdrawn) -> None:
+        if self.book.withdraw(fact.id, self._clock.monotonic()):
+            self._log_gone([fact.id])
+
+    @_take.register
+    def _(self, fact: ZoneDrained) -> None:
+        if self.book.drain_zone(fact.zone):
+            log("zone-drained", zone=fact.zone)
+
+    @_take.register
+    def _(self, fact: ZoneRestored) -> None:
+        cold_times = {name: row.cold_time for name, row in self.selector.policies.items()}
+        if self.book.restore_zone(fact.zone, self._clock.monotonic(), cold_times):
+            log("zone-restored", zone=fact.zone)
+
+    @_take.register
+    def _(self, fact: EntryRecorded) -> None:
+        if self.entries.add(fact.record, self._clock.monotonic()):
+            log("entry", name=fact.record.name, address=fact.record.address)
+
+    @_take.register
+    def _(self, fact: EntryWithdrawn) -> None:
+        if self.entries.withdraw(fact.name, self._clock.monotonic()):
+            log("entry-gone", name=fact.name)
+
+    @_take.register
+    def _(self, fact: Unreadable) -> None:
+        log("unreadable", key=fact.key, detail=fact.detail)
+
+    def _put_in_force(self, plan: RoutePlan) -> None:
+        held = self._reader.plan.number if self._reader else 0
+        if plan.number <= held:
+            if plan.number < held:
+                log("configuration-older", offered=plan.number, held=held)
+            return
+        self._reader = Reader(plan, self._headers, self._rng)
+        self.selector.policies = plan.services
+        self.app.keep_idle(plan.limits.idle_timeout)
+        log("in-force", configuration=plan.number, rules=len(plan.rules))
+        self._check_prepared()
+
+    def _check_prepared(self) -> None:
+        if self._listed and self._reader is not None:
+            self.life.prepared()
+
+    def _log_gone(self, ids: list[str]) -> None:
+        for upstream_id in ids:
+            log("upstream-gone", id=upstream_id)
+
+    # Timers.
+
+    def _tick(self) -> None:
+        now = self._clock.monotonic()
+        self._log_gone(self.book.tick(now))
+        for name in self.entries.tick(now):
+            log("entry-gone", name=name)
+        self.selector.entries = self.entries.sharing(now)
+
+    def _on_fault(self, failure: Failure) -> None:
+        self.metrics.count("faults")
+        log("fault", detail=failure.getErrorMessage(), trace=failure.getTraceback())
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/presence.py
@@ -0,0 +1,71 @@
+"""The entry's own record in the control store, kept under a lease."""
+
+import typing as t
+from datetime import timedelta
+
+from cardamomloft.core.registrations import EntryRecord
+from cardamomloft.entry.logs import log
+from cardamomloft.gateway.control import Control
+from expression import Result
+from twisted.internet.defer import Deferred, ensureDeferred, succeed
+
+RENEWALS = 3
+"""Renewals in the life of a lease, so that two may fail."""
+
+
+class Presence:
+    """Records the entry, renews its lease, and records it anew if the lease has lapsed.
+
+    Parameters
+    ----------
+    control
+        The store.
+    record
+        What the others are to know.
+    life
+        How long the record stays after the last renewal.
+    """
+
+    def __init__(self, control: Control, record: EntryRecord, life: timedelta) -> None:
+        self._control = control
+        self._record = record
+        self._life = life
+        self._lease: str | None = None
+        self._withdrawn = False
+
+    @property
+    def interval(self) -> timedelta:
+        """How often `keep` is to be called."""
+        return self._life / RENEWALS
+
+    def keep(self) -> "Deferred[None]":
+        """Record the entry, or renew its lease."""
+        return ensureDeferred(self._keep())
+
+    def withdraw(self) -> "Deferred[t.Any]":
+        """Take the record away, since this entry is stopping."""
+        self._withdrawn = True
+        lease, self._lease = self._lease, None
+        return succeed(None) if lease is None else self._control.withdraw(lease)
+
+    async def _keep(self) -> None:
+        if self._withdrawn:
+            return
+        if self._lease is not None:
+            renewed = await self._control.renew(self._lease)
+            if renewed != Result.Ok(False):
+                return
+            log("entry-lease-lapsed", entry=self._record.name)
+            self._lease = None
+        match await self._control.record(self._record, self._life):
+            case Result(tag="ok", ok=lease):
+                await self._recorded(lease)
+            case Result(error=failure):
+                log("entry-not-recorded", entry=self._record.name, detail=failure.detail)
+
+    async def _recorded(self, lease: str) -> None:
+        log("entry-recorded", entry=self._record.name)
+        if self._withdrawn:
+            await self._control.withdraw(lease)
+        else:
+            self._lease = lease
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/settings.py
@@ -0,0 +1,99 @@
+"""Settings of one gateway: who it is, where it listens, and the bounds that the operators promise.
+
+What operators change while it runs (rules, services, drains) is in the control store instead.
+"""
+
+import typing as t
+from datetime import timedelta
+
+from cardamomloft.core.checking import check_typed, load_json
+from cardamomloft.core.document import Address, Mistake
+from cardamomloft.gateway.durations import PATTERN, parse_duration
+from expression import Error, Ok, Result
+from pydantic import ConfigDict, Field, with_config
+from typing_extensions import TypedDict
+
+_strict = with_config(ConfigDict(extra="forbid", strict=True))
+
+Label = t.Annotated[str, Field(min_length=1, max_length=200)]
+DurationText = t.Annotated[str, Field(pattern=PATTERN)]
+Ratio = t.Annotated[float, Field(ge=0, le=100)]
+
+
+@_strict
+class RetrySettings(TypedDict):
+    """Repeats that all entries together may send to one service in any `window`.
+
+    They are at most `ratio` times its requests, plus `slack`.
+    """
+
+    ratio: Ratio
+    slack: t.Annotated[float, Field(ge=0)]
+    window: DurationText
+
+
+@_strict
+class ColdSettings(TypedDict):
+    """A cold endpoint bears its service's rate times `overage`, plus `slack`, in a second."""
+
+    overage: Ratio
+    slack: t.Annotated[float, Field(ge=0)]
+
+
+@_strict
+class GatewaySettings(TypedDict):
+    """Settings of one gateway.
+
+    `zones` gives the region of each zone. `stop_time` is how long a stop may take until the
+    process is killed, `drain_time` how soon a leaving endpoint must get nothing more, and
+    `lookup_life` how long callers may keep the answer to a look-up.
+    """
+
+    name: Label
+    zone: Label
+    region: Label
+    zones: dict[Label, Label]
+    callers: Address
+    readiness: Address
+    lookups: Address
+    store: Address
+    stop_time: DurationText
+    drain_time: DurationText
+    lookup_life: DurationText
+    retries: RetrySettings
+    cold: ColdSettings
+
+
+class Bounds(t.NamedTuple):
+    """The bounds of the settings, as values."""
+
+    stop_time: timedelta
+    drain_time: timedelta
+    lookup_life: timedelta
+    retry_window: timedelta
+
+
+def load_settings(text: str) -> Result[GatewaySettings, tuple[Mistake, ...]]:
+    """Check a settings file's text.
+
+    Returns
+    -------
+    Result
+        The settings, or every mistake with its path.
+    """
+    match load_json(text):
+        case Result(tag="error", error=mistakes):
+            return Error(mistakes if isinstance(mistakes, tuple) else (mistakes,))
+        case Result(tag="ok", ok=raw):
+            return check_typed(GatewaySettings, raw)
+    return Ok(t.cast(GatewaySettings, {}))
+
+
+def bounds_of(cfg: GatewaySettings) -> Bounds:
+    """Return the bounds of checked settings."""
+    return Bounds(
+        stop_time=parse_duration(cfg["stop_time"]),
+        drain_time=parse_duration(cfg["drain_time"]),
+        lookup_life=parse_duration(cfg["lookup_life"]),
+        retry_window=parse_duration(cfg["retries"]["window"]),
+    )
--- a/packages/operators/src/cardamomloft/operators/fleet.py
+++ b/packages/operators/src/cardamomloft/operators/fleet.py
@@ -8,8 +8,8 @@
 from cardamomloft.core.document import Document
 from cardamomloft.operators.acceptance import EntryReport, EntryStatus, VmState
 from cardamomloft.operators.session import Session
-from cardamomloft.platform.exchange import Answer, Exchange
-from cardamomloft.platform.failures import CallFailure
+from cardamomloft.store.exchange import Answer, Exchange
+from cardamomloft.store.failures import CallFailure
 from expression import Error, Result
 from twisted.internet.defer import Deferred, DeferredSemaphore, gatherResults
 
--- a/packages/operators/src/cardamomloft/operators/mapping.py
+++ b/packages/operators/src/cardamomloft/operators/mapping.py
@@ -5,7 +5,7 @@
 from cardamomloft.core.chunks import Chunk
 from cardamomloft.operators.outcomes import ExitCode, Failure, Outcome, unavailable
 from cardamomloft.operators.session import Session
-from cardamomloft.platform.store import Store
+from cardamomloft.store.keyvalue import Store
 from expression import Error, Ok, Result
 
 
--- a/packages/operators/src/cardamomloft/operators/recording.py
+++ b/packages/operators/src/cardamomloft/operators/recording.py
@@ -21,8 +21,8 @@
 from cardamomloft.operators import trail
 from cardamomloft.operators.outcomes import ExitCode, Failure, unavailable
 from cardamomloft.operators.session import Session
-from cardamomloft.platform.store import Record as StoredRecord
-from cardamomloft.platform.store import Store
+from cardamomloft.store.keyvalue import Record as StoredRecord
+from cardamomloft.store.keyvalue import Store
 from expression import Error, Ok, Result
 
 CURRENT_KEY = "config/current"
--- a/packages/operators/src/cardamomloft/operators/running.py
+++ b/packages/operators/src/cardamomloft/operators/running.py
@@ -13,8 +13,8 @@
 from cardamomloft.operators.rendering import as_json, wrap
 from cardamomloft.operators.session import Session
 from cardamomloft.operators.settings import Settings, address_of, load_settings
-from cardamomloft.platform.store import HttpStore
-from cardamomloft.platform.vms import HttpVmList
+from cardamomloft.store.keyvalue import HttpStore
+from cardamomloft.store.vms import HttpVmList
 from expression import Error, Ok, Result
 from twisted.internet import defer, task
 
--- a/packages/operators/src/cardamomloft/operators/session.py
+++ b/packages/operators/src/cardamomloft/operators/session.py
@@ -4,8 +4,8 @@
 from datetime import timedelta
 
 from cardamomloft.core.clock import Clock
-from cardamomloft.platform.store import Store
-from cardamomloft.platform.vms import VmList
+from cardamomloft.store.keyvalue import Store
+from cardamomloft.store.vms import VmList
 from expression import Result
 from twisted.internet.defer import Deferred
 
--- a/packages/operators/src/cardamomloft/operators/trail.py
+++ b/packages/operators/src/cardamomloft/operators/trail.py
@@ -12,9 +12,9 @@
 
 from cardamomloft.core.changes import Record, audit_entry, canonical
 from cardamomloft.core.checking import check_typed, load_json
-from cardamomloft.platform.failures import StoreFailure
-from cardamomloft.platform.store import Record as StoredRecord
-from cardamomloft.platform.store import Store
+from cardamomloft.store.failures import StoreFailure
+from cardamomloft.store.keyvalue import Record as StoredRecord
+from cardamomloft.store.keyvalue import Store
 from expression import Error, Ok, Result
 from pydantic import ConfigDict, with_config
 from typing_extensions import TypedDict
--- a/packages/operators/tests/test_operator_commands.py
+++ b/packages/operators/tests/test_operator_commands.py
@@ -14,8 +14,8 @@
 from cardamomloft.operators.outcomes import ExitCode
 from cardamomloft.operators.running import Streams
 from cardamomloft.operators.session import Session
-from cardamomloft.platform.failures import StoreFailure
-from cardamomloft.platform.store import Record
+from cardamomloft.store.failures import StoreFailure
+from cardamomloft.store.keyvalue import Record
 from expression import Error, Ok
 from twisted.internet.defer import Deferred, succeed
 
--- a/packages/platform/src/cardamomloft/platform/exchange.py
+++ b/packages/store/src/cardamomloft/store/exchange.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from datetime import timedelta
 
-from cardamomloft.platform.failures import CallFailure, call_failure
+from cardamomloft.store.failures import CallFailure, call_failure
 from expression import Error, Ok, Result
 from treq.client import HTTPClient
 from twisted.internet import defer
--- a/packages/platform/src/cardamomloft/platform/store.py
+++ b/packages/store/src/cardamomloft/store/keyvalue.py
@@ -13,8 +13,8 @@
 from datetime import timedelta
 from urllib.parse import quote
 
-from cardamomloft.platform.exchange import Answer, Exchange
-from cardamomloft.platform.failures import CallFailure, StoreFailure, status_failure
+from cardamomloft.store.exchange import Answer, Exchange
+from cardamomloft.store.failures import CallFailure, StoreFailure, status_failure
 from expression import Error, Ok, Result
 from twisted.internet import defer
 from twisted.web.iweb import IAgent
--- a/packages/platform/src/cardamomloft/platform/vms.py
+++ b/packages/store/src/cardamomloft/store/vms.py
@@ -6,7 +6,7 @@
 from datetime import datetime, timedelta
 
 from cardamomloft.core.membership import VmRow
-from cardamomloft.platform.exchange import Answer, Exchange
+from cardamomloft.store.exchange import Answer, Exchange
 from expression import Error, Ok, Result
 from twisted.internet import defer
 from twisted.web.iweb import IAgent
--- a/packages/platform/tests/test_exchange.py
+++ b/packages/store/tests/test_exchange.py
@@ -1,6 +1,6 @@
 from datetime import timedelta
 
-from cardamomloft.platform.exchange import Exchange
+from cardamomloft.store.exchange import Exchange
 from twisted.internet import reactor, task
 from twisted.internet.protocol import Factory, Protocol
 from twisted.trial.unittest import TestCase
--- a/packages/platform/tests/test_http_store.py
+++ b/packages/store/tests/test_http_store.py
@@ -3,8 +3,8 @@
 from itertools import count
 
 import pytest
-from cardamomloft.platform.failures import StoreFailure
-from cardamomloft.platform.store import MAX_VALUE_BYTES, CallKind, HttpStore, Record, Watched
+from cardamomloft.store.failures import StoreFailure
+from cardamomloft.store.keyvalue import MAX_VALUE_BYTES, CallKind, HttpStore, Record, Watched
 from cardamomloft_standins.keyvalue import KeyValues
 from cardamomloft_standins.listener import Listener
 from cardamomloft_standins.store import Store
--- a/packages/platform/tests/test_http_vms.py
+++ b/packages/store/tests/test_http_vms.py
@@ -1,6 +1,6 @@
 import json
 
-from cardamomloft.platform.vms import HttpVmList
+from cardamomloft.store.vms import HttpVmList
 from cardamomloft_standins.listener import Listener
 from cardamomloft_standins.vms import Vms
 from expression import Ok
--- a/packages/platform/tests/test_store_outcomes.py
+++ b/packages/store/tests/test_store_outcomes.py
@@ -5,9 +5,9 @@
 
 import pytest
 from cardamomloft.core.membership import VmRow
-from cardamomloft.platform.failures import status_failure
-from cardamomloft.platform.store import HttpStore
-from cardamomloft.platform.vms import HttpVmList, parse_vms
+from cardamomloft.store.failures import status_failure
+from cardamomloft.store.keyvalue import HttpStore
+from cardamomloft.store.vms import HttpVmList, parse_vms
 from expression import Ok
 from twisted.internet import defer, error
 from twisted.internet.task import Clock
--- a/packages/upstreams/src/cardamomloft/upstreams/body.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/body.py
@@ -27,7 +27,8 @@
     """Takes a response's body and passes it to one consumer.
 
     A body is complete only if its announced length or its last chunk has come: one that is ended
-    by the close of its connection alone may have been cut short.
+    by the close of its connection alone may have been cut short, unless `ended_in_order` says that
+    the upstreams close in order after a whole body only.
 
     Parameters
     ----------
@@ -37,6 +38,8 @@
         Resets the upstream's connection.
     on_end
         Called once, when the body has ended or was aborted.
+    ended_in_order
+        Asked when a body without a length ends with its connection: whether it counts as whole.
     """
 
     def __init__(
@@ -44,7 +47,9 @@
         response: IResponse,
         abort_connection: Callable[[], None],
         on_end: Callable[[], None] = lambda: None,
+        ended_in_order: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._ended_in_order = ended_in_order
         self._response = response
         self._abort_connection = abort_connection
         self._on_end: Callable[[], None] | None = on_end
@@ -99,7 +104,8 @@
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         """Note the end of the body and whether it was whole."""
-        if reason.check(ResponseDone):
+        in_order = reason.check(PotentialDataLoss) and self._ended_in_order()
+        if reason.check(ResponseDone) or in_order:
             self._end(Delivery(True, self._received))
         elif reason.check(PotentialDataLoss):
             self._end(Delivery(False, self._received, "ended only by the close of the connection"))
--- a/packages/upstreams/src/cardamomloft/upstreams/client.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/client.py
@@ -21,13 +21,9 @@
 
 from .body import AnswerBody, BytesProducer
 from .connections import Attempt, ConnectionPool, NumericEndpoints
+from .dialect import DEADLINE_HEADER, REQUEST_ID_HEADER, Dialect
 from .hints import UpstreamLoad, confirms_stopped, parse_load
 
-REQUEST_ID_HEADER = "x-request-id"
-DEADLINE_HEADER = "x-deadline-ms"
-NOT_RUN_HEADER = "x-not-run"
-SHED_STATUS = 503
-
 POLL_TIMEOUT = timedelta(milliseconds=500)
 CANCEL_TIMEOUT = timedelta(seconds=2)
 MAX_IN_FLIGHT_PER_ENDPOINT = 64
@@ -44,6 +40,7 @@
         DEADLINE_HEADER,
     }
 )
+_OWN_DIALECT = Dialect()
 
 
 class UpstreamRequest(t.NamedTuple):
@@ -51,7 +48,8 @@
 
     `path` is the request target with its query, as the caller sent it. `timeout` covers all of the
     exchange, until the last byte of the answer was delivered. A request that is not `idempotent`
-    gets a new connection.
+    gets a new connection unless the dialect reuses them. `expected` names the endpoint life that
+    is to run it, where the dialect has a header for that.
     """
 
     endpoint: Endpoint
@@ -62,6 +60,7 @@
     timeout: timedelta
     request_id: str
     idempotent: bool = False
+    expected: str | None = None
 
 
 class UpstreamAnswer(t.NamedTuple):
@@ -95,10 +94,19 @@
     max_in_flight
         Bound on simultaneous requests per endpoint, above which `send` fails as not run; the
         endpoint's limits, held elsewhere, are stricter.
+    dialect
+        How the upstreams name things.
     """
 
-    def __init__(self, reactor: t.Any, *, max_in_flight: int = MAX_IN_FLIGHT_PER_ENDPOINT) -> None:
+    def __init__(
+        self,
+        reactor: t.Any,
+        *,
+        max_in_flight: int = MAX_IN_FLIGHT_PER_ENDPOINT,
+        dialect: Dialect = _OWN_DIALECT,
+    ) -> None:
         self.reactor = reactor
+        self.dialect = dialect
         self.pool = ConnectionPool(reactor)
         self.endpoints = NumericEndpoints(reactor)
         self.in_flight: Counter[str] = Counter()
@@ -172,7 +180,9 @@
         self._settled = False
         self._body: AnswerBody | None = None
         self._stop_detail: str | None = None
-        self._attempt = Attempt(client.pool, fresh=not req.idempotent)
+        self._dialect = client.dialect
+        fresh = not (req.idempotent or self._dialect.reuses)
+        self._attempt = Attempt(client.pool, fresh=fresh)
         client.in_flight[req.endpoint.address] += 1
         self._timer = client.reactor.callLater(req.timeout.total_seconds(), self._timed_out)
         agent = Agent.usingEndpointFactory(client.reactor, client.endpoints, self._attempt)
@@ -180,20 +190,21 @@
             agent.request,
             req.method.encode("latin-1"),
             f"http://{req.endpoint.address}{req.path}".encode("latin-1"),
-            _headers_for(req),
+            _headers_for(req, self._dialect),
             _producer_for(req.body),
         )
         self._pending.addCallbacks(self._answered, self._failed)
 
     def _answered(self, response: IResponse) -> None:
         headers = _headers_of(response)
-        echoed = _value_of(headers, REQUEST_ID_HEADER)
-        body = AnswerBody(response, self._attempt.abort, self._end)
+        echoed = _value_of(headers, self._dialect.request_id)
+        body = AnswerBody(response, self._attempt.abort, self._end, self._ended_in_order)
         if echoed is not None and echoed != self._req.request_id:
             body.abort()
             self._settle(Error(SendFailure(False, f"answer to another request: {echoed}")))
             return
-        shed = response.code == SHED_STATUS and _value_of(headers, NOT_RUN_HEADER) == "1"
+        not_run = _value_of(headers, self._dialect.not_run)
+        shed = self._dialect.is_refusal(response.code, not_run)
         length = None if response.length is UNKNOWN_LENGTH else response.length
         self._body = body
         self._settle(Ok(UpstreamAnswer(response.code, headers, length, shed, body)))
@@ -205,6 +216,10 @@
         self._end()
         self._settle(Error(SendFailure(not_run, detail)))
 
+    def _ended_in_order(self) -> bool:
+        conn = self._attempt.connection
+        return self._dialect.close_ends_body and conn is not None and conn.closed_in_order
+
     def _timed_out(self) -> None:
         self._stop("deadline passed")
 
@@ -232,14 +247,17 @@
             self.result.callback(outcome)
 
 
-def _headers_for(req: UpstreamRequest) -> Headers:
+def _headers_for(req: UpstreamRequest, dialect: Dialect) -> Headers:
     headers = Headers()
+    own = _OWN_HEADERS | {dialect.request_id, dialect.deadline_ms, dialect.expected}
     for name, value in req.headers:
-        if name.lower() not in _OWN_HEADERS:
+        if name.lower() not in own:
             headers.addRawHeader(name.encode("latin-1"), value.encode("latin-1"))
     remaining_ms = max(1, req.timeout // timedelta(milliseconds=1))
-    headers.setRawHeaders(REQUEST_ID_HEADER, [req.request_id])
-    headers.setRawHeaders(DEADLINE_HEADER, [str(remaining_ms)])
+    headers.setRawHeaders(dialect.request_id, [req.request_id])
+    headers.setRawHeaders(dialect.deadline_ms, [str(remaining_ms)])
+    if dialect.expected is not None and req.expected is not None:
+        headers.setRawHeaders(dialect.expected, [req.expected])
     return headers
 
 
--- a/packages/upstreams/src/cardamomloft/upstreams/connections.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -1,10 +1,13 @@
 """Connections to upstream endpoints: which may be reused, and what an attempt may have sent."""
 
+import re
 import typing as t
 
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.python.failure import Failure
 from twisted.web._newclient import HTTP11ClientProtocol
 from twisted.web.client import URI, HTTPConnectionPool
 from twisted.web.iweb import IAgentEndpointFactory, IResponse
@@ -14,6 +17,10 @@
 MAX_IDLE_PER_ENDPOINT = 4
 # Shorter than what HTTP servers usually grant, so that it is seldom they who close first.
 IDLE_TIMEOUT_S = 3.0
+# Part of the idle time that an upstream grants in its answers.
+IDLE_PART = 0.7
+
+_KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 
 _FIRST_ERROR_STATUS = 400
 
@@ -31,9 +38,15 @@
     ----------
     exchange
         Number of the request in progress, or of the last one; counts from 1.
+    closed_in_order
+        Whether the upstream has ended the connection without a reset.
+    idle_s
+        How long it may stay idle and be used again, in seconds.
     """
 
     exchange = 0
+    closed_in_order = False
+    idle_s = IDLE_TIMEOUT_S
 
     def request(self, request: t.Any) -> "Deferred[t.Any]":
         """Send one request; an error status stops an upload that is still under way."""
@@ -51,6 +64,11 @@
         else:
             super().dataReceived(data)
 
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Note how the connection ended."""
+        self.closed_in_order = bool(reason.check(ConnectionDone))
+        super().connectionLost(reason)
+
     def _answered_early(self, response: IResponse, request: t.Any) -> IResponse:
         # Without this the answer would stay unseen until the whole body was sent, and be lost if
         # the upstream closed the connection before. An upstream that answers well may still read.
@@ -69,9 +87,22 @@
         # What follows a whole answer could pass for the answer to the next request.
         if rest and self._currentRequest is not None:
             self._currentRequest.persistent = False
+        granted = self._parser and self._parser.connHeaders.getRawHeaders(b"keep-alive")
+        if granted:
+            self.idle_s = usable_idle_s(granted[0])
         super()._finishResponse_WAITING(rest)
 
 
+def usable_idle_s(granted: bytes) -> float:
+    """Return how long a connection is used again whose server sent this ``Keep-Alive`` header.
+
+    The server counts from when it sent its answer, so a part of the time granted is left out: a
+    request that crosses the server's close may or may not have run.
+    """
+    found = _KEEP_ALIVE.search(granted)
+    return IDLE_TIMEOUT_S if found is None else IDLE_PART * int(found[1])
+
+
 class _ConnectionFactory(HTTPConnectionPool._factory):
     def buildProtocol(self, addr: object) -> UpstreamConnection:  # noqa: N802
         return UpstreamConnection(self._quiescentCallback)
@@ -85,6 +116,11 @@
     maxPersistentPerHost = MAX_IDLE_PER_ENDPOINT  # noqa: N815
     cachedConnectionTimeout = IDLE_TIMEOUT_S  # noqa: N815
 
+    def _putConnection(self, key: t.Hashable, connection: UpstreamConnection) -> None:  # noqa: N802
+        # Read by the method that this extends, for this connection only.
+        self.cachedConnectionTimeout = connection.idle_s
+        super()._putConnection(key, connection)
+
     def open(self, key: t.Hashable, endpoint: IStreamClientEndpoint) -> "Deferred[t.Any]":
         """Open a new connection, which joins the pool after its first answer."""
         return self._newConnection(key, endpoint)
--- /dev/null
+++ b/packages/upstreams/src/cardamomloft/upstreams/dialect.py
@@ -0,0 +1,65 @@
+"""Names and customs in which upstreams differ; the defaults are this project's own."""
+
+import re
+import typing as t
+
+REQUEST_ID_HEADER = "x-request-id"
+DEADLINE_HEADER = "x-deadline-ms"
+NOT_RUN_HEADER = "x-not-run"
+SHED_STATUS = 503
+
+_LOAD = re.compile(r"(\d{1,6}),(\d{1,6}),(\d{1,6})\Z")
+
+
+class Dialect(t.NamedTuple):
+    """How upstream endpoints name things; header names are lower-case.
+
+    Attributes
+    ----------
+    request_id, deadline_ms
+        Headers of a request: its id, which the answer repeats, and the milliseconds left.
+    not_run
+        Header of a definite refusal; its value is ``1``.
+    refusing
+        Statuses that are a definite refusal together with `not_run`.
+    misdirected
+        Status by which an endpoint refuses a request that expects another one, or None.
+    expected
+        Header that names the endpoint life that is to run the request, or None.
+    load
+        Header of answers with the endpoint's load as ``running,waiting,slots``, or None.
+    close_ends_body
+        Whether a body without a length is whole when its connection ends in order.
+    reuses
+        Whether kept connections also carry requests that must not run twice.
+    """
+
+    request_id: str = REQUEST_ID_HEADER
+    deadline_ms: str = DEADLINE_HEADER
+    not_run: str = NOT_RUN_HEADER
+    refusing: frozenset[int] = frozenset({SHED_STATUS})
+    misdirected: int | None = None
+    expected: str | None = None
+    load: str | None = None
+    close_ends_body: bool = False
+    reuses: bool = False
+
+    def is_refusal(self, status: int, not_run: str | None) -> bool:
+        """Tell whether an answer proves that the request was not run."""
+        if status == self.misdirected:
+            return True
+        return status in self.refusing and not_run == "1"
+
+
+class HeaderLoad(t.NamedTuple):
+    """A load report in an answer's header."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+def parse_header_load(text: str | None) -> HeaderLoad | None:
+    """Return the report, or None if there is none or it is malformed."""
+    found = _LOAD.match(text) if text else None
+    return HeaderLoad(*(int(part) for part in found.groups())) if found else None
