Close connections in order before a stopping process ends; cold parts by place

A played rush of 40 entries on one cold endpoint got 40 requests in its first second where 15.5 are allowed: with less than one request an entry, only the first places in an order that the endpoint draws may send now. Ruled out: longer spacing alone, since entries start at the same time.

--- a/packages/core/src/cardamomloft/core/budgets.py
+++ b/packages/core/src/cardamomloft/core/budgets.py
@@ -79,28 +79,37 @@
 """How much a request's arrival may be later or earlier than the one before: link and queue."""
 
 
-def may_send_cold(
-    sends: list[timedelta], rate: float, limit: ColdLimit, entries: int, now: timedelta
-) -> bool:
-    """Tell whether this entry may send a request to a cold endpoint now.
+def cold_part(rate: float, limit: ColdLimit, entries: int, place: int) -> int:
+    """Return how many requests a second an entry may send to a cold endpoint.
 
     Parameters
     ----------
-    sends
-        Instants of this entry's earlier sends to it; old ones are removed here.
     rate
         Requests a second that the service states for a cold endpoint.
     limit
         What is allowed beyond the stated rate.
     entries
         How many entries share the limit.
+    place
+        This entry's place among them for this endpoint, from 0. Where the whole is less than one
+        request for each entry, only the first places get one: many entries may start at once.
+    """
+    whole = int(SAFETY * (rate * limit.overage + limit.slack))
+    return whole // entries if whole >= entries else int(place < whole)
+
+
+def may_send_cold(sends: list[timedelta], part: int, now: timedelta) -> bool:
+    """Tell whether an entry may send a request to a cold endpoint now.
+
+    Parameters
+    ----------
+    sends
+        Instants of its earlier sends to that endpoint; old ones are removed here.
+    part
+        Requests that it may send in any second.
     now
         Monotonic instant.
     """
-    part = SAFETY * (rate * limit.overage + limit.slack) / max(entries, 1)
-    whole = int(part)
-    span = _SECOND if whole >= 1 else _SECOND / max(part, 1e-3)
-    span += _COLD_MARGIN
-    while sends and now - sends[0] > span:
+    while sends and now - sends[0] > _SECOND + _COLD_MARGIN:
         sends.pop(0)
-    return len(sends) < max(whole, 1)
+    return len(sends) < part
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -10,8 +10,8 @@
 from collections.abc import Collection, Mapping
 from datetime import timedelta
 
-from cardamomloft.core.affinity import ranked
-from cardamomloft.core.budgets import ColdLimit, may_send_cold
+from cardamomloft.core.affinity import ranked, unit_hash
+from cardamomloft.core.budgets import ColdLimit, cold_part, may_send_cold
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.registrations import Upstream, UpstreamBook
 from cardamomloft.core.routes import RouteRule, ServicePolicy
@@ -61,18 +61,33 @@
     ----------
     book
         The registered endpoints.
-    region
-        This entry's region.
+    name, region
+        This entry's name and region.
     cold
         What a cold endpoint bears beyond its service's rate.
     preferences
         What weighs in the choice.
+
+    Attributes
+    ----------
+    policies
+        What the endpoints of each service bear.
+    entries
+        Among how many entries budgets are divided.
+    others
+        Names of the other entries.
     """
 
     def __init__(
-        self, book: UpstreamBook, region: str, cold: ColdLimit, preferences: Preferences
+        self,
+        book: UpstreamBook,
+        name: str,
+        region: str,
+        cold: ColdLimit,
+        preferences: Preferences,
     ) -> None:
         self._book = book
+        self._name = name
         self._region = region
         self._cold = cold
         self._preferences = preferences
@@ -80,6 +95,7 @@
         self._ranks: dict[tuple[str, str, frozenset[str]], list[Upstream]] = {}
         self.policies: Mapping[str, ServicePolicy] = {}
         self.entries = 1
+        self.others: Collection[str] = ()
 
     def choose(
         self,
@@ -135,10 +151,16 @@
         for upstream in cold:
             policy = self.policies.get(upstream.registration.service)
             rate = policy.cold_per_s if policy else 0.0
-            if may_send_cold(upstream.cold_sends, rate, self._cold, self.entries, now):
+            part = cold_part(rate, self._cold, self.entries, self._place_for(upstream))
+            if may_send_cold(upstream.cold_sends, part, now):
                 return upstream
         return None
 
+    def _place_for(self, upstream: Upstream) -> int:
+        """Return this entry's place among all entries in an order that the endpoint draws."""
+        own = unit_hash(upstream.id, self._name)
+        return sum(1 for other in self.others if unit_hash(upstream.id, other) < own)
+
     def _order(self, service: str, key: str, homes: frozenset[str]) -> list[Upstream]:
         if self._version != self._book.version or len(self._ranks) > _RANKS_KEPT:
             self._ranks.clear()
--- /dev/null
+++ b/packages/core/tests/test_registrations.py
@@ -0,0 +1,100 @@
+"""The book of upstreams: who may get new work, and what an outage of the store excuses."""
+
+from datetime import timedelta
+
+from cardamomloft.core.registrations import RETURN_TIME, Registration, UpstreamBook
+
+MS = timedelta(milliseconds=1)
+ZERO = timedelta(0)
+REGIONS = {"a": "east", "b": "west"}
+
+
+def _row(number: int = 1, **changes) -> Registration:
+    row = Registration(f"i-{number}", "menus", f"10.0.0.{number}:80", "a", 4, False, ZERO)
+    return row._replace(**changes)
+
+
+def _ids(book: UpstreamBook) -> list[str]:
+    return [upstream.id for upstream in book.of_service("menus")]
+
+
+def test_a_draining_endpoint_gets_no_new_work():
+    book = UpstreamBook(REGIONS)
+    book.register(_row(), ZERO)
+    assert _ids(book) == ["i-1"]
+    assert book.register(_row(draining=True), ZERO)
+    assert _ids(book) == []
+
+
+def test_a_registration_that_is_only_renewed_changes_nothing():
+    book = UpstreamBook(REGIONS)
+    book.register(_row(), ZERO)
+    version = book.version
+    assert not book.register(_row(), 1500 * MS)
+    assert book.version == version
+
+
+def test_the_time_left_cold_counts_from_when_it_was_read():
+    book = UpstreamBook(REGIONS)
+    book.register(_row(cold_left=2000 * MS), 500 * MS)
+    assert book.get("i-1").cold_until == 2500 * MS
+    book.register(_row(cold_left=ZERO), 1000 * MS)
+    assert book.get("i-1").cold_until == 2500 * MS
+
+
+def test_an_address_used_again_is_another_endpoint():
+    book = UpstreamBook(REGIONS)
+    book.register(_row(), ZERO)
+    book.withdraw("i-1", ZERO)
+    book.register(_row(2, address="10.0.0.1:80", service="orders"), ZERO)
+    assert _ids(book) == []
+    assert [up.id for up in book.of_service("orders")] == ["i-2"]
+
+
+def test_what_lapsed_with_the_store_may_come_back_for_a_time():
+    book = UpstreamBook(REGIONS)
+    for number in (1, 2):
+        book.register(_row(number), ZERO)
+    book.store_returned(10_000 * MS)
+    assert not book.withdraw("i-1", 10_100 * MS)
+    assert not book.withdraw("i-2", 10_100 * MS)
+    assert _ids(book) == ["i-1", "i-2"]
+    book.register(_row(1), 11_000 * MS)
+    assert book.tick(10_000 * MS + RETURN_TIME) == ["i-2"]
+    assert _ids(book) == ["i-1"]
+
+
+def test_a_draining_endpoint_that_lapses_gets_no_work_meanwhile():
+    book = UpstreamBook(REGIONS)
+    book.register(_row(draining=True), ZERO)
+    book.store_returned(ZERO)
+    book.withdraw("i-1", ZERO)
+    assert _ids(book) == []
+
+
+def test_a_whole_list_withdraws_what_it_lacks():
+    book = UpstreamBook(REGIONS)
+    for number in (1, 2):
+        book.register(_row(number), ZERO)
+    assert book.listed(["i-2"], ZERO) == ["i-1"]
+    assert _ids(book) == ["i-2"]
+
+
+def test_a_drained_zone_gets_nothing_and_is_cold_when_it_is_back():
+    book = UpstreamBook(REGIONS)
+    book.register(_row(1), ZERO)
+    book.register(_row(2, zone="b"), ZERO)
+    assert book.drain_zone("a")
+    assert not book.drain_zone("a")
+    assert _ids(book) == ["i-2"]
+    assert book.restore_zone("a", 5000 * MS, {"menus": 3000 * MS})
+    assert _ids(book) == ["i-1", "i-2"]
+    assert book.get("i-1").cold_until == 8000 * MS
+    assert book.get("i-2").cold_until == ZERO
+
+
+def test_one_that_refuses_as_another_gets_no_new_work():
+    book = UpstreamBook(REGIONS)
+    book.register(_row(), ZERO)
+    book.mark_leaving(book.get("i-1"))
+    assert _ids(book) == []
--- /dev/null
+++ b/packages/core/tests/test_routes.py
@@ -0,0 +1,73 @@
+"""Rules by host and prefix: the first match counts, and weights are kept."""
+
+from collections import Counter
+from datetime import timedelta
+
+import pytest
+from cardamomloft.core.routes import (
+    RouteRule,
+    RouteTable,
+    ServiceRotation,
+    ServiceShare,
+    longest_prefix_first,
+)
+from hypothesis import given
+from hypothesis import strategies as st
+
+
+def _rule(host: str, prefix: str, name: str = "") -> RouteRule:
+    return RouteRule(
+        name=name or host + prefix,
+        host=host,
+        prefix=prefix,
+        services=(ServiceShare("menus", 1),),
+        idempotent=True,
+        timeout=timedelta(seconds=1),
+        target=timedelta(milliseconds=400),
+        attempts=2,
+        priority=1,
+        keyed=True,
+        homes=frozenset(),
+    )
+
+
+_hosts = st.sampled_from(["a.example", "b.example"])
+_prefixes = st.lists(st.sampled_from(["x", "y"]), max_size=3).map(
+    lambda parts: "/" + "".join(part + "/" for part in parts)
+)
+_paths = st.lists(st.sampled_from(["x", "y", "z"]), max_size=4).map(lambda p: "/" + "/".join(p))
+
+
+@given(st.lists(st.tuples(_hosts, _prefixes), max_size=8), _hosts, _paths)
+def test_the_table_finds_what_a_scan_finds(pairs, host, path):
+    rules = [_rule(*pair, name=str(number)) for number, pair in enumerate(pairs)]
+    scanned = next((r for r in rules if r.host == host and path.startswith(r.prefix)), None)
+    assert RouteTable(rules).match(host, path) == scanned
+
+
+@given(st.lists(st.tuples(_hosts, _prefixes), max_size=8, unique=True), _hosts, _paths)
+def test_in_order_of_length_the_first_match_is_the_longest(pairs, host, path):
+    rules = [_rule(*pair) for pair in pairs]
+    found = RouteTable(longest_prefix_first(rules)).match(host, path)
+    lengths = [len(r.prefix) for r in rules if r.host == host and path.startswith(r.prefix)]
+    assert (0 if found is None else len(found.prefix)) == max(lengths, default=0)
+
+
+@pytest.mark.parametrize("host", ["A.Example", "a.example:8080"])
+def test_case_and_port_of_the_host_do_not_matter(host):
+    rule = _rule("a.example", "/x/")
+    assert RouteTable([rule]).match(host, "/x/7") is rule
+
+
+def test_a_prefix_matches_whole_segments_only():
+    assert RouteTable([_rule("a.example", "/x/")]).match("a.example", "/xy") is None
+
+
+@given(st.lists(st.integers(1, 100), min_size=1, max_size=4), st.floats(0, 1))
+def test_each_service_gets_its_share_of_any_run(weights, offset):
+    shares = tuple(ServiceShare(f"s{i}", weight) for i, weight in enumerate(weights))
+    rotation = ServiceRotation(shares, offset)
+    counts = Counter(rotation.next() for _ in range(200))
+    for share in shares:
+        wanted = 200 * share.weight / sum(weights)
+        assert abs(counts[share.service] - wanted) <= len(weights)
--- /dev/null
+++ b/packages/core/tests/test_selection.py
@@ -0,0 +1,186 @@
+"""Placement by object: stable, bounded by load, and gentle to cold and failing endpoints."""
+
+from collections import Counter
+from datetime import timedelta
+
+import pytest
+from cardamomloft.core.affinity import ranked, unit_hash
+from cardamomloft.core.budgets import ColdLimit
+from cardamomloft.core.model import Refusal
+from cardamomloft.core.registrations import LoadReport, Registration, UpstreamBook
+from cardamomloft.core.routes import RouteRule, ServicePolicy, ServiceShare
+from cardamomloft.core.selection import REPORT_LIFE, Preferences, Selector, expected_load
+
+MS = timedelta(milliseconds=1)
+ZERO = timedelta(0)
+NOW = timedelta(seconds=100)
+RULE = RouteRule(
+    name="menus",
+    host="a.example",
+    prefix="/",
+    services=(ServiceShare("menus", 1),),
+    idempotent=True,
+    timeout=timedelta(seconds=1),
+    target=timedelta(milliseconds=400),
+    attempts=2,
+    priority=1,
+    keyed=True,
+    homes=frozenset(),
+)
+POLICY = ServicePolicy("menus", 360, timedelta(seconds=3), 7.0)
+
+
+def _selector(near: int = 4, far: int = 4, cold_left: timedelta = ZERO, name="e-0") -> Selector:
+    book = UpstreamBook({"a": "east", "b": "west"})
+    for number in range(near + far):
+        zone = "a" if number < near else "b"
+        row = Registration(f"i-{number}", "menus", f"10.0.0.{number}:80", zone, 4, False, cold_left)
+        book.register(row, NOW)
+    selector = Selector(book, name, "east", ColdLimit(1.5, 5), Preferences())
+    selector.policies = {"menus": POLICY}
+    return selector
+
+
+def _choose(selector: Selector, key: str = "17", tried=(), now: timedelta = NOW, rule=RULE):
+    return selector.choose(rule, "menus", key, tried, now)
+
+
+def _fill(upstream, load: int, now: timedelta = NOW) -> None:
+    upstream.report = LoadReport(load, 0, 4, own=0, at=now)
+
+
+def test_entries_that_know_the_same_endpoints_place_alike():
+    first, second = _selector(), _selector()
+    for key in map(str, range(50)):
+        assert _choose(first, key).id == _choose(second, key).id
+
+
+@pytest.mark.parametrize("gone", range(8))
+def test_only_the_keys_of_an_endpoint_that_goes_move(gone):
+    selector = _selector()
+    before = {key: _choose(selector, key).id for key in map(str, range(60))}
+    selector._book.withdraw(f"i-{gone}", NOW)
+    for key, endpoint in before.items():
+        assert (_choose(selector, key).id == endpoint) == (endpoint != f"i-{gone}")
+
+
+def test_nearer_endpoints_have_more_keys():
+    counts = Counter(_choose(_selector(), str(key)).region for key in range(400))
+    far = Preferences().far_weight
+    assert counts["west"] / 400 == pytest.approx(far / (1 + far), abs=0.06)
+
+
+def test_a_key_leaves_a_full_endpoint_for_its_second_choice_and_returns():
+    selector = _selector()
+    first = _choose(selector)
+    _fill(first, 8)
+    second = _choose(selector)
+    assert second is not first
+    assert all(_choose(selector) is second for _ in range(5))
+    assert _choose(selector, now=NOW + REPORT_LIFE) is first
+
+
+def test_a_key_waits_at_a_busy_first_choice():
+    selector = _selector()
+    first = _choose(selector)
+    _fill(first, 7)
+    assert _choose(selector) is first
+
+
+def test_own_requests_count_beside_a_report():
+    selector = _selector()
+    first = _choose(selector)
+    _fill(first, 6)
+    first.in_flight = 2
+    assert expected_load(first, NOW) == 8
+    assert _choose(selector) is not first
+
+
+def test_a_report_fades_with_its_age():
+    selector = _selector()
+    first = _choose(selector)
+    _fill(first, 6)
+    loads = [expected_load(first, NOW + part * REPORT_LIFE / 4) for part in range(5)]
+    assert loads == sorted(loads, reverse=True)
+    assert loads[-1] == 0
+
+
+def test_what_was_tried_is_not_tried_again():
+    selector = _selector(near=2, far=0)
+    first = _choose(selector)
+    second = _choose(selector, tried=[first.id])
+    assert second.id != first.id
+    assert isinstance(_choose(selector, tried=[first.id, second.id]), Refusal)
+
+
+def test_homes_are_never_left():
+    selector = _selector(near=1, far=2)
+    rule = RULE._replace(homes=frozenset({"east"}))
+    for key in map(str, range(30)):
+        assert _choose(selector, key, rule=rule).region == "east"
+    _fill(_choose(selector, rule=rule), 100)
+    assert _choose(selector, rule=rule).region == "east"
+    elsewhere = RULE._replace(homes=frozenset({"north"}))
+    assert isinstance(_choose(selector, rule=elsewhere), Refusal)
+
+
+def test_an_endpoint_rests_after_failures_and_is_tried_again():
+    selector = _selector()
+    first = _choose(selector)
+    selector.failed(first, NOW)
+    assert _choose(selector) is first
+    selector.failed(first, NOW)
+    assert _choose(selector) is not first
+    assert _choose(selector, now=NOW + timedelta(seconds=5)) is first
+    selector.answered(first)
+    assert _choose(selector) is first
+
+
+def test_when_most_endpoints_fail_none_rests():
+    selector = _selector()
+    for upstream in selector._book.of_service("menus"):
+        for _ in range(3):
+            selector.failed(upstream, NOW)
+    assert not isinstance(_choose(selector), Refusal)
+
+
+def test_a_warm_endpoint_goes_before_a_cold_one():
+    selector = _selector(near=2, far=0)
+    first = _choose(selector)
+    first.cold_until = NOW + timedelta(seconds=1)
+    assert _choose(selector) is not first
+    assert _choose(selector, now=NOW + timedelta(seconds=2)) is first
+
+
+@pytest.mark.parametrize("entries", [1, 3, 10, 40])
+def test_cold_endpoints_get_no_more_than_they_bear_from_all_entries(entries):
+    """With only cold endpoints, in any second of a rush."""
+    limit = 7.0 * 1.5 + 5
+    minute, names = timedelta(seconds=60), {f"e-{number}" for number in range(entries)}
+    selectors = [_selector(near=1, far=0, cold_left=minute, name=name) for name in names]
+    for selector in selectors:
+        selector.others = names - {selector._name}
+    sent = []
+    for step in range(400):
+        now = NOW + step * 10 * MS
+        for selector in selectors:
+            selector.entries = entries
+            chosen = _choose(selector, now=now)
+            if not isinstance(chosen, Refusal):
+                selector.sent(chosen, now)
+                sent.append(now)
+    most = max(sum(1 for at in sent if start <= at < start + 1000 * MS) for start in sent)
+    assert 0 < most <= limit
+
+
+def test_weights_decide_how_many_keys_come_first():
+    weights = {"a": 1.0, "b": 3.0, "none": 0.0}
+    firsts = Counter(
+        ranked(str(key), list(weights), lambda n: n, weights.__getitem__)[0] for key in range(2000)
+    )
+    assert firsts["b"] / firsts["a"] == pytest.approx(3, rel=0.2)
+    assert "none" not in firsts
+
+
+def test_the_hash_is_the_same_in_every_process():
+    assert unit_hash("17", "i-1") == pytest.approx(0.8062777, abs=1e-6)
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -120,7 +120,7 @@
         self.book = UpstreamBook(cfg["zones"])
         self.entries = EntryBook(own, bounds.retry_window)
         cold = ColdLimit(cfg["cold"]["overage"], cfg["cold"]["slack"])
-        self.selector = Selector(self.book, cfg["region"], cold, Preferences())
+        self.selector = Selector(self.book, cfg["name"], cfg["region"], cold, Preferences())
         self._budgets: dict[str, RetryBudget] = {}
         self.forwarder = Forwarder(
             self._reactor,
@@ -195,8 +195,10 @@
         log("closing", in_flight=self.app.in_flight)
         if self._port is not None:
             self._port.stopListening()
-        self.app.drained().addCallback(lambda _: self.app.disconnect())
-        self.app.drained().addCallback(lambda _: self._reactor.callLater(0, self.life.drained))
+        finished = self.app.drained()
+        # The last answers are written, but not sent: wait until their connections are closed.
+        finished.addCallback(lambda _: self.app.disconnect())
+        finished.addCallback(lambda _: self._reactor.callLater(0, self.life.drained))
 
     def on_stopped(self) -> None:
         """Release everything and end the process."""
@@ -261,7 +263,11 @@
     def _on_changes(self, facts: tuple[Fact, ...]) -> None:
         for fact in facts:
             self._take(fact)
+        self._share_budgets()
+
+    def _share_budgets(self) -> None:
         self.selector.entries = self.entries.sharing(self._clock.monotonic())
+        self.selector.others = [row.name for row in self.entries.records(with_own=False)]
 
     def _on_returned(self) -> None:
         now = self._clock.monotonic()
@@ -347,7 +353,7 @@
         self._log_gone(self.book.tick(now))
         for name in self.entries.tick(now):
             log("entry-gone", name=name)
-        self.selector.entries = self.entries.sharing(now)
+        self._share_budgets()
 
     def _on_fault(self, failure: Failure) -> None:
         self.metrics.count("faults")
