--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -14,9 +14,9 @@
 from cardamomloft.core.affinity import ranked, unit_hash
 from cardamomloft.core.budgets import ColdLimit, cold_part, may_send_cold
 from cardamomloft.core.model import Refusal, RefusalReason
-from cardamomloft.core.regions import slot_weights
 from cardamomloft.core.registrations import Upstream, UpstreamBook
 from cardamomloft.core.routes import RouteRule, ServicePolicy
+from cardamomloft.core.zones import slot_weights
 
 REPORT_LIFE = timedelta(seconds=1)
 """How long a load report says more than this entry's own counts; it fades out over this time.
@@ -65,8 +65,8 @@
     ----------
     book
         The registered endpoints.
-    name, region
-        This entry's name and region.
+    name, zone
+        This entry's name and zone.
     cold
         What a cold endpoint bears beyond its service's rate.
     preferences
@@ -86,13 +86,13 @@
         self,
         book: UpstreamBook,
         name: str,
-        region: str,
+        zone: str,
         cold: ColdLimit,
         preferences: Preferences,
     ) -> None:
         self._book = book
         self._name = name
-        self._region = region
+        self._zone = zone
         self._cold = cold
         self._preferences = preferences
         self._version = -1
@@ -189,7 +189,10 @@
         ]
         weights = self._weights(service, candidates, homes)
         return ranked(
-            key, candidates, lambda up: up.id, lambda up: up.registration.slots * weights[up.region]
+            key,
+            candidates,
+            lambda up: up.id,
+            lambda up: up.registration.slots * weights[up.registration.zone],
         )
 
     def _weights(
@@ -199,9 +202,13 @@
         if found is None:
             slots: Counter[str] = Counter()
             for upstream in candidates:
-                slots[upstream.region] += upstream.registration.slots
-            regions = homes or set(self._book.regions.values())
-            found = self._slot_weights[service, homes] = slot_weights(slots, self._region, regions)
+                slots[upstream.registration.zone] += upstream.registration.slots
+            regions = {
+                zone: region
+                for zone, region in self._book.regions.items()
+                if not homes or region in homes
+            }
+            found = self._slot_weights[service, homes] = slot_weights(slots, self._zone, regions)
         return found
 
     # What became of requests.
--- a/packages/entry/src/cardamomloft/entry/logs.py
+++ b/packages/entry/src/cardamomloft/entry/logs.py
@@ -3,6 +3,7 @@
 import sys
 
 import eliot
+from cardamomloft.entry.output import LogOutput
 from twisted.logger import ILogObserver, LogEvent, LogLevel, formatEvent, globalLogBeginner
 from zope.interface import implementer
 
@@ -25,5 +26,5 @@
 
 def start_logs() -> None:
     """Send eliot's and twisted's messages to standard output, one JSON object a line."""
-    eliot.to_file(sys.stdout)
+    eliot.to_file(LogOutput(sys.stdout.fileno()))
     globalLogBeginner.beginLoggingTo([_TwistedObserver()], redirectStandardIO=False)
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -120,7 +120,7 @@
         self.book = UpstreamBook(cfg["zones"])
         self.entries = EntryBook(own, bounds.retry_window)
         cold = ColdLimit(cfg["cold"]["overage"], cfg["cold"]["slack"])
-        self.selector = Selector(self.book, cfg["name"], cfg["region"], cold, Preferences())
+        self.selector = Selector(self.book, cfg["name"], cfg["zone"], cold, Preferences())
         self._budgets: dict[str, RetryBudget] = {}
         self.forwarder = Forwarder(
             self._reactor,
--- /dev/null
+++ b/packages/gateway/tests/test_calls.py
@@ -0,0 +1,69 @@
+"""Reading callers' requests: what is refused and why, and what the decisions get to see."""
+
+import pytest
+from cardamomloft.callers.exchange import RequestHead
+from cardamomloft.core.model import Refusal, RefusalReason
+from cardamomloft.gateway.calls import Reader
+from cardamomloft_standins import gateway as kit
+
+MS = kit.MS
+
+
+def _head(path="/menus/7", length=0, query="", **headers) -> RequestHead:
+    given = {"host": "a.example", "x_request_id": "id-1", "x_deadline_ms": "2500", "x_object": "17"}
+    rows = {**given, **headers}
+    pairs = tuple((name.replace("_", "-"), value) for name, value in rows.items() if value)
+    return RequestHead("GET", path, query, pairs, "10.0.0.9", length, length is None)
+
+
+def _read(head: RequestHead, **changes):
+    reader = Reader(kit.plan(rules=[kit.RULE._replace(**changes)]), kit.HEADERS, kit.rng())
+    return reader.read(head, 5000 * MS)
+
+
+def test_a_call():
+    call = _read(_head(query="a=1"))
+    assert (call.id, call.service, call.key, call.target) == ("id-1", "menus", "17", "/menus/7?a=1")
+    assert call.until == 6000 * MS
+
+
+@pytest.mark.parametrize(("deadline", "until"), [("300", 5300), (None, 6000), ("9" * 18, 6000)])
+def test_the_answer_is_due_by_the_callers_deadline_and_the_rules_timeout(deadline, until):
+    assert _read(_head(x_deadline_ms=deadline)).until == until * MS
+
+
+def test_without_a_key_each_request_has_its_own():
+    assert _read(_head(x_object=None)).key == "id-1"
+    assert _read(_head(), keyed=False).key == "id-1"
+
+
+@pytest.mark.parametrize(
+    ("head", "reason"),
+    [
+        (_head(host="unknown.example"), RefusalReason.NO_SERVICE),
+        (_head(host=None), RefusalReason.NO_SERVICE),
+        (_head(path="/elsewhere"), RefusalReason.NO_SERVICE),
+        (_head(x_request_id=None), RefusalReason.BAD_REQUEST),
+        (_head(x_request_id="two words"), RefusalReason.BAD_REQUEST),
+        (_head(x_request_id="x" * 201), RefusalReason.BAD_REQUEST),
+        (_head(x_deadline_ms="soon"), RefusalReason.BAD_REQUEST),
+        (_head(x_deadline_ms="-1"), RefusalReason.BAD_REQUEST),
+        (_head(x_deadline_ms="1.5"), RefusalReason.BAD_REQUEST),
+        (_head(length=2001), RefusalReason.TOO_LARGE),
+    ],
+)
+def test_what_cannot_be_passed_on_is_refused_with_its_reason(head, reason):
+    refusal = _read(head)
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason == reason
+    assert refusal.detail
+
+
+def test_the_homes_of_a_host_are_those_that_all_its_rules_have():
+    rules = [
+        kit.RULE._replace(prefix="/a/", homes=frozenset({"east", "west"})),
+        kit.RULE._replace(prefix="/b/", homes=frozenset({"east"})),
+        kit.RULE._replace(prefix="/c/"),
+    ]
+    reader = Reader(kit.plan(rules=rules), kit.HEADERS, kit.rng())
+    assert reader.homes == {"a.example": {"east"}}
--- /dev/null
+++ b/packages/gateway/tests/test_gateway.py
@@ -0,0 +1,239 @@
+"""The assembled gateway on fakes: when it serves, what it puts in force, how it stops."""
+
+import json
+
+import pytest
+from cardamomloft.callers.body import RequestBody
+from cardamomloft.callers.exchange import RequestHead
+from cardamomloft.core.model import Refusal
+from cardamomloft.core.registrations import (
+    EntryRecord,
+    EntryRecorded,
+    EntryWithdrawn,
+    PlanRead,
+    Unreadable,
+    UpstreamRegistered,
+    UpstreamWithdrawn,
+    ZoneDrained,
+    ZoneRestored,
+)
+from cardamomloft.gateway.control import Changes
+from cardamomloft.gateway.node import Gateway
+from cardamomloft.gateway.settings import load_settings
+from cardamomloft_standins import gateway as kit
+from expression import Ok
+from twisted.internet.defer import Deferred
+from twisted.internet.testing import MemoryReactorClock
+
+MS = kit.MS
+
+SETTINGS = {
+    "name": "e-1",
+    "zone": "a",
+    "region": "east",
+    "zones": {"a": "east", "b": "west"},
+    "callers": "127.0.0.1:7101",
+    "readiness": "127.0.0.1:7102",
+    "lookups": "127.0.0.1:7103",
+    "store": "127.0.0.1:8500",
+    "stop_time": "6s",
+    "drain_time": "2500ms",
+    "lookup_life": "2s",
+    "retries": {"ratio": 0.2, "slack": 60.0, "window": "10s"},
+    "cold": {"overage": 1.5, "slack": 5.0},
+}
+
+
+class Run:
+    def __init__(self, control=None) -> None:
+        self.control = control or kit.FakeControl(Ok(kit.listing(kit.registration(1))))
+        self.control.next = kit.no_changes()
+        self.time = kit.Time(MemoryReactorClock())
+        self.client = kit.FakeClient(kit.answer())
+        self.gateway = Gateway(
+            self.time.reactor,
+            SETTINGS,
+            self.time.clock,
+            kit.rng(),
+            self.control,
+            self.client,
+            kit.HEADERS,
+        )
+        self.gateway.start()
+        self.time.advance(20 * MS)
+
+    def change(self, *facts, index=11) -> None:
+        self.control.next = Ok(Changes(tuple(facts), index))
+        self.time.advance(1200 * MS)
+        self.control.next = kit.no_changes(index)
+
+    def ask(self, path="/menus/7", host="a.example"):
+        pairs = (("host", host), ("x-request-id", "id-1"), ("x-object", "17"))
+        head = RequestHead("GET", path, "", pairs, "10.0.0.9", 0, False)
+        results = []
+        self.gateway.handle(head, RequestBody(0, self), Deferred()).addBoth(results.append)
+        return results[0] if results else None
+
+
+def test_it_serves_once_it_has_a_configuration_and_the_list():
+    control = kit.FakeControl()
+    run = Run(control)
+    assert not run.gateway.ready()
+    assert run.ask().status == 503
+    control.listing = Ok(kit.listing(kit.registration(1)))
+    run.time.advance(1000 * MS)
+    assert run.gateway.ready()
+    assert run.ask().status == 200
+
+
+def test_a_request_without_a_rule_is_not_found_only_once_rules_are_known():
+    control = kit.FakeControl()
+    run = Run(control)
+    assert run.ask(host="unknown.example").status == 503
+    assert Run().ask(host="unknown.example").status == 404
+
+
+def test_it_is_recorded_when_ready_and_not_before():
+    assert "record e-1" in Run().control.calls
+    assert "record e-1" not in Run(kit.FakeControl()).control.calls
+
+
+def test_a_newer_configuration_is_in_force_and_an_older_one_never():
+    run = Run()
+    run.change(PlanRead(kit.plan(5, rules=[kit.RULE])))
+    assert run.ask("/orders/1").status == 404
+    run.change(PlanRead(kit.plan(4)))
+    assert run.ask("/orders/1").status == 404
+    run.change(PlanRead(kit.plan(6)))
+    assert run.ask("/orders/1").status == 200
+
+
+def test_an_unreadable_item_leaves_the_last_good_state():
+    run = Run()
+    run.change(Unreadable("config", "no rules"), Unreadable("upstreams/i-1", "no slots"))
+    assert run.ask().status == 200
+
+
+def test_a_list_with_an_unreadable_item_withdraws_nothing():
+    run = Run()
+    run.control.next = Ok(Changes((), 10, lost=True))
+    run.control.listing = Ok(kit.listing()._replace(facts=(Unreadable("i-1", "no slots"),)))
+    run.time.advance(2000 * MS)
+    assert run.ask().status == 200
+
+
+@pytest.mark.parametrize(
+    "fact",
+    [
+        UpstreamWithdrawn("i-1"),
+        UpstreamRegistered(kit.registration(1, draining=True)),
+        ZoneDrained("a"),
+    ],
+)
+def test_what_leaves_gets_nothing_more(fact):
+    run = Run()
+    run.change(fact)
+    assert run.ask().status == 503
+    assert run.client.sent == []
+
+
+def test_a_restored_zone_is_used_again_as_cold():
+    run = Run()
+    run.change(ZoneDrained("a"))
+    run.change(ZoneRestored("a"))
+    (upstream,) = run.gateway.book.of_service("menus")
+    assert upstream.cold_until > run.time.clock.monotonic()
+    assert run.ask().status == 200
+
+
+def test_a_zone_drained_no_longer_in_a_new_list_is_restored():
+    run = Run()
+    run.change(ZoneDrained("a"))
+    run.control.next = Ok(Changes((), 11, lost=True))
+    run.time.advance(2000 * MS)
+    assert run.ask().status == 200
+
+
+def _lookup(run: Run, zone="a", region="east"):
+    return run.gateway.lookup("a.example", zone, region)
+
+
+def test_look_ups_name_the_recorded_entries_of_the_region():
+    run = Run()
+    for number, zone, region in ((2, "a", "east"), (3, "b", "west")):
+        run.change(EntryRecorded(EntryRecord(f"e-{number}", f"10.0.0.{number}:80", zone, region)))
+    assert sorted(_lookup(run).addresses) == ["10.0.0.2:80", "127.0.0.1:7101"]
+    assert _lookup(run, "b", "west").addresses == ["10.0.0.3:80"]
+    run.change(EntryWithdrawn("e-2"))
+    assert _lookup(run).addresses == ["127.0.0.1:7101"]
+
+
+def test_without_a_configuration_look_ups_are_refused():
+    assert isinstance(_lookup(Run(kit.FakeControl())), Refusal)
+
+
+def test_a_planned_stop_leaves_the_look_ups_at_once_and_serves_on():
+    run = Run()
+    run.change(EntryRecorded(EntryRecord("e-2", "10.0.0.2:80", "a", "east")))
+    run.gateway.stop()
+    run.time.advance(20 * MS)
+    assert not run.gateway.ready()
+    assert run.control.calls[-1] == "withdraw 7"
+    assert _lookup(run).addresses == ["10.0.0.2:80"]
+    assert run.ask().status == 200
+    assert not run.gateway.stopped.called
+
+
+def test_a_planned_stop_waits_for_requests_in_flight_and_ends_in_time():
+    run = Run()
+    run.gateway.app.in_flight = 1
+    run.gateway.stop()
+    run.time.advance(4000 * MS)
+    assert run.ask().status == 503
+    assert not run.gateway.stopped.called
+    run.gateway.app.in_flight = 0
+    run.gateway.app._drained.check()
+    run.time.advance(20 * MS)
+    assert run.gateway.stopped.called
+
+
+def test_a_planned_stop_ends_before_it_would_be_killed():
+    run = Run()
+    run.gateway.app.in_flight = 1
+    run.gateway.stop()
+    run.time.advance(5900 * MS)
+    assert run.gateway.stopped.called
+
+
+def test_a_process_that_has_stopped_asks_nothing_more():
+    run = Run()
+    run.gateway.stop()
+    run.time.advance(6000 * MS)
+    asked = len(run.control.calls)
+    run.time.advance(3000 * MS)
+    assert len(run.control.calls) == asked
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("stop_time", "6"),
+        ("stop_time", "6m"),
+        ("zones", []),
+        ("callers", "localhost:80"),
+        ("retries", {"ratio": 0.2, "slack": 60}),
+        ("unheard_of", 1),
+    ],
+)
+def test_wrong_settings_are_named(path, value):
+    outcome = load_settings(json.dumps({**SETTINGS, path: value}))
+    assert any(str(mistake).startswith(path) for mistake in outcome.error)
+
+
+@pytest.mark.parametrize("text", ["", "{", '{"name": "e-1"', "[]"])
+def test_a_settings_file_half_written_is_an_error(text):
+    assert load_settings(text).is_error()
+
+
+def test_settings():
+    assert load_settings(json.dumps(SETTINGS)).ok == SETTINGS
--- /dev/null
+++ b/packages/gateway/tests/test_gateway_forwarding.py
@@ -0,0 +1,205 @@
+"""From a call to its answer: what is repeated, what is called not run, and what is not."""
+
+import pytest
+from cardamomloft.callers.body import RequestBody
+from cardamomloft.callers.exchange import RequestHead
+from cardamomloft.core.budgets import ColdLimit, RetryBudget
+from cardamomloft.core.registrations import UpstreamBook
+from cardamomloft.core.selection import Preferences, Selector
+from cardamomloft.entry.metrics import Metrics
+from cardamomloft.gateway.calls import Reader
+from cardamomloft.gateway.forwarding import Forwarder
+from cardamomloft.gateway.records import RequestLog
+from cardamomloft.upstreams.client import SendFailure
+from cardamomloft_standins import gateway as kit
+from expression import Error
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import Clock
+
+MS = kit.MS
+SHED = kit.answer(503, b"", not_run=True)
+MISDIRECTED = kit.answer(421, b"", not_run=True)
+NOT_CONNECTED = Error(SendFailure(True, "refused"))
+RESET = Error(SendFailure(False, "reset"))
+CUT_SHORT = kit.answer(200, "cut short after 3 bytes")
+
+
+class Bench:
+    """A forwarder between fakes."""
+
+    def __init__(self, *outcomes, slack=1000.0, endpoints=4) -> None:
+        self.time = kit.Time(Clock())
+        self.client = kit.FakeClient(*outcomes)
+        self.book = UpstreamBook({"a": "east"})
+        for number in range(endpoints):
+            self.book.register(kit.registration(number), 0 * MS)
+        self.selector = Selector(self.book, "e-0", "a", ColdLimit(1.5, 5), Preferences())
+        self.metrics = Metrics()
+        budget = RetryBudget(0.0, slack, 10_000 * MS)
+        self.forwarder = Forwarder(
+            self.time.reactor,
+            self.time.clock,
+            kit.rng(),
+            self.selector,
+            self.book,
+            self.client,
+            lambda service: budget,
+            self.metrics,
+            RequestLog(lambda: 1),
+        )
+
+    def start(self, path="/menus/7", body=b""):
+        pairs = (("host", "a.example"), ("x-request-id", "id-1"), ("x-object", "17"))
+        head = RequestHead("GET", path, "", pairs, "10.0.0.9", len(body), False)
+        call = Reader(kit.plan(), kit.HEADERS, kit.rng()).read(head, self.time.clock.monotonic())
+        carried = RequestBody(len(body), self)
+        if body:
+            carried.data_received(body)
+            carried.end()
+        self.gone = Deferred()
+        return ensureDeferred(self.forwarder.carry(call, head, carried, self.gone))
+
+    def answer(self, *args, **kwargs):
+        done = self.start(*args, **kwargs)
+        result = []
+        done.addBoth(result.append)
+        assert result
+        return result[0]
+
+    def pause_body(self):
+        pass
+
+    def resume_body(self):
+        pass
+
+
+def _header(answer, name):
+    return next((value for key, value in answer.headers if key.lower() == name), None)
+
+
+def test_an_answer_is_passed_on_unchanged():
+    bench = Bench(kit.answer(207, b"whole", x_stamp="s-1", connection="close"))
+    answer = bench.answer()
+    assert (answer.status, answer.body) == (207, b"whole")
+    assert _header(answer, "x-stamp") == "s-1"
+    assert _header(answer, "connection") is None
+
+
+def test_the_endpoint_gets_the_request_as_it_was_and_the_time_left():
+    bench = Bench(kit.answer())
+    bench.answer("/orders/1", b"two boxes")
+    (sent,) = bench.client.sent
+    assert (sent.method, sent.path, sent.body) == ("GET", "/orders/1", b"two boxes")
+    assert (sent.request_id, sent.timeout) == ("id-1", 1000 * MS)
+    assert sent.expected == sent.endpoint.name
+    assert not sent.idempotent
+
+
+@pytest.mark.parametrize("path", ["/menus/7", "/orders/1"])
+@pytest.mark.parametrize("first", [SHED, MISDIRECTED, NOT_CONNECTED])
+def test_what_was_not_run_goes_to_another_endpoint(path, first):
+    bench = Bench(first, kit.answer())
+    assert bench.answer(path, b"two boxes").status == 200
+    first_sent, second_sent = bench.client.sent
+    assert first_sent.endpoint.name != second_sent.endpoint.name
+    assert second_sent.body == b"two boxes"
+
+
+@pytest.mark.parametrize("first", [RESET, CUT_SHORT])
+def test_an_idempotent_request_is_repeated_after_a_failure(first):
+    bench = Bench(first, kit.answer())
+    assert bench.answer().status == 200
+    assert len(bench.client.sent) == 2
+
+
+@pytest.mark.parametrize("first", [RESET, CUT_SHORT])
+def test_a_request_that_may_have_run_is_never_sent_again_nor_called_not_run(first):
+    bench = Bench(first, kit.answer())
+    answer = bench.answer("/orders/1")
+    assert answer.status == 502
+    assert _header(answer, "retry-after") is None
+    assert len(bench.client.sent) == 1
+
+
+def test_a_failure_after_a_refusal_is_not_called_not_run():
+    bench = Bench(SHED, RESET)
+    assert bench.answer("/orders/1").status == 502
+
+
+def test_a_refusal_after_a_failure_is_not_called_not_run():
+    bench = Bench(RESET, SHED)
+    assert bench.answer().status == 502
+
+
+def test_no_more_endpoints_get_it_than_the_rule_allows():
+    bench = Bench(SHED)
+    answer = bench.answer()
+    assert answer.status == 503
+    assert len(bench.client.sent) == kit.RULE.attempts
+
+
+def test_connections_that_failed_do_not_count_as_attempts_but_are_bounded():
+    bench = Bench(NOT_CONNECTED, endpoints=8)
+    assert bench.answer().status == 503
+    assert len(bench.client.sent) <= 4
+
+
+def test_without_budget_nothing_is_repeated_after_an_arrival():
+    bench = Bench(SHED, kit.answer(), slack=0)
+    assert bench.answer().status == 503
+    assert len(bench.client.sent) == 1
+
+
+def test_a_failed_connection_needs_no_budget():
+    bench = Bench(NOT_CONNECTED, kit.answer(), slack=0)
+    assert bench.answer().status == 200
+
+
+def test_refused_callers_are_told_when_to_come_back_in_fractions():
+    waits = {float(_header(Bench(SHED).answer(), "retry-after")) for _ in range(3)}
+    assert all(0.1 < wait < 1 for wait in waits)
+
+
+def test_a_failed_endpoints_own_status_is_passed_on():
+    bench = Bench(kit.answer(500, b"broken"))
+    assert bench.answer().status == 500
+    assert len(bench.client.sent) == 1
+
+
+def test_when_the_caller_leaves_its_work_is_given_up():
+    bench = Bench(None)
+    done = bench.start()
+    bench.gone.callback(None)
+    assert bench.client.cancelled == 1
+    assert all(up.in_flight == 0 for up in bench.book.of_service("menus"))
+    results = []
+    done.addBoth(results.append)
+    assert len(bench.client.sent) == 1
+
+
+def test_a_misdirected_endpoint_gets_nothing_more():
+    bench = Bench(MISDIRECTED, kit.answer())
+    bench.answer()
+    refused = bench.client.sent[0].endpoint.name
+    assert refused not in [up.id for up in bench.book.of_service("menus")]
+
+
+def test_a_load_report_is_kept_without_the_request_that_brought_it():
+    bench = Bench(kit.answer(x_load="3,2,4"))
+    bench.answer()
+    name = bench.client.sent[0].endpoint.name
+    report = bench.book.get(name).report
+    assert (report.running, report.waiting, report.slots, report.own) == (3, 2, 4, 0)
+
+
+@pytest.mark.parametrize("text", ["3,2", "a,b,c", "", "3,2,4,5"])
+def test_an_odd_load_report_is_ignored(text):
+    bench = Bench(kit.answer(x_load=text))
+    assert bench.answer().status == 200
+    assert bench.book.get(bench.client.sent[0].endpoint.name).report is None
+
+
+def test_without_endpoints_it_is_refused_as_not_run():
+    bench = Bench(kit.answer(), endpoints=0)
+    assert bench.answer().status == 503
+    assert bench.client.sent == []
--- /dev/null
+++ b/packages/gateway/tests/test_presence.py
@@ -0,0 +1,49 @@
+"""The entry's own record: kept under a lease, made anew when the lease has lapsed."""
+
+from cardamomloft.core.registrations import EntryRecord
+from cardamomloft.gateway.presence import Presence
+from cardamomloft_standins import gateway as kit
+from expression import Ok
+
+RECORD = EntryRecord("e-1", "10.0.0.1:80", "a", "east")
+
+
+def _presence():
+    control = kit.FakeControl()
+    return control, Presence(control, RECORD, 3000 * kit.MS)
+
+
+def test_it_is_recorded_once_and_renewed_after_that():
+    control, presence = _presence()
+    for _ in range(3):
+        presence.keep()
+    assert control.calls == ["record e-1", "renew 7", "renew 7"]
+    assert presence.interval == 1000 * kit.MS
+
+
+def test_a_lapsed_lease_is_replaced_at_once():
+    control, presence = _presence()
+    presence.keep()
+    control.renewed = Ok(False)
+    presence.keep()
+    assert control.calls[-2:] == ["renew 7", "record e-1"]
+
+
+def test_a_failed_renewal_keeps_the_lease_and_a_failed_record_is_tried_again():
+    control, presence = _presence()
+    control.lease = kit.AWAY
+    presence.keep()
+    control.lease = Ok("7")
+    presence.keep()
+    control.renewed = kit.AWAY
+    presence.keep()
+    presence.keep()
+    assert control.calls == ["record e-1", "record e-1", "renew 7", "renew 7"]
+
+
+def test_after_it_was_withdrawn_it_is_not_recorded_again():
+    control, presence = _presence()
+    presence.keep()
+    presence.withdraw()
+    presence.keep()
+    assert control.calls == ["record e-1", "withdraw 7"]
--- /dev/null
+++ b/standins/src/cardamomloft_standins/gateway.py
@@ -0,0 +1,169 @@
+"""A gateway's surroundings in memory: rules, registrations, control store, upstream client."""
+
+import random
+from collections import deque
+from datetime import timedelta
+
+from cardamomloft.core.clock import ManualClock
+from cardamomloft.core.registrations import PlanRead, Registration, UpstreamRegistered
+from cardamomloft.core.routes import (
+    CallerLimits,
+    RoutePlan,
+    RouteRule,
+    ServicePolicy,
+    ServiceShare,
+)
+from cardamomloft.gateway.calls import CallerHeaders
+from cardamomloft.gateway.control import Changes, Listing
+from cardamomloft.store.failures import StoreFailure
+from cardamomloft.upstreams.client import UpstreamAnswer
+from cardamomloft.upstreams.dialect import Dialect
+from expression import Error, Ok
+from twisted.internet.defer import Deferred, succeed
+
+MS = timedelta(milliseconds=1)
+HEADERS = CallerHeaders("x-request-id", "x-deadline-ms", "x-object")
+DIALECT = Dialect(misdirected=421, expected="x-expected", load="x-load", refusing=frozenset({503}))
+AWAY = Error(StoreFailure(False, "away"))
+
+RULE = RouteRule(
+    name="menus",
+    host="a.example",
+    prefix="/menus/",
+    services=(ServiceShare("menus", 1),),
+    idempotent=True,
+    timeout=1000 * MS,
+    target=400 * MS,
+    attempts=2,
+    priority=1,
+    keyed=True,
+    homes=frozenset(),
+)
+ORDERS = RULE._replace(name="orders", prefix="/orders/", idempotent=False)
+LIMITS = CallerLimits(16384, 2000, 3000 * MS, 15_000 * MS)
+POLICY = ServicePolicy("menus", 360, 3000 * MS, 7.0)
+
+
+def plan(number: int = 1, rules=(RULE, ORDERS)) -> RoutePlan:
+    """Return a small plan."""
+    return RoutePlan(number, tuple(rules), {"menus": POLICY}, LIMITS)
+
+
+def registration(number: int, address: str = "", **changes) -> Registration:
+    """Return the registration of endpoint `number`; `changes` replace fields."""
+    address = address or f"10.0.0.{number}:80"
+    row = Registration(f"i-{number}", "menus", address, "a", 4, False, timedelta(0))
+    return row._replace(**changes)
+
+
+def listing(*registrations: Registration, number: int = 1, index: int = 10) -> Listing:
+    """Return a whole listing with a plan and the registrations."""
+    facts = [PlanRead(plan(number)), *map(UpstreamRegistered, registrations)]
+    return Listing(tuple(facts), index)
+
+
+class FakeBody:
+    """An answer's body: bytes that are whole, or a text that says why they are not."""
+
+    def __init__(self, content: bytes | str) -> None:
+        self.content = content
+        self.aborted = False
+
+    def collect(self, limit: int):
+        """Return the body or its fault."""
+        whole = isinstance(self.content, bytes)
+        return succeed(Ok(self.content) if whole else Error(self.content))
+
+    def abort(self, detail: str = "") -> None:
+        """Note that it was aborted."""
+        self.aborted = True
+
+
+def answer(status: int = 200, content: bytes | str = b"whole", not_run=False, **headers):
+    """Return an upstream's answer; `headers` with underscores for dashes."""
+    pairs = tuple((name.replace("_", "-"), value) for name, value in headers.items())
+    return Ok(UpstreamAnswer(status, pairs, len(content), not_run, FakeBody(content)))
+
+
+class FakeClient:
+    """Answers with what was put in, in turn; the last one for ever."""
+
+    dialect = DIALECT
+
+    def __init__(self, *outcomes) -> None:
+        self.outcomes = deque(outcomes)
+        self.sent = []
+        self.cancelled = 0
+
+    def send(self, req):
+        """Note the request and return the next outcome; None never comes."""
+        self.sent.append(req)
+        outcome = self.outcomes.popleft() if len(self.outcomes) > 1 else self.outcomes[0]
+        if outcome is None:
+            return Deferred(self._cancel)
+        return succeed(outcome)
+
+    def _cancel(self, _) -> None:
+        self.cancelled += 1
+
+
+class FakeControl:
+    """A control store whose answers the test sets."""
+
+    def __init__(self, first=AWAY) -> None:
+        self.listing = first
+        self.next = AWAY
+        self.lease = Ok("7")
+        self.renewed = Ok(True)
+        self.calls = []
+
+    def read(self):
+        """Return the listing that was set."""
+        self.calls.append("read")
+        return succeed(self.listing)
+
+    def changes(self, after):
+        """Return the changes that were set."""
+        self.calls.append(f"changes {after}")
+        return succeed(self.next)
+
+    def record(self, record, life):
+        """Note that an entry is recorded."""
+        self.calls.append(f"record {record.name}")
+        return succeed(self.lease)
+
+    def renew(self, lease):
+        """Note that a lease is renewed."""
+        self.calls.append(f"renew {lease}")
+        return succeed(self.renewed)
+
+    def withdraw(self, lease):
+        """Note that a lease is ended."""
+        self.calls.append(f"withdraw {lease}")
+        return succeed(Ok(None))
+
+
+class Time:
+    """The loop's clock and the decisions' clock, moved together."""
+
+    def __init__(self, reactor) -> None:
+        self.reactor = reactor
+        self.clock = ManualClock()
+
+    def advance(self, duration: timedelta, step: timedelta = 10 * MS) -> None:
+        """Advance both clocks in small steps."""
+        while duration > timedelta(0):
+            now = min(step, duration)
+            self.clock.advance(now)
+            self.reactor.advance(now.total_seconds())
+            duration -= now
+
+
+def rng() -> random.Random:
+    """Return a seeded source of chance."""
+    return random.Random(1)
+
+
+def no_changes(index: int = 10):
+    """Return an answer without changes."""
+    return Ok(Changes((), index))
--- /dev/null
+++ b/tests/adapter/test_client.py
@@ -0,0 +1,148 @@
+"""The one client of the platform's store: pages, changes, leases, and what a failure means."""
+
+import base64
+import json
+from datetime import timedelta
+
+import pytest
+from cardamomloft.core.registrations import (
+    EntryRecord,
+    EntryRecorded,
+    UpstreamRegistered,
+    UpstreamWithdrawn,
+    ZoneDrained,
+)
+from cardamomloft.platform.client import PlatformStore
+from cardamomloft.store.exchange import Answer
+from cardamomloft.store.failures import CallFailure
+from expression import Error, Ok
+from twisted.internet.defer import succeed
+
+LOST = Error(CallFailure(True, "no answer"))
+NOT_SENT = Error(CallFailure(False, "refused"))
+RECORD = EntryRecord("e-1", "10.0.0.1:80", "a", "east")
+SERVER = {"service": "menus", "address": "10.1.0.9:80", "zone": "a", "slots": 4, "state": "ready"}
+
+
+class FakeExchange:
+    """Answers a call by its path and prefix, each list in turn."""
+
+    def __init__(self, **answers) -> None:
+        self.answers = answers
+        self.calls = []
+
+    def call(self, method, path, *, timeout, params=None, body=None):
+        content = None if body is None else json.loads(body)
+        self.calls.append((method, path, dict(params or {}), content))
+        name = path.removeprefix("/v1/kv-").split("/")[0].replace("-", "_")
+        prefix = (params or {}).get("prefix", "").split("/")[0]
+        queue = self.answers.get(f"{name}_{prefix}") or self.answers[name]
+        return succeed(queue.pop(0) if len(queue) > 1 else queue[0])
+
+
+def _ok(body: object) -> Ok:
+    return Ok(Answer(200, None, json.dumps(body).encode()))
+
+
+def _status(status: int) -> Ok:
+    return Ok(Answer(status, None, b"{}"))
+
+
+def _item(key: str, value: object) -> dict:
+    raw = base64.b64encode(json.dumps(value).encode()).decode()
+    return {"key": key, "value": raw, "revision": 4, "created": 4, "lease": 0}
+
+
+def _page(*items: dict, more=False, at=50) -> Ok:
+    return _ok({"items": list(items), "truncated": more, "asOf": at})
+
+
+def _store(**answers) -> PlatformStore:
+    store = PlatformStore(None, "127.0.0.1:1")
+    store._exchange = FakeExchange(**answers)
+    return store
+
+
+def _result(deferred):
+    results = []
+    deferred.addBoth(results.append)
+    return results[0]
+
+
+def test_all_pages_are_read_and_changes_begin_at_the_first():
+    store = _store(
+        range=[_page(at=60)],
+        range_servers=[
+            _page(_item("servers/i-1", SERVER), more=True, at=55),
+            _page(_item("servers/i-2", SERVER), at=58),
+        ],
+        range_op=[_page(_item("op/evacuate/b", {}), at=50)],
+    )
+    listing = _result(store.read()).ok
+    assert listing.index == 50
+    assert [fact for fact in listing.facts if isinstance(fact, ZoneDrained)] == [ZoneDrained("b")]
+    ids = [f.registration.id for f in listing.facts if isinstance(f, UpstreamRegistered)]
+    assert ids == ["i-1", "i-2"]
+    assert {"prefix": "servers/", "after": "servers/i-1"} in [c[2] for c in store._exchange.calls]
+
+
+@pytest.mark.parametrize("bad", [LOST, _status(503), _ok({"items": 1}), _ok([])])
+def test_a_list_that_is_not_whole_is_a_failure(bad):
+    store = _store(range=[_page()], range_servers=[bad])
+    assert _result(store.read()).is_error()
+
+
+def test_changes_come_in_order():
+    events = [
+        _item("servers/i-1", SERVER),
+        {"key": "servers/i-1", "revision": 52, "removed": True},
+        {"key": "elsewhere", "revision": 53, "removed": True},
+    ]
+    store = _store(watch=[_ok({"events": events, "asOf": 53})])
+    changes = _result(store.changes(50)).ok
+    assert changes.index == 53
+    assert [type(fact) for fact in changes.facts] == [UpstreamRegistered, UpstreamWithdrawn]
+
+
+def test_a_lost_history_is_no_failure():
+    changes = _result(_store(watch=[_status(410)]).changes(50)).ok
+    assert changes.lost
+    assert changes.index == 50
+
+
+@pytest.mark.parametrize("bad", [LOST, _status(429), _status(503), _ok({"events": [{}]})])
+def test_changes_without_a_usable_answer_are_a_failure_that_is_not_ambiguous(bad):
+    failure = _result(_store(watch=[bad]).changes(50)).error
+    assert not failure.ambiguous
+
+
+def test_an_entry_is_recorded_under_a_lease():
+    store = _store(lease=[_ok({"lease": 77, "ttl_time": "3000ms"})], txn=[_ok({"revision": 9})])
+    assert _result(store.record(RECORD, timedelta(seconds=3))) == Ok("77")
+    (_, _, _, asked), (_, _, _, written) = store._exchange.calls
+    assert asked == {"ttl_time": "3000ms"}
+    (put,) = written["puts"]
+    assert (put["key"], put["lease"]) == ("entries/e-1", 77)
+    recorded = _result(_store(watch=[_ok({"events": [put], "asOf": 1})]).changes(0)).ok.facts
+    assert recorded == (EntryRecorded(RECORD),)
+
+
+@pytest.mark.parametrize(
+    ("lease", "ambiguous"),
+    [(LOST, True), (NOT_SENT, False), (_status(429), False), (_ok({}), True)],
+)
+def test_a_lease_that_may_have_been_made_is_ambiguous(lease, ambiguous):
+    failure = _result(_store(lease=[lease]).record(RECORD, timedelta(seconds=3))).error
+    assert failure.ambiguous == ambiguous
+
+
+def test_a_lapsed_lease_is_told_from_a_failure():
+    assert _result(_store(keep=[_ok({"ttl_time": "3000ms"})]).renew("77")) == Ok(True)
+    assert _result(_store(keep=[_status(404)]).renew("77")) == Ok(False)
+    assert _result(_store(keep=[_status(503)]).renew("77")).is_error()
+
+
+def test_a_lease_is_ended():
+    store = _store(lease_end=[Ok(Answer(200, None, b""))])
+    assert _result(store.withdraw("77")) == Ok(None)
+    assert store._exchange.calls[0][:2] == ("DELETE", "/v1/kv-lease-end/77")
--- /dev/null
+++ b/tests/adapter/test_folder.py
@@ -0,0 +1,61 @@
+"""The platform's names stay in its folder, and the folder decides nothing."""
+
+import ast
+import pathlib
+import re
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+FOLDER = ROOT / "platform"
+
+NAMES = re.compile(
+    r"coldRemaining|coldPerS|coldStart|maxAttempts|targetLatency|stickySessions|homeRegions"
+    r"|maxConnections|healthPath|maxHeaderBytes|maxBodyBytes|headerTimeout|idleTimeout"
+    r"|kv-(?:key|range|watch|txn|lease|keep)|op/config|op/evacuate|servers/"
+    r"|ttl_time|asOf|waitMs|/v1/(?:resolve|ready)|x-cardamomloft-",
+    re.IGNORECASE,
+)
+DECIDING = {"selection", "affinity", "budgets", "regions", "naming", "entrybook", "retries"}
+
+
+def _sources(folder: pathlib.Path) -> list[pathlib.Path]:
+    return [path for path in folder.rglob("*.py") if "tests" not in path.parts]
+
+
+def _imports(path: pathlib.Path) -> set[str]:
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            found.add(node.module)
+        elif isinstance(node, ast.Import):
+            found.update(alias.name for alias in node.names)
+    return found
+
+
+def test_no_other_folder_knows_the_platforms_names():
+    for folder in ("packages", "standins", "scripts"):
+        for path in _sources(ROOT / folder):
+            assert not NAMES.search(path.read_text()), path
+
+
+def test_the_names_are_those_that_the_folder_uses():
+    text = "".join(path.read_text() for path in _sources(FOLDER))
+    assert len(set(NAMES.findall(text))) > 10
+
+
+def test_the_folder_imports_no_decision():
+    for path in _sources(FOLDER):
+        used = {module.rpartition(".")[2] for module in _imports(path) if ".core." in module}
+        assert not used & DECIDING, path
+
+
+def test_only_the_folder_imports_itself():
+    for folder in ("packages", "standins", "scripts"):
+        for path in _sources(ROOT / folder):
+            assert not any("cardamomloft.platform" in module for module in _imports(path)), path
+
+
+def test_the_folder_is_small():
+    lines = sum(
+        1 for path in _sources(FOLDER) for line in path.read_text().splitlines() if line.strip()
+    )
+    assert lines < 900
