--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -30,6 +30,14 @@
 When more of them fail, the cause is likelier a link or this entry than the endpoints.
 """
 
+BULKY_BYTES = 16 * 1024
+"""Size of a rule's bodies from which its objects are placed by zone instead of by region.
+
+Placing all by zone spares nearly all bytes between zones, but gives objects that two zones' entries
+ask for two sets of endpoints: worth on Pimento's scale-2 0.566 against 0.684 by region, on Anwani's
+0.579 against 0.630 (one run each). Uploads of 60 KB are 8 % of the requests and 90 % of the bytes.
+"""
+
 _FIRST_REST = timedelta(milliseconds=300)
 _LONGEST_REST = timedelta(seconds=4)
 _FAILURES_TO_REST = 2
@@ -80,6 +88,8 @@
         Among how many entries budgets are divided.
     others
         Names of the other entries.
+    sizes
+        How large the requests of each rule are.
     """
 
     def __init__(
@@ -96,8 +106,9 @@
         self._cold = cold
         self._preferences = preferences
         self._version = -1
-        self._ranks: dict[tuple[str, str, frozenset[str]], list[Upstream]] = {}
-        self._slot_weights: dict[tuple[str, frozenset[str]], dict[str, float]] = {}
+        self._ranks: dict[tuple[str, str, frozenset[str], bool], list[Upstream]] = {}
+        self._weights: dict[tuple[str, frozenset[str], bool], dict[str, float]] = {}
+        self.sizes = Sizes()
         self.policies: Mapping[str, ServicePolicy] = {}
         self.entries = 1
         self.others: Collection[str] = ()
@@ -128,7 +139,7 @@
         now
             Monotonic instant.
         """
-        order = self._order(service, key, rule.homes)
+        order = self._order(rule, service, key)
         if not order:
             return Refusal(RefusalReason.NO_PLACE, f"{service} has no endpoint")
         fit = [up for up in order if up.rest_until <= now]
@@ -172,44 +183,46 @@
         own = unit_hash(upstream.id, self._name)
         return sum(1 for other in self.others if unit_hash(upstream.id, other) < own)
 
-    def _order(self, service: str, key: str, homes: frozenset[str]) -> list[Upstream]:
+    def _order(self, rule: RouteRule, service: str, key: str) -> list[Upstream]:
         if self._version != self._book.version or len(self._ranks) > _RANKS_KEPT:
             self._ranks.clear()
-            self._slot_weights.clear()
+            self._weights.clear()
             self._version = self._book.version
-        found = self._ranks.get((service, key, homes))
+        near = self.sizes.is_bulky(rule.name)
+        found = self._ranks.get((service, key, rule.homes, near))
         if found is None:
-            found = self._rank(service, key, homes)
-            self._ranks[service, key, homes] = found
+            found = self._rank(service, key, rule.homes, near)
+            self._ranks[service, key, rule.homes, near] = found
         return found
 
-    def _rank(self, service: str, key: str, homes: frozenset[str]) -> list[Upstream]:
+    def _rank(self, service: str, key: str, homes: frozenset[str], near: bool) -> list[Upstream]:
         candidates = [
             up for up in self._book.of_service(service) if not homes or up.region in homes
         ]
-        weights = self._weights(service, candidates, homes)
+        area = _zone_of if near else _region_of
+        weights = self._weights.get((service, homes, near))
+        if weights is None:
+            weights = self._weigh(candidates, homes, near)
+            self._weights[service, homes, near] = weights
         return ranked(
-            key,
-            candidates,
-            lambda up: up.id,
-            lambda up: up.registration.slots * weights[up.registration.zone],
+            key, candidates, lambda up: up.id, lambda up: up.registration.slots * weights[area(up)]
         )
 
-    def _weights(
-        self, service: str, candidates: list[Upstream], homes: frozenset[str]
+    def _weigh(
+        self, candidates: list[Upstream], homes: frozenset[str], near: bool
     ) -> dict[str, float]:
-        found = self._slot_weights.get((service, homes))
-        if found is None:
-            slots: Counter[str] = Counter()
-            for upstream in candidates:
-                slots[upstream.registration.zone] += upstream.registration.slots
-            regions = {
-                zone: region
-                for zone, region in self._book.regions.items()
-                if not homes or region in homes
-            }
-            found = self._slot_weights[service, homes] = slot_weights(slots, self._zone, regions)
-        return found
+        """Return the weight of a slot of each zone (`near`) or else of each region."""
+        area = _zone_of if near else _region_of
+        slots: Counter[str] = Counter()
+        for upstream in candidates:
+            slots[area(upstream)] += upstream.registration.slots
+        regions = {
+            zone if near else region: region
+            for zone, region in self._book.regions.items()
+            if not homes or region in homes
+        }
+        here = self._zone if near else self._book.regions.get(self._zone, "")
+        return slot_weights(slots, here, regions)
 
     # What became of requests.
 
@@ -243,6 +256,30 @@
             upstream.rest_until = now + min(rest, _LONGEST_REST)
 
 
+class Sizes:
+    """How large the bodies of each rule's requests are, smoothed."""
+
+    def __init__(self) -> None:
+        self._bytes: dict[str, float] = {}
+
+    def note(self, rule: str, size: int) -> None:
+        """Note the size of one request's body in bytes."""
+        known = self._bytes.get(rule, size)
+        self._bytes[rule] = known + (size - known) * _SMOOTHING
+
+    def is_bulky(self, rule: str) -> bool:
+        """Tell whether the rule's requests are better kept within a zone."""
+        return self._bytes.get(rule, 0.0) >= BULKY_BYTES
+
+
+def _zone_of(upstream: Upstream) -> str:
+    return upstream.registration.zone
+
+
+def _region_of(upstream: Upstream) -> str:
+    return upstream.region
+
+
 def expected_load(upstream: Upstream, now: timedelta) -> float:
     """Return how many requests an endpoint probably has, running and waiting.
 
--- a/packages/core/tests/test_selection.py
+++ b/packages/core/tests/test_selection.py
@@ -85,6 +85,19 @@
     assert counts["east"] / 400 == pytest.approx(0.5, abs=0.08)
 
 
+def test_large_bodies_stay_within_their_zone():
+    book = UpstreamBook({"a": "east", "b": "east"})
+    for number in range(8):
+        zone = "a" if number < 4 else "b"
+        row = Registration(f"i-{number}", "menus", f"10.0.0.{number}:80", zone, 4, False, ZERO)
+        book.register(row, NOW)
+    selector = Selector(book, "e-0", "a", ColdLimit(1.5, 5), Preferences())
+    zones = Counter(_choose(selector, str(key)).registration.zone for key in range(200))
+    assert zones["b"] > 60
+    selector.sizes.note("menus", 60_000)
+    assert {_choose(selector, str(key)).registration.zone for key in range(200)} == {"a"}
+
+
 def test_without_own_endpoints_all_goes_away():
     assert _choose(_selector(near=0, far=2)).region == "west"
 
--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -155,6 +155,8 @@
         payload = await self._payload(body)
         if isinstance(payload, Refusal):
             return self.refuse(payload)
+        size = len(payload) if isinstance(payload, bytes) else t.cast(int, payload.length)
+        self._selector.sizes.note(call.rule.name, size)
         return await _Passage(self, call, head, payload).run()
 
     async def _payload(self, body: RequestBody) -> bytes | RequestBody | Refusal:
