Reload settings, operators' pages, and a gateway of the product's own

A settings file that changes, with SIGHUP or without, is put in force; half written it is logged and left.

--- a/packages/core/src/cardamomloft/core/budgets.py
+++ b/packages/core/src/cardamomloft/core/budgets.py
@@ -32,11 +32,15 @@
     """
 
     def __init__(self, ratio: float, slack: float, window: timedelta) -> None:
+        self.allow(ratio, slack, window)
+        self._requests: deque[timedelta] = deque()
+        self._repeats: deque[timedelta] = deque()
+
+    def allow(self, ratio: float, slack: float, window: timedelta) -> None:
+        """Hold other bounds from now on; what was counted stays."""
         self._ratio = ratio
         self._slack = slack
         self._window = window
-        self._requests: deque[timedelta] = deque()
-        self._repeats: deque[timedelta] = deque()
 
     def on_request(self, now: timedelta) -> None:
         """Count one caller's request."""
--- a/packages/core/src/cardamomloft/core/entrybook.py
+++ b/packages/core/src/cardamomloft/core/entrybook.py
@@ -20,7 +20,7 @@
 
     def __init__(self, own: EntryRecord, memory: timedelta) -> None:
         self._own = own
-        self._memory = memory
+        self.memory = memory
         self._records: dict[str, EntryRecord] = {}
         self._missing: set[str] = set()
         self._patience_until = timedelta(0)
@@ -75,7 +75,7 @@
     def _count(self, now: timedelta) -> None:
         count = len(self._records.keys() | {self._own.name})
         # A count holds until the next one: the first must reach back to the memory's begin.
-        while len(self._counts) > 1 and now - self._counts[1][0] > self._memory:
+        while len(self._counts) > 1 and now - self._counts[1][0] > self.memory:
             self._counts.popleft()
         if not self._counts or self._counts[-1][1] != count:
             self._counts.append((now, count))
--- a/packages/core/src/cardamomloft/core/registrations.py
+++ b/packages/core/src/cardamomloft/core/registrations.py
@@ -199,6 +199,19 @@
     def __len__(self) -> int:
         return len(self._by_id)
 
+    def all(self) -> list[Upstream]:
+        """Return every registered endpoint."""
+        return list(self._by_id.values())
+
+    def use_regions(self, regions: Mapping[str, str]) -> None:
+        """Use another division of zones into regions from now on."""
+        if regions == self.regions:
+            return
+        self.regions = regions
+        for upstream in self._by_id.values():
+            upstream.region = regions.get(upstream.registration.zone, "")
+        self._rebuild()
+
     def get(self, upstream_id: str) -> Upstream | None:
         """Return the endpoint with this id, or None."""
         return self._by_id.get(upstream_id)
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -103,7 +103,7 @@
         self._book = book
         self._name = name
         self._zone = zone
-        self._cold = cold
+        self.cold = cold
         self._preferences = preferences
         self._version = -1
         self._ranks: dict[tuple[str, str, frozenset[str], bool], list[Upstream]] = {}
@@ -173,7 +173,7 @@
         for upstream in cold:
             policy = self.policies.get(upstream.registration.service)
             rate = policy.cold_per_s if policy else 0.0
-            part = cold_part(rate, self._cold, self.entries, self._place_for(upstream))
+            part = cold_part(rate, self.cold, self.entries, self._place_for(upstream))
             if may_send_cold(upstream.cold_sends, part, now):
                 return upstream
         return None
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/documents.py
@@ -0,0 +1,218 @@
+"""The gateway's own configuration document: JSON that operators keep in version control.
+
+Rules are ordered and the first that matches counts. Every mistake is reported, each with its path.
+"""
+
+import typing as t
+from collections.abc import Iterator
+from datetime import timedelta
+from typing import NotRequired
+
+from cardamomloft.core.checking import check_typed, load_json
+from cardamomloft.core.document import Address, Mistake, Name
+from cardamomloft.core.registrations import Registration
+from cardamomloft.core.routes import (
+    CallerLimits,
+    RoutePlan,
+    RouteRule,
+    ServicePolicy,
+    ServiceShare,
+)
+from cardamomloft.gateway.durations import PATTERN, parse_duration
+from expression import Error, Ok, Result
+from pydantic import ConfigDict, Field, with_config
+from typing_extensions import TypedDict
+
+_strict = with_config(ConfigDict(extra="forbid", strict=True))
+
+DurationText = t.Annotated[str, Field(pattern=PATTERN)]
+Count = t.Annotated[int, Field(ge=1, le=1_000_000)]
+_MS = timedelta(milliseconds=1)
+
+
+@_strict
+class RouteWhen(TypedDict):
+    """Conditions of a rule; both must hold. `path` is a prefix that begins and ends in a slash."""
+
+    host: t.Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,252}$")]
+    path: t.Annotated[str, Field(pattern=r"^/([^/?#\s]+/)*$")]
+
+
+@_strict
+class ServiceWeight(TypedDict):
+    """A service and its weight among a rule's services."""
+
+    service: Name
+    weight: t.Annotated[float, Field(gt=0, le=1_000_000)]
+
+
+@_strict
+class RouteThen(TypedDict):
+    """What a rule does with a request.
+
+    `services` share the requests by weight. `idempotent` requests may run more than once, all
+    others at most once for each id. `timeout` is the longest that a caller is kept waiting,
+    `target` the latency aimed at, `attempts` the most endpoints that one request is sent to. A
+    lower `priority` goes first. With `keyed`, requests of one key go to the same endpoint.
+    `homes` are the regions that may serve it; left out or empty: all.
+    """
+
+    services: t.Annotated[list[ServiceWeight], Field(min_length=1)]
+    idempotent: NotRequired[bool]
+    timeout: DurationText
+    target: NotRequired[DurationText]
+    attempts: NotRequired[t.Annotated[int, Field(ge=1, le=10)]]
+    priority: NotRequired[t.Annotated[int, Field(ge=0, le=100)]]
+    keyed: NotRequired[bool]
+    homes: NotRequired[list[Name]]
+
+
+@_strict
+class RouteRow(TypedDict):
+    """One when-then rule."""
+
+    name: Name
+    when: RouteWhen
+    then: RouteThen
+
+
+@_strict
+class ServiceRow(TypedDict):
+    """What the endpoints of a service bear; `cold_per_s` requests a second during `cold_time`."""
+
+    connections: Count
+    cold_time: NotRequired[DurationText]
+    cold_per_s: NotRequired[t.Annotated[float, Field(ge=0)]]
+
+
+@_strict
+class LimitsRow(TypedDict):
+    """What a caller may send, and how long it may take or stay idle."""
+
+    head_bytes: Count
+    body_bytes: t.Annotated[int, Field(ge=0)]
+    head_timeout: DurationText
+    idle_timeout: DurationText
+
+
+@_strict
+class RouteDocument(TypedDict):
+    """The whole configuration of a deployment of gateways."""
+
+    format: t.Literal["routes-1"]
+    rules: list[RouteRow]
+    services: dict[Name, ServiceRow]
+    limits: LimitsRow
+
+
+@_strict
+class RegistrationRow(TypedDict):
+    """How an upstream endpoint registers itself, under a key that is new with each start."""
+
+    service: Name
+    address: Address
+    zone: Name
+    slots: Count
+    draining: NotRequired[bool]
+    cold_ms: NotRequired[t.Annotated[int, Field(ge=0)]]
+
+
+def load_plan(text: str | bytes, number: int) -> Result[RoutePlan, tuple[Mistake, ...]]:
+    """Check a document's text and return it as configuration `number`.
+
+    Errors
+    ------
+    Mistake
+        Every mistake, with its path.
+    """
+    match load_json(text).bind(lambda raw: check_typed(RouteDocument, raw)):
+        case Result(tag="error", error=mistakes):
+            return Error(mistakes)
+        case Result(ok=document):
+            pass
+    mistakes = tuple(_contradictions(document))
+    return Error(mistakes) if mistakes else Ok(_plan(document, number))
+
+
+def load_registration(text: bytes, upstream_id: str) -> Result[Registration, tuple[Mistake, ...]]:
+    """Check a registration's text."""
+    match load_json(text).bind(lambda raw: check_typed(RegistrationRow, raw)):
+        case Result(tag="error", error=mistakes):
+            return Error(mistakes)
+        case Result(ok=row):
+            pass
+    return Ok(
+        Registration(
+            id=upstream_id,
+            service=row["service"],
+            address=row["address"],
+            zone=row["zone"],
+            slots=row["slots"],
+            draining=row.get("draining", False),
+            cold_left=row.get("cold_ms", 0) * _MS,
+        )
+    )
+
+
+def _contradictions(document: RouteDocument) -> Iterator[Mistake]:
+    seen: dict[tuple[str, str], str] = {}
+    names: set[str] = set()
+    for index, row in enumerate(document["rules"]):
+        path = f"rules.{index}"
+        if row["name"] in names:
+            yield Mistake(f"{path}.name", f"{row['name']} stands twice")
+        names.add(row["name"])
+        when = (row["when"]["host"], row["when"]["path"])
+        covering = next((name for key, name in seen.items() if _covers(key, when)), None)
+        if covering is not None:
+            yield Mistake(path, f"can never match: {covering} matches all of it before")
+        seen[when] = row["name"]
+        for share in row["then"]["services"]:
+            if share["service"] not in document["services"]:
+                yield Mistake(f"{path}.then.services", f"no service {share['service']}")
+
+
+def _covers(earlier: tuple[str, str], later: tuple[str, str]) -> bool:
+    return earlier[0] == later[0] and later[1].startswith(earlier[1])
+
+
+def _plan(document: RouteDocument, number: int) -> RoutePlan:
+    limits = document["limits"]
+    return RoutePlan(
+        number=number,
+        rules=tuple(map(_rule, document["rules"])),
+        services={name: _service(name, row) for name, row in document["services"].items()},
+        limits=CallerLimits(
+            head_bytes=limits["head_bytes"],
+            body_bytes=limits["body_bytes"],
+            head_timeout=parse_duration(limits["head_timeout"]),
+            idle_timeout=parse_duration(limits["idle_timeout"]),
+        ),
+    )
+
+
+def _rule(row: RouteRow) -> RouteRule:
+    then = row["then"]
+    timeout = parse_duration(then["timeout"])
+    return RouteRule(
+        name=row["name"],
+        host=row["when"]["host"],
+        prefix=row["when"]["path"],
+        services=tuple(ServiceShare(**share) for share in then["services"]),
+        idempotent=then.get("idempotent", False),
+        timeout=timeout,
+        target=parse_duration(then["target"]) if "target" in then else timeout,
+        attempts=then.get("attempts", 1),
+        priority=then.get("priority", 0),
+        keyed=then.get("keyed", False),
+        homes=frozenset(then.get("homes", ())),
+    )
+
+
+def _service(name: str, row: ServiceRow) -> ServicePolicy:
+    return ServicePolicy(
+        name=name,
+        connections=row["connections"],
+        cold_time=parse_duration(row.get("cold_time", "0s")),
+        cold_per_s=row.get("cold_per_s", 0.0),
+    )
--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -70,7 +70,7 @@
         self._clock = clock
         self._control = control
         self._rng = rng
-        self._interval = interval
+        self.interval = interval
         self._on_listing = on_listing
         self._on_changes = on_changes
         self._on_returned = on_returned
@@ -143,7 +143,7 @@
         self._failures = 0
 
     def _pause(self) -> "Deferred[None]":
-        pause = self._interval * self._rng.uniform(0.9, 1.1)
+        pause = self.interval * self._rng.uniform(0.9, 1.1)
         if self._index is None or self._failures:
             elapsed = self._clock.monotonic() - self._asked_at
             pause = max(_LEAST_PAUSE, _RETRY_INTERVAL - elapsed)
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -28,17 +28,19 @@
 )
 from cardamomloft.core.routes import RoutePlan
 from cardamomloft.core.selection import Preferences, Selector
+from cardamomloft.entry.control import ControlApp
 from cardamomloft.entry.lifecycle import make_life_cycle
 from cardamomloft.entry.logs import log
 from cardamomloft.entry.metrics import Metrics
 from cardamomloft.entry.timers import Timers
-from cardamomloft.gateway.calls import CallerHeaders, Reader
+from cardamomloft.gateway.calls import Call, CallerHeaders, Reader
 from cardamomloft.gateway.control import Control, Listing
 from cardamomloft.gateway.following import Follower
 from cardamomloft.gateway.forwarding import Forwarder
 from cardamomloft.gateway.presence import Presence
 from cardamomloft.gateway.records import RequestLog
-from cardamomloft.gateway.settings import GatewaySettings, bounds_of
+from cardamomloft.gateway.settings import FIXED, GatewaySettings, bounds_of
+from cardamomloft.gateway.status import GatewayStatus
 from cardamomloft.upstreams.client import UpstreamClient
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.interfaces import IListeningPort
@@ -61,6 +63,11 @@
 _TICK = timedelta(milliseconds=200)
 
 
+LOOKUP_LIFE = timedelta(seconds=2)
+"""How long callers may keep a look-up at the most, within the settings' bound: entries that died
+are named so much longer, and each look-up costs about 1 ms."""
+
+
 class Named(t.NamedTuple):
     """The answer to a look-up: where to send requests, and for how long that holds."""
 
@@ -103,7 +110,7 @@
         self._rng = rng
         self._control = control
         self._client = client
-        self._headers = headers
+        self.headers = headers
         self._bounds = bounds_of(cfg)
         self.metrics = Metrics()
         self.stopped: Deferred[None] = Deferred()
@@ -119,8 +126,9 @@
         own = EntryRecord(cfg["name"], cfg["callers"], cfg["zone"], cfg["region"])
         self.book = UpstreamBook(cfg["zones"])
         self.entries = EntryBook(own, bounds.retry_window)
-        cold = ColdLimit(cfg["cold"]["overage"], cfg["cold"]["slack"])
-        self.selector = Selector(self.book, cfg["name"], cfg["zone"], cold, Preferences())
+        self.selector = Selector(
+            self.book, cfg["name"], cfg["zone"], _cold_limit(cfg), Preferences()
+        )
         self._budgets: dict[str, RetryBudget] = {}
         self.forwarder = Forwarder(
             self._reactor,
@@ -131,7 +139,7 @@
             self._client,
             self._budget_for,
             self.metrics,
-            RequestLog(lambda: self._reader.plan.number if self._reader else 0),
+            RequestLog(lambda: self.configuration),
         )
         self.app = CallersApp(None, self.handle, self._on_fault)
         self.presence = Presence(self._control, own, RECORD_LIFE)
@@ -149,11 +157,29 @@
     def _budget_for(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            cfg = self._cfg["retries"]
-            budget = RetryBudget(cfg["ratio"], cfg["slack"], self._bounds.retry_window)
-            self._budgets[service] = budget
+            budget = self._budgets[service] = RetryBudget(*self._repeats())
         return budget
 
+    def _repeats(self) -> tuple[float, float, timedelta]:
+        cfg = self._cfg["retries"]
+        return cfg["ratio"], cfg["slack"], self._bounds.retry_window
+
+    def reconfigure(self, cfg: GatewaySettings) -> None:
+        """Put changed settings in force; those that need a new start are named in the log."""
+        fixed = [name for name in FIXED if cfg[name] != self._cfg[name]]
+        if fixed:
+            log("restart-needed", settings=fixed)
+        kept = {name: self._cfg[name] for name in FIXED}
+        self._cfg = t.cast(GatewaySettings, {**cfg, **kept})
+        self._bounds = bounds_of(self._cfg)
+        self.selector.cold = _cold_limit(self._cfg)
+        for budget in self._budgets.values():
+            budget.allow(*self._repeats())
+        self.entries.memory = self._bounds.retry_window
+        self.follower.interval = self._bounds.drain_time * FOLLOW_PART
+        self.book.use_regions(self._cfg["zones"])
+        log("reloaded", changed_fixed=bool(fixed))
+
     # Life.
 
     def start(self) -> None:
@@ -165,6 +191,10 @@
             If the callers' address can't be had.
         """
         self._port = listen(self._reactor, self._cfg["callers"], self.app)
+        host, _, port = self._cfg["operators"].rpartition(":")
+        pages = ControlApp(GatewayStatus(self)).site()
+        pages.log = lambda request: None
+        self._reactor.listenTCP(int(port), pages, interface=host)
         self.follower.start(self._on_fault)
         self._timers.every(_TICK, self._tick)
         log("started", entry=self._cfg["name"], zone=self._cfg["zone"])
@@ -179,7 +209,7 @@
 
     def on_ready(self) -> None:
         """Let the other entries name this one."""
-        log("ready", configuration=self._reader.plan.number, upstreams=len(self.book))
+        log("ready", configuration=self.configuration, upstreams=len(self.book))
         self._timers.every(self.presence.interval, self.presence.keep)
 
     def on_leaving(self) -> None:
@@ -224,12 +254,23 @@
             if self.life.state() == "starting":
                 reason = RefusalReason.NOT_READY
             return self.forwarder.refuse(Refusal(reason, "ask another entry"))
-        call = self._reader.read(head, self._clock.monotonic())
+        call = self.read(head)
         if isinstance(call, Refusal):
             log("request-refused", reason=call.reason, detail=call.detail, path=head.path)
             return self.forwarder.refuse(call)
         return await self.forwarder.carry(call, head, body, gone)
 
+    def read(self, head: RequestHead) -> Call | Refusal:
+        """Return the call behind a request by the configuration in force."""
+        if self._reader is None:
+            return Refusal(RefusalReason.NOT_READY, "no configuration yet")
+        return self._reader.read(head, self._clock.monotonic())
+
+    @property
+    def configuration(self) -> int:
+        """The number of the configuration in force, 0 before the first."""
+        return self._reader.plan.number if self._reader else 0
+
     def lookup(self, host: str, zone: str, region: str) -> Named | Refusal:
         """Name the entries that a client should use for `host`."""
         self.metrics.count("lookups")
@@ -240,7 +281,8 @@
         named = entries_for(records, zone, region, homes, self._cfg["zones"])
         if not named:
             return Refusal(RefusalReason.NOT_READY, "no entry is ready")
-        return Named([record.address for record in named], self._bounds.lookup_life)
+        life = min(LOOKUP_LIFE, self._bounds.lookup_life)
+        return Named([record.address for record in named], life)
 
     # The store.
 
@@ -330,12 +372,12 @@
         log("unreadable", key=fact.key, detail=fact.detail)
 
     def _put_in_force(self, plan: RoutePlan) -> None:
-        held = self._reader.plan.number if self._reader else 0
+        held = self.configuration
         if plan.number <= held:
             if plan.number < held:
                 log("configuration-older", offered=plan.number, held=held)
             return
-        self._reader = Reader(plan, self._headers, self._rng)
+        self._reader = Reader(plan, self.headers, self._rng)
         self.selector.policies = plan.services
         self.app.keep_idle(plan.limits.idle_timeout)
         log("in-force", configuration=plan.number, rules=len(plan.rules))
@@ -361,3 +403,7 @@
     def _on_fault(self, failure: Failure) -> None:
         self.metrics.count("faults")
         log("fault", detail=failure.getErrorMessage(), trace=failure.getTraceback())
+
+
+def _cold_limit(cfg: GatewaySettings) -> ColdLimit:
+    return ColdLimit(cfg["cold"]["overage"], cfg["cold"]["slack"])
--- a/packages/gateway/src/cardamomloft/gateway/settings.py
+++ b/packages/gateway/src/cardamomloft/gateway/settings.py
@@ -56,6 +56,7 @@
     callers: Address
     readiness: Address
     lookups: Address
+    operators: Address
     store: Address
     stop_time: DurationText
     drain_time: DurationText
@@ -73,6 +74,10 @@
     retry_window: timedelta
 
 
+FIXED = ("name", "zone", "region", "callers", "readiness", "lookups", "operators", "store")
+"""Settings that need a new start: who the process is, and the addresses that it holds."""
+
+
 def load_settings(text: str) -> Result[GatewaySettings, tuple[Mistake, ...]]:
     """Check a settings file's text.
 
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/status.py
@@ -0,0 +1,73 @@
+"""What the operators' pages of a gateway show."""
+
+import typing as t
+
+from cardamomloft.callers.exchange import RequestHead
+from cardamomloft.core.model import Refusal
+
+if t.TYPE_CHECKING:
+    from cardamomloft.gateway.node import Gateway
+
+
+class GatewayStatus:
+    """Answers the pages of one gateway.
+
+    Parameters
+    ----------
+    gateway
+        The gateway.
+    """
+
+    def __init__(self, gateway: "Gateway") -> None:
+        self._gateway = gateway
+
+    def ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self._gateway.ready()
+
+    def metrics_text(self) -> str:
+        """Return the metrics page."""
+        return self._gateway.metrics.render()
+
+    def status(self, *, limits: bool = True) -> dict[str, t.Any]:
+        """Return the status page's object; `limits` adds a row for each endpoint."""
+        gateway = self._gateway
+        page: dict[str, t.Any] = {
+            "state": gateway.life.state(),
+            "configuration": gateway.configuration,
+            "store_away": gateway.follower.away,
+            "in_flight": gateway.app.in_flight,
+            "entries": sorted(row.name for row in gateway.entries.records(with_own=True)),
+            "drained_zones": sorted(gateway.book.drained_zones),
+            "upstreams": len(gateway.book),
+        }
+        if limits:
+            page["endpoints"] = [
+                {
+                    "id": up.id,
+                    "service": up.registration.service,
+                    "zone": up.registration.zone,
+                    "in_flight": up.in_flight,
+                    "failures": up.failures,
+                    "report": up.report and up.report[:3],
+                }
+                for up in gateway.book.all()
+            ]
+        return page
+
+    def explain(self, question: dict[str, t.Any]) -> dict[str, t.Any]:
+        """Tell which rule a request would match; the question names its `host` and `path`."""
+        host, path = str(question.get("host", "")), str(question.get("path", "/"))
+        pairs = (("host", host), (self._gateway.headers.request_id, "explain"))
+        head = RequestHead("GET", path, "", pairs, "", 0, False)
+        call = self._gateway.read(head)
+        if isinstance(call, Refusal):
+            return {"refused": str(call.reason), "detail": call.detail}
+        services = {share.service: share.weight for share in call.rule.services}
+        return {
+            "rule": call.rule.name,
+            "configuration": self._gateway.configuration,
+            "services": services,
+            "idempotent": call.rule.idempotent,
+            "homes": sorted(call.rule.homes),
+        }
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/storecontrol.py
@@ -0,0 +1,148 @@
+"""The control store behind the product's own key-value interface.
+
+Keys: ``routes/current`` holds the configuration document, ``upstreams/ID`` a registration,
+``drained-zones/ZONE`` anything, ``entries/NAME`` an entry's own record.
+"""
+
+import typing as t
+from collections.abc import Mapping
+from datetime import timedelta
+
+import msgspec
+from cardamomloft.core.registrations import (
+    EntryRecord,
+    EntryRecorded,
+    EntryWithdrawn,
+    Fact,
+    PlanRead,
+    Unreadable,
+    UpstreamRegistered,
+    UpstreamWithdrawn,
+    ZoneDrained,
+    ZoneRestored,
+)
+from cardamomloft.gateway.control import Changes, Listing
+from cardamomloft.gateway.documents import load_plan, load_registration
+from cardamomloft.store.failures import StoreFailure
+from cardamomloft.store.keyvalue import Listed, Record, Store
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred, ensureDeferred
+
+DOCUMENT_KEY = "routes/current"
+UPSTREAMS = "upstreams/"
+DRAINED_ZONES = "drained-zones/"
+ENTRIES = "entries/"
+
+
+class StoreControl:
+    """A :class:`~cardamomloft.gateway.control.Control` over a key-value store.
+
+    The store has no history of changes, so each question lists all keys, and what differs from
+    the list before is a change.
+
+    Parameters
+    ----------
+    store
+        The store.
+    prefix
+        What all keys of this deployment begin with.
+    """
+
+    def __init__(self, store: Store, prefix: str) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._known: dict[str, int] = {}
+
+    def read(self) -> "Deferred[Result[Listing, StoreFailure]]":
+        """List everything."""
+        self._known = {}
+        return ensureDeferred(self._read())
+
+    def changes(self, after: int) -> "Deferred[Result[Changes, StoreFailure]]":
+        """Return what differs from the last list."""
+        return ensureDeferred(self._changes())
+
+    async def _read(self) -> Result[Listing, StoreFailure]:
+        listed = await self._store.list(self._prefix)
+        return listed.map(lambda found: Listing(self._differences(found), found.index))
+
+    async def _changes(self) -> Result[Changes, StoreFailure]:
+        listed = await self._store.list(self._prefix)
+        return listed.map(lambda found: Changes(self._differences(found), found.index))
+
+    def _differences(self, listed: Listed) -> tuple[Fact, ...]:
+        records = {key.removeprefix(self._prefix): row for key, row in listed.records.items()}
+        facts = [_removed(key) for key in self._known if key not in records]
+        facts += [
+            _read(key, row) for key, row in records.items() if self._known.get(key) != row.version
+        ]
+        self._known = {key: row.version for key, row in records.items()}
+        return tuple(fact for fact in facts if fact is not None)
+
+    def record(self, record: EntryRecord, life: timedelta) -> "Deferred[Result[str, StoreFailure]]":
+        """Record an entry under a new lease."""
+        return ensureDeferred(self._record(record, life))
+
+    async def _record(self, record: EntryRecord, life: timedelta) -> Result[str, StoreFailure]:
+        match await self._store.create_lease(life):
+            case Result(tag="error", error=failure):
+                return Error(failure)
+            case Result(ok=lease):
+                pass
+        key, value = f"{self._prefix}{ENTRIES}{record.name}", msgspec.json.encode(record._asdict())
+        match await self._store.acquire(key, value, lease):
+            case Result(tag="ok", ok=True):
+                return Ok(lease)
+            case Result(tag="ok"):
+                await self._store.release(lease)
+                return Error(StoreFailure(False, f"{key} is held under another lease"))
+            case Result(error=failure):
+                return Error(failure)
+
+    def renew(self, lease: str) -> "Deferred[Result[bool, StoreFailure]]":
+        """Renew a lease; return False if it had lapsed."""
+        return self._store.renew(lease)
+
+    def withdraw(self, lease: str) -> "Deferred[Result[None, StoreFailure]]":
+        """End a lease, and the record with it."""
+        return self._store.release(lease)
+
+
+def _read(key: str, record: Record) -> Fact | None:
+    if key == DOCUMENT_KEY:
+        return _fact(key, load_plan(record.value, record.version).map(PlanRead))
+    if key.startswith(UPSTREAMS):
+        loaded = load_registration(record.value, key.removeprefix(UPSTREAMS))
+        return _fact(key, loaded.map(UpstreamRegistered))
+    if key.startswith(DRAINED_ZONES):
+        return ZoneDrained(key.removeprefix(DRAINED_ZONES))
+    if key.startswith(ENTRIES):
+        return _entry(key, record)
+    return None
+
+
+def _removed(key: str) -> Fact | None:
+    if key.startswith(UPSTREAMS):
+        return UpstreamWithdrawn(key.removeprefix(UPSTREAMS))
+    if key.startswith(DRAINED_ZONES):
+        return ZoneRestored(key.removeprefix(DRAINED_ZONES))
+    if key.startswith(ENTRIES):
+        return EntryWithdrawn(key.removeprefix(ENTRIES))
+    # A configuration that was deleted stays in force until there is a newer one.
+    return None
+
+
+def _fact(key: str, loaded: Result[t.Any, tuple[t.Any, ...]]) -> Fact:
+    match loaded:
+        case Result(tag="ok", ok=fact):
+            return fact
+        case Result(error=mistakes):
+            return Unreadable(key, "; ".join(map(str, mistakes)))
+
+
+def _entry(key: str, record: Record) -> Fact:
+    try:
+        row: Mapping[str, str] = msgspec.json.decode(record.value, type=dict[str, str])
+        return EntryRecorded(EntryRecord(**row))
+    except (TypeError, ValueError, msgspec.DecodeError) as exc:
+        return Unreadable(key, str(exc))
--- a/packages/gateway/tests/test_gateway.py
+++ b/packages/gateway/tests/test_gateway.py
@@ -19,7 +19,9 @@
 )
 from cardamomloft.gateway.control import Changes
 from cardamomloft.gateway.node import Gateway
+from cardamomloft.gateway.reloading import SettingsFile
 from cardamomloft.gateway.settings import load_settings
+from cardamomloft.gateway.status import GatewayStatus
 from cardamomloft_standins import gateway as kit
 from expression import Ok
 from twisted.internet.defer import Deferred
@@ -35,6 +37,7 @@
     "callers": "127.0.0.1:7101",
     "readiness": "127.0.0.1:7102",
     "lookups": "127.0.0.1:7103",
+    "operators": "127.0.0.1:7104",
     "store": "127.0.0.1:8500",
     "stop_time": "6s",
     "drain_time": "2500ms",
@@ -237,3 +240,76 @@
 
 def test_settings():
     assert load_settings(json.dumps(SETTINGS)).ok == SETTINGS
+
+
+def test_changed_settings_are_in_force_and_fixed_ones_wait_for_a_new_start():
+    run = Run()
+    run.ask()
+    retries = {"ratio": 0.0, "slack": 0.0, "window": "10s"}
+    changed = {**SETTINGS, "retries": retries, "lookup_life": "500ms", "callers": "127.0.0.1:1"}
+    run.gateway.reconfigure(changed)
+    assert _lookup(run).life == 500 * MS
+    assert _lookup(run).addresses == ["127.0.0.1:7101"]
+    run.client.outcomes.clear()
+    run.client.outcomes.extend([kit.answer(503, b"", not_run=True), kit.answer()])
+    assert run.ask().status == 503
+
+
+def test_a_zone_that_changes_its_region_is_placed_anew():
+    run = Run()
+    run.gateway.reconfigure({**SETTINGS, "zones": {"a": "west", "b": "west"}})
+    (upstream,) = run.gateway.book.of_service("menus")
+    assert upstream.region == "west"
+
+
+def test_the_operators_pages_show_the_state():
+    run = Run()
+    status = GatewayStatus(run.gateway)
+    run.ask()
+    assert status.ready()
+    page = status.status()
+    assert (page["state"], page["configuration"], page["upstreams"]) == ("ready", 1, 1)
+    assert page["endpoints"][0]["id"] == "i-1"
+    assert "cardamomloft_requests_total 1" in status.metrics_text()
+
+
+def test_a_request_is_explained():
+    status = GatewayStatus(Run().gateway)
+    assert status.explain({"host": "a.example", "path": "/menus/7"})["rule"] == "menus"
+    assert status.explain({"host": "x.example"})["refused"] == "no-such-service"
+
+
+def test_a_settings_file_is_read_again_when_it_changes(tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(SETTINGS))
+    settings = SettingsFile(path)
+    assert settings.read() == SETTINGS
+    assert settings.changed() is None
+    path.write_text(json.dumps(SETTINGS)[:40])
+    assert settings.changed() is None
+    changed = {**SETTINGS, "lookup_life": "1s"}
+    path.write_text(json.dumps(changed))
+    assert settings.changed() == changed
+    path.unlink()
+    assert settings.changed() is None
+    assert settings.read() is None
+
+
+def test_a_start_waits_for_settings_that_are_being_written(tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(SETTINGS)[:40])
+    slept = []
+
+    def sleep(seconds):
+        slept.append(seconds)
+        if len(slept) == 3:
+            path.write_text(json.dumps(SETTINGS))
+
+    assert SettingsFile(path).wait(30, sleep) == SETTINGS
+    assert len(slept) == 3
+
+
+def test_a_start_gives_up_settings_that_stay_wrong(tmp_path):
+    slept = []
+    assert SettingsFile(tmp_path / "none.json").wait(2, slept.append) is None
+    assert sum(slept) == pytest.approx(2)
--- a/packages/store/src/cardamomloft/store/keyvalue.py
+++ b/packages/store/src/cardamomloft/store/keyvalue.py
@@ -32,6 +32,7 @@
     """The kinds of call that the store counts against its rates."""
 
     GET = enum.auto()
+    LIST = enum.auto()
     WATCH = enum.auto()
     SWAP = enum.auto()
     ACQUIRE = enum.auto()
@@ -54,6 +55,13 @@
     index: int
 
 
+class Listed(t.NamedTuple):
+    """All records below a prefix, by their whole keys, as of one index of the store."""
+
+    records: dict[str, Record]
+    index: int
+
+
 class Store(t.Protocol):
     """What the system asks of the store. No Deferred fails; failures are outcomes."""
 
@@ -61,6 +69,10 @@
         """Read one key."""
         ...
 
+    def list(self, prefix: str) -> "defer.Deferred[Result[Listed, StoreFailure]]":
+        """Read all records whose keys begin with `prefix`."""
+        ...
+
     def compare_and_swap(
         self, key: str, value: bytes, version: int
     ) -> "defer.Deferred[Result[bool, StoreFailure]]":
@@ -141,6 +153,11 @@
         """Read one key."""
         return self._call(CallKind.GET, "GET", _key_path(key), _read_record)
 
+    def list(self, prefix: str) -> "defer.Deferred[Result[Listed, StoreFailure]]":
+        """Read all records whose keys begin with `prefix`."""
+        params = {"recurse": "true"}
+        return self._call(CallKind.LIST, "GET", _key_path(prefix), _read_listed, params=params)
+
     def compare_and_swap(
         self, key: str, value: bytes, version: int
     ) -> "defer.Deferred[Result[bool, StoreFailure]]":
@@ -238,6 +255,13 @@
         return Error(status_failure(answer.status, answer.body, write=False))
     try:
         (row,) = json.loads(answer.body)
+    except (ValueError, TypeError) as exc:
+        return Error(StoreFailure(False, f"not a record: {exc!r}"))
+    return _record_of(row)
+
+
+def _record_of(row: t.Any) -> Result[Record, StoreFailure]:
+    try:
         value = base64.b64decode(row["Value"] or "", validate=True)
         version = row["ModifyIndex"]
     except (ValueError, KeyError, TypeError, binascii.Error) as exc:
@@ -247,6 +271,25 @@
     return Ok(Record(value, version))
 
 
+def _read_listed(answer: Answer) -> Result[Listed, StoreFailure]:
+    if answer.status == 404:
+        return Ok(Listed({}, answer.index or 0))
+    if answer.status != 200:
+        return Error(status_failure(answer.status, answer.body, write=False))
+    records: dict[str, Record] = {}
+    try:
+        rows = {str(row["Key"]): row for row in json.loads(answer.body)}
+    except (ValueError, KeyError, TypeError) as exc:
+        return Error(StoreFailure(False, f"not a list: {exc!r}"))
+    for key, row in rows.items():
+        match _record_of(row):
+            case Result(tag="error", error=failure):
+                return Error(failure)
+            case Result(ok=record):
+                records[key] = record
+    return Ok(Listed(records, answer.index or 0))
+
+
 def _read_watched(answer: Answer, after_index: int) -> Result[Watched, StoreFailure]:
     if not answer.index and answer.status in (200, 404):
         return Error(StoreFailure(False, "the answer has no index"))
--- a/standins/src/cardamomloft_standins/keyvalue.py
+++ b/standins/src/cardamomloft_standins/keyvalue.py
@@ -73,6 +73,15 @@
         """Return the record of `key`, if there is one."""
         return self._records.get(key)
 
+    def below(self, prefix: str) -> list[tuple[str, Record]]:
+        """Return the keys that begin with `prefix`, sorted, with their records."""
+        return sorted(item for item in self._records.items() if item[0].startswith(prefix))
+
+    @property
+    def last_index(self) -> int:
+        """The index of the last change of any key."""
+        return self._index
+
     def index(self, key: str) -> int:
         """Return the index of the last change of `key`, its deletion included."""
         return self._indexes.get(key, FIRST_INDEX)
--- a/standins/src/cardamomloft_standins/store.py
+++ b/standins/src/cardamomloft_standins/store.py
@@ -75,6 +75,10 @@
     @app.route("/v1/kv/<path:key>", methods=["GET"])
     async def read(self, request: IRequest, key: str) -> bytes:
         """Answer a read, or a blocking query if an index is given."""
+        if _argument(request, "recurse") is not None:
+            self._count("list")
+            await self._until_served()
+            return await self._answer(request, _list(self.values, key))
         index = int(_argument(request, "index") or 0)
         self._count("watch" if index else "get")
         await self._until_served()
@@ -232,6 +236,13 @@
     return _json_answer([_row(key, record)], record.modify_index)
 
 
+def _list(values: KeyValues, prefix: str) -> Answer:
+    rows = [_row(key, record) for key, record in values.below(prefix)]
+    if not rows:
+        return Answer(404, b"", values.last_index)
+    return _json_answer(rows, values.last_index)
+
+
 def _row(key: str, record: Record) -> dict[str, t.Any]:
     row = {
         "Key": key,
