Repeat what an endpoint failed, end dead connections, derive the load bound from the target

An endpoint's own 5xx counted as a good answer: it is a failure of the endpoint now, and an idempotent request goes to another one; the endpoint's answer stands if nothing better comes. Connections whose data stays unacknowledged end after 0.7 s (TCP_USER_TIMEOUT) instead of at the rule's timeout.

The load up to which a request waits at its first endpoint was 2.25 slots, which fits the aims of these two sites only.

--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -56,14 +56,19 @@
         How many endpoints an object may be at. Each keeps a bounded number of objects at hand:
         with more choices they push each other out, all work takes three times as long, and an
         overload of seconds never ends.
-    first_wait, second_wait
-        Load in parts of the slots up to which an object goes to its first endpoint or to another;
-        above it, it would wait there longer than its target leaves.
+    usual_load, least_load, most_load
+        Load in parts of the slots up to which an object waits at its first endpoint: as far as the
+        rule's target allows, between the least and the most; `usual_load` as long as the time that
+        work takes there is not known.
+    second_load
+        Load up to which it goes to its second endpoint, where it is seldom at hand: a free slot.
     """
 
     choices: int = 2
-    first_wait: float = 2.25
-    second_wait: float = 1.0
+    usual_load: float = 2.25
+    least_load: float = 1.5
+    most_load: float = 3.0
+    second_load: float = 1.0
 
 
 class Selector:
@@ -160,15 +165,21 @@
         self, warm: list[Upstream], rule: RouteRule, until: timedelta, now: timedelta
     ) -> Upstream | None:
         """Return the first in order of preference that is expected to answer in time."""
-        bound = self._preferences.first_wait
-        for upstream in warm:
+        for place, upstream in enumerate(warm):
             load = expected_load(upstream, now)
-            slots = upstream.registration.slots
-            if load < bound * slots and now + expected_time(upstream, load) < until:
+            bound = self._preferences.second_load if place else self._bound(upstream, rule)
+            has_room = load < bound * upstream.registration.slots
+            if has_room and now + expected_time(upstream, load) < until:
                 return upstream
-            bound = self._preferences.second_wait
         return None
 
+    def _bound(self, upstream: Upstream, rule: RouteRule) -> float:
+        """Return the load, in parts of the slots, at which an answer would miss its target."""
+        preferences = self._preferences
+        if not upstream.work:
+            return preferences.usual_load
+        return min(max(rule.target / upstream.work, preferences.least_load), preferences.most_load)
+
     def _cold_with_room(self, cold: list[Upstream], now: timedelta) -> Upstream | None:
         for upstream in cold:
             policy = self.policies.get(upstream.registration.service)
--- a/packages/core/tests/test_selection.py
+++ b/packages/core/tests/test_selection.py
@@ -129,6 +129,21 @@
     assert isinstance(_choose(selector), Refusal)
 
 
+@pytest.mark.parametrize(
+    ("work", "most"), [(None, 8), (400, 5), (200, 7), (160, 9), (10, 11), (2000, 5)]
+)
+def test_it_waits_at_its_first_endpoint_as_long_as_the_target_allows(work, most):
+    """Within 1.5 and 3 times the slots; the target is 400 ms."""
+    selector = _selector()
+    first = _choose(selector)
+    first.work = work and work * MS
+    until = timedelta(minutes=1)
+    for load in range(16):
+        _fill(first, load)
+        chosen = selector.choose(RULE, "menus", "17", [], NOW + until, NOW)
+        assert (chosen is first) == (load <= most)
+
+
 def test_what_cannot_be_answered_in_time_is_refused():
     selector = _selector(near=1, far=0)
     first = _choose(selector)
--- a/packages/gateway/src/cardamomloft/gateway/documents.py
+++ b/packages/gateway/src/cardamomloft/gateway/documents.py
@@ -9,6 +9,7 @@
 from typing import NotRequired
 
 from cardamomloft.core.checking import check_typed, load_json
+from cardamomloft.core.difference import dotted
 from cardamomloft.core.document import Address, Mistake, Name
 from cardamomloft.core.registrations import Registration
 from cardamomloft.core.routes import (
@@ -157,8 +158,8 @@
 def _contradictions(document: RouteDocument) -> Iterator[Mistake]:
     seen: dict[tuple[str, str], str] = {}
     names: set[str] = set()
-    for index, row in enumerate(document["rules"]):
-        path = f"rules.{index}"
+    for row in document["rules"]:
+        path = dotted("rules", row["name"])
         if row["name"] in names:
             yield Mistake(f"{path}.name", f"{row['name']} stands twice")
         names.add(row["name"])
--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -147,9 +147,8 @@
         if self._index is None or self._failures:
             elapsed = self._clock.monotonic() - self._asked_at
             pause = max(_LEAST_PAUSE, _RETRY_INTERVAL - elapsed)
-        done: Deferred[None] = Deferred()
-        seconds = pause.total_seconds()
-        self._reactor.callLater(seconds, lambda: done.called or done.callback(None))
+        done: Deferred[None] = Deferred(lambda _: call.cancel())
+        call = self._reactor.callLater(pause.total_seconds(), done.callback, None)
         return done
 
 
--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -8,6 +8,7 @@
 import typing as t
 from collections.abc import Callable
 from datetime import timedelta
+from http import HTTPStatus
 
 from cardamomloft.callers.body import RequestBody
 from cardamomloft.callers.exchange import (
@@ -61,9 +62,10 @@
 
 
 class Served(t.NamedTuple):
-    """An endpoint's answer."""
+    """An endpoint's answer; `faulty` if it says that the endpoint itself has failed."""
 
     answer: Answer
+    faulty: bool = False
 
 
 class Refused(t.NamedTuple):
@@ -196,6 +198,7 @@
         self._tried: list[str] = []
         self._arrivals = 0
         self._ran = False
+        self._answer: Served | None = None
         self._budget = owner._budget_for(call.service)
         self._selector = owner._selector
 
@@ -204,19 +207,24 @@
         self._budget.on_request(self._now())
         last: Sent | None = None
         while True:
-            chosen = self._choose(last)
+            chosen = self._choose()
             if not isinstance(chosen, Upstream):
-                return self._give_up(last, chosen)
+                return self._end(last, chosen)
             last = await self._send(chosen)
             if isinstance(last, Served):
-                return self._served(last)
-            if not self._may_repeat(last):
-                return self._give_up(last, None)
+                self._answer = last
+            if self._is_final(last):
+                return self._end(last, None)
+
+    def _is_final(self, outcome: Sent) -> bool:
+        if isinstance(outcome, Served) and not outcome.faulty:
+            return True
+        return not self._may_repeat(outcome)
 
     def _now(self) -> timedelta:
         return self._owner._clock.monotonic()
 
-    def _choose(self, last: Sent | None) -> Upstream | Refusal:
+    def _choose(self) -> Upstream | Refusal:
         call, now = self._call, self._now()
         if call.until - now < LEAST_TIME:
             return Refusal(RefusalReason.DEADLINE, "no time is left")
@@ -271,12 +279,12 @@
             answer.body.abort()
             dialect = self._owner._client.dialect
             return Refused(f"status {answer.status}", answer.status == dialect.misdirected)
-        headers = _for_caller(answer)
+        headers, faulty = _for_caller(answer), answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if answer.length is not None and answer.length > WHOLE_ANSWER:
             return Served(complete(answer.status, headers, t.cast(Source, answer.body)))
         match await answer.body.collect(WHOLE_ANSWER):
             case Result(tag="ok", ok=content):
-                return Served(complete(answer.status, headers, content))
+                return Served(complete(answer.status, headers, content), faulty)
             case Result(error=detail):
                 return Failed(False, detail, self._is_late())
 
@@ -297,6 +305,9 @@
     def _learn(self, upstream: Upstream, outcome: Sent, sent_at: timedelta, load: float) -> None:
         now = self._now()
         match outcome:
+            case Served(faulty=True):
+                self._ran = True
+                self._selector.failed(upstream, now)
             case Served():
                 self._selector.answered(upstream, now - sent_at, load)
             case Refused(misdirected=True):
@@ -321,6 +332,12 @@
 
     # The end.
 
+    def _end(self, last: Sent | None, refusal: Refusal | None) -> Answer:
+        """Return the last answer that an endpoint gave, if any; else what nothing came of."""
+        if self._answer is not None:
+            return self._served(self._answer)
+        return self._give_up(last, refusal)
+
     def _served(self, outcome: Served) -> Answer:
         owner, now = self._owner, self._now()
         owner._metrics.count("complete")
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -43,12 +43,9 @@
 from cardamomloft.gateway.status import GatewayStatus
 from cardamomloft.upstreams.client import UpstreamClient
 from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.interfaces import IListeningPort
+from twisted.internet.interfaces import IDelayedCall, IListeningPort
 from twisted.python.failure import Failure
 
-RECORD_LIFE = timedelta(seconds=3)
-"""How long the record of an entry that died stays. Look-ups go on naming it that long."""
-
 LINGER_PART = 0.5
 """Part of the stop time in which new requests are still served: callers that keep an old look-up
 still come. At the end of it the listener closes, and they try another entry."""
@@ -117,6 +114,8 @@
         self.life = make_life_cycle(self)
         self._timers = Timers(reactor, self._on_fault)
         self._port: IListeningPort | None = None
+        self.pages: IListeningPort | None = None
+        self._hard_stop: IDelayedCall | None = None
         self._reader: Reader | None = None
         self._listed = False
         self._build()
@@ -142,7 +141,7 @@
             RequestLog(lambda: self.configuration),
         )
         self.app = CallersApp(None, self.handle, self._on_fault)
-        self.presence = Presence(self._control, own, RECORD_LIFE)
+        self.presence = Presence(self._control, own, bounds.record_life)
         self.follower = Follower(
             self._reactor,
             clock,
@@ -194,7 +193,7 @@
         host, _, port = self._cfg["operators"].rpartition(":")
         pages = ControlApp(GatewayStatus(self)).site()
         pages.log = lambda request: None
-        self._reactor.listenTCP(int(port), pages, interface=host)
+        self.pages = self._reactor.listenTCP(int(port), pages, interface=host)
         self.follower.start(self._on_fault)
         self._timers.every(_TICK, self._tick)
         log("started", entry=self._cfg["name"], zone=self._cfg["zone"])
@@ -219,7 +218,7 @@
         self.app.closing()
         stop_time = self._bounds.stop_time.total_seconds()
         self._reactor.callLater(stop_time * LINGER_PART, self.life.lingered)
-        self._reactor.callLater(stop_time * HARD_STOP_PART, self.life.drained)
+        self._hard_stop = self._reactor.callLater(stop_time * HARD_STOP_PART, self.life.drained)
 
     def on_closing(self) -> None:
         """Take no new connections, and finish what is in flight."""
@@ -233,6 +232,8 @@
 
     def on_stopped(self) -> None:
         """Release everything and end the process."""
+        if self._hard_stop is not None and self._hard_stop.active():
+            self._hard_stop.cancel()
         self._timers.stop()
         self.follower.stop()
         log("stopped", in_flight=self.app.in_flight)
--- a/packages/gateway/src/cardamomloft/gateway/settings.py
+++ b/packages/gateway/src/cardamomloft/gateway/settings.py
@@ -5,6 +5,7 @@
 
 import typing as t
 from datetime import timedelta
+from typing import NotRequired
 
 from cardamomloft.core.checking import check_typed, load_json
 from cardamomloft.core.document import Address, Mistake
@@ -46,7 +47,8 @@
 
     `zones` gives the region of each zone. `stop_time` is how long a stop may take until the
     process is killed, `drain_time` how soon a leaving endpoint must get nothing more, and
-    `lookup_life` how long callers may keep the answer to a look-up.
+    `lookup_life` how long callers may keep the answer to a look-up. `record_life` is how long the
+    record of an entry that died stays in the store; stores have a least time for it.
     """
 
     name: Label
@@ -61,6 +63,7 @@
     stop_time: DurationText
     drain_time: DurationText
     lookup_life: DurationText
+    record_life: NotRequired[DurationText]
     retries: RetrySettings
     cold: ColdSettings
 
@@ -71,9 +74,14 @@
     stop_time: timedelta
     drain_time: timedelta
     lookup_life: timedelta
+    record_life: timedelta
     retry_window: timedelta
 
 
+RECORD_LIFE = "3s"
+"""Life of an entry's record unless the settings say another: look-ups go on naming an entry that
+died that long, and a third of it is the time between two renewals."""
+
 FIXED = ("name", "zone", "region", "callers", "readiness", "lookups", "operators", "store")
 """Settings that need a new start: who the process is, and the addresses that it holds."""
 
@@ -100,5 +108,6 @@
         stop_time=parse_duration(cfg["stop_time"]),
         drain_time=parse_duration(cfg["drain_time"]),
         lookup_life=parse_duration(cfg["lookup_life"]),
+        record_life=parse_duration(cfg.get("record_life", RECORD_LIFE)),
         retry_window=parse_duration(cfg["retries"]["window"]),
     )
--- /dev/null
+++ b/packages/gateway/tests/test_documents.py
@@ -0,0 +1,99 @@
+"""The gateway's own configuration document and registrations, strictly checked."""
+
+import copy
+import json
+import pathlib
+from datetime import timedelta
+
+import pytest
+from cardamomloft.core.routes import ServiceShare
+from cardamomloft.gateway.documents import load_plan, load_registration
+
+EXAMPLE = pathlib.Path(__file__).parents[3] / "examples" / "gateway-routes.json"
+DOCUMENT = json.loads(EXAMPLE.read_text())
+
+
+def _changed(path: str, value: object) -> str:
+    document = copy.deepcopy(DOCUMENT)
+    *parents, last = path.split(".")
+    place = document
+    for name in parents:
+        place = place[int(name) if name.isdigit() else name]
+    if value is None:
+        del place[last]
+    else:
+        place[last] = value
+    return json.dumps(document)
+
+
+def test_the_example_is_right():
+    plan = load_plan(EXAMPLE.read_text(), 7).ok
+    assert plan.number == 7
+    menus = next(rule for rule in plan.rules if rule.name == "menus")
+    assert (menus.host, menus.prefix) == ("kiosks.example", "/menus/")
+    assert menus.idempotent
+    assert menus.target < menus.timeout
+    pay = next(rule for rule in plan.rules if rule.name == "orders")
+    assert not pay.idempotent
+    assert sum(share.weight for share in pay.services) == 100
+    assert plan.services["menus"].cold_time == timedelta(seconds=3)
+
+
+def test_what_is_left_out_is_careful():
+    rule = {"name": "r", "when": {"host": "a.example", "path": "/"}}
+    rule["then"] = {"services": [{"service": "menus", "weight": 1}], "timeout": "1s"}
+    (found,) = load_plan(_changed("rules", [rule]), 1).ok.rules
+    assert (found.idempotent, found.attempts, found.keyed) == (False, 1, False)
+    assert found.services == (ServiceShare("menus", 1),)
+    assert found.target == found.timeout
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "where"),
+    [
+        ("format", "routes-2", "format"),
+        ("rules.0.when.host", "Kiosks", "rules.menus.when.host"),
+        ("rules.0.when.path", "/menus", "rules.menus.when.path"),
+        ("rules.0.when.pfad", "/", "rules.menus.when.pfad"),
+        ("rules.0.then.timeout", "1000", "rules.menus.then.timeout"),
+        ("rules.0.then.services", [], "rules.menus.then.services"),
+        ("rules.0.then.services.0.service", "unknown", "rules.menus.then.services"),
+        ("rules.0.then.attempts", 0, "rules.menus.then.attempts"),
+        ("rules.1.name", "menus", "rules.menus.name"),
+        ("services.menus.connections", 0, "services.menus.connections"),
+        ("limits.idle_timeout", None, "limits.idle_timeout"),
+    ],
+)
+def test_every_mistake_is_named_with_its_path(path, value, where):
+    mistakes = load_plan(_changed(path, value), 1).error
+    assert where in [mistake.path for mistake in mistakes], mistakes
+
+
+def test_a_rule_behind_one_that_covers_it_can_never_match():
+    rules = [{**DOCUMENT["rules"][0], "name": f"r{number}"} for number in range(2)]
+    rules[1]["when"] = {"host": "kiosks.example", "path": "/menus/today/"}
+    (mistake,) = load_plan(_changed("rules", rules), 1).error
+    assert "r0 matches all of it before" in mistake.text
+    assert load_plan(_changed("rules", rules[::-1]), 1).is_ok()
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", '{"format": "routes-1", "format": "routes-1"}'])
+def test_what_is_no_document_is_an_error(text):
+    assert load_plan(text, 1).is_error()
+
+
+REGISTRATION = {"service": "menus", "address": "10.0.0.1:80", "zone": "a", "slots": 4}
+
+
+def test_a_registration():
+    row = load_registration(json.dumps({**REGISTRATION, "cold_ms": 1500}).encode(), "i-1").ok
+    assert (row.id, row.draining) == ("i-1", False)
+    assert row.cold_left == timedelta(milliseconds=1500)
+
+
+@pytest.mark.parametrize(
+    ("name", "value"), [("slots", 0), ("address", "host:80"), ("state", "up"), ("zone", "")]
+)
+def test_an_odd_registration_is_an_error(name, value):
+    text = json.dumps({**REGISTRATION, name: value}).encode()
+    assert [mistake.path for mistake in load_registration(text, "i-1").error] == [name]
--- a/packages/gateway/tests/test_gateway_forwarding.py
+++ b/packages/gateway/tests/test_gateway_forwarding.py
@@ -162,10 +162,32 @@
 
 def test_a_failed_endpoints_own_status_is_passed_on():
     bench = Bench(kit.answer(500, b"broken"))
-    assert bench.answer().status == 500
+    answer = bench.answer("/orders/1")
+    assert (answer.status, answer.body) == (500, b"broken")
     assert len(bench.client.sent) == 1
 
 
+def test_an_idempotent_request_that_an_endpoint_failed_goes_to_another():
+    bench = Bench(kit.answer(500, b"broken"), kit.answer())
+    assert bench.answer().status == 200
+    assert len(bench.client.sent) == 2
+
+
+@pytest.mark.parametrize("second", [SHED, RESET, NOT_CONNECTED])
+def test_the_status_of_a_failed_endpoint_stands_if_nothing_better_comes(second):
+    bench = Bench(kit.answer(500, b"broken"), second)
+    answer = bench.answer()
+    assert (answer.status, answer.body) == (500, b"broken")
+
+
+def test_an_endpoint_that_fails_again_and_again_rests():
+    bench = Bench(kit.answer(500, b"broken"), endpoints=1)
+    for _ in range(2):
+        bench.answer("/orders/1")
+    (upstream,) = bench.book.of_service("menus")
+    assert upstream.rest_until > bench.time.clock.monotonic()
+
+
 def test_when_the_caller_leaves_its_work_is_given_up():
     bench = Bench(None)
     done = bench.start()
--- /dev/null
+++ b/packages/gateway/tests/test_storecontrol.py
@@ -0,0 +1,234 @@
+"""A gateway over the product's own store: facts from lists, and a whole request over sockets."""
+
+import json
+import socket
+
+from cardamomloft.core.clock import SystemClock
+from cardamomloft.core.registrations import (
+    EntryRecord,
+    EntryRecorded,
+    EntryWithdrawn,
+    PlanRead,
+    Unreadable,
+    UpstreamRegistered,
+    UpstreamWithdrawn,
+    ZoneDrained,
+    ZoneRestored,
+)
+from cardamomloft.gateway.main import CALLER_HEADERS, UPSTREAM_DIALECT
+from cardamomloft.gateway.node import Gateway
+from cardamomloft.gateway.pages import GatewayPages, listen_pages
+from cardamomloft.gateway.storecontrol import StoreControl
+from cardamomloft.store.keyvalue import HttpStore, Listed, Record
+from cardamomloft.upstreams.client import UpstreamClient
+from cardamomloft_standins import gateway as kit
+from cardamomloft_standins.store import Store as StandinStore
+from expression import Error, Ok
+from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks, succeed
+from twisted.internet.task import deferLater
+from twisted.trial.unittest import TestCase
+from twisted.web.client import Agent, readBody
+from twisted.web.http_headers import Headers
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+DOCUMENT = {
+    "format": "routes-1",
+    "rules": [
+        {
+            "name": "menus",
+            "when": {"host": "a.example", "path": "/menus/"},
+            "then": {
+                "services": [{"service": "menus", "weight": 1}],
+                "idempotent": True,
+                "timeout": "5s",
+                "keyed": True,
+            },
+        }
+    ],
+    "services": {"menus": {"connections": 90}},
+    "limits": {"head_bytes": 1, "body_bytes": 9, "head_timeout": "3s", "idle_timeout": "15s"},
+}
+REGISTRATION = {"service": "menus", "address": "10.0.0.1:80", "zone": "a", "slots": 4}
+RECORD = EntryRecord("e-1", "10.0.0.1:80", "a", "east")
+
+
+class ListStore:
+    """A store whose list the test sets."""
+
+    def __init__(self, **values) -> None:
+        self.values = {}
+        self.index = 1
+        self.put(**values)
+        self.acquired = Ok(True)
+        self.released = []
+
+    def put(self, **values) -> None:
+        for key, value in values.items():
+            self.index += 1
+            raw = json.dumps(value).encode()
+            self.values["g/" + key.replace("__", "/").replace("_", "-")] = Record(raw, self.index)
+
+    def list(self, prefix):
+        return succeed(Ok(Listed(dict(self.values), self.index)))
+
+    def create_lease(self, ttl):
+        return succeed(Ok("s-1"))
+
+    def acquire(self, key, value, lease):
+        self.values[key] = Record(value, 9)
+        return succeed(self.acquired)
+
+    def release(self, lease):
+        self.released.append(lease)
+        return succeed(Ok(None))
+
+
+def _result(deferred):
+    results = []
+    deferred.addBoth(results.append)
+    return results[0]
+
+
+def _facts(control, after=1):
+    return set(_result(control.changes(after)).ok.facts)
+
+
+def test_a_list_gives_all_facts_and_then_only_what_differs():
+    store = ListStore(routes__current=DOCUMENT, upstreams__i_1=REGISTRATION, drained_zones__b=1)
+    control = StoreControl(store, "g/")
+    kinds = {type(fact) for fact in _result(control.read()).ok.facts}
+    assert kinds == {PlanRead, UpstreamRegistered, ZoneDrained}
+    assert _facts(control) == set()
+    store.put(upstreams__i_1={**REGISTRATION, "draining": True})
+    (fact,) = _facts(control)
+    assert fact.registration.draining
+    del store.values["g/upstreams/i-1"], store.values["g/drained-zones/b"]
+    assert _facts(control) == {UpstreamWithdrawn("i-1"), ZoneRestored("b")}
+
+
+def test_the_configurations_number_is_its_version_in_the_store():
+    store = ListStore(routes__current=DOCUMENT)
+    (fact,) = _result(StoreControl(store, "g/").read()).ok.facts
+    assert fact.plan.number == store.values["g/routes/current"].version
+
+
+def test_unreadable_items_say_why():
+    store = ListStore(routes__current={}, upstreams__i_1={}, entries__e_1=[])
+    facts = _result(StoreControl(store, "g/").read()).ok.facts
+    assert {type(fact) for fact in facts} == {Unreadable}
+    assert all(fact.detail for fact in facts)
+
+
+def test_entries_record_themselves_and_read_each_other():
+    store = ListStore()
+    control = StoreControl(store, "g/")
+    assert _result(control.record(RECORD, 3000 * kit.MS)) == Ok("s-1")
+    assert _facts(control) == {EntryRecorded(RECORD)}
+    del store.values["g/entries/e-1"]
+    assert _facts(control) == {EntryWithdrawn("e-1")}
+
+
+def test_a_record_that_another_lease_holds_is_a_failure_and_leaves_no_lease():
+    store = ListStore()
+    store.acquired = Ok(False)
+    failure = _result(StoreControl(store, "g/").record(RECORD, 3000 * kit.MS)).error
+    assert not failure.ambiguous
+    assert store.released == ["s-1"]
+
+
+def test_a_list_that_fails_is_a_failure():
+    store = ListStore()
+    store.list = lambda prefix: succeed(Error("away"))
+    assert _result(StoreControl(store, "g/").changes(1)).is_error()
+
+
+class Upstream(Resource):
+    """An endpoint that repeats the request's id and tells who it is."""
+
+    isLeaf = True  # noqa: N815
+
+    def render_GET(self, request):  # noqa: N802
+        for name in (b"x-request-id", b"x-expected-instance"):
+            request.setHeader(name, request.getHeader(name))
+        request.setHeader(b"x-load", b"0,0,4")
+        return b"menu of " + request.uri
+
+
+class WholePath(TestCase):
+    """A gateway, the stand-in store and an endpoint, joined over real sockets."""
+
+    timeout = 60
+
+    def listen(self, site):
+        port = reactor.listenTCP(0, site, interface="127.0.0.1")
+        self.addCleanup(port.stopListening)
+        return f"127.0.0.1:{port.getHost().port}"
+
+    @inlineCallbacks
+    def test_a_request_is_served_by_a_registered_endpoint(self):
+        store = StandinStore(reactor)
+        self.addCleanup(store.close)
+        site = Site(store.app.resource())
+        site.log = lambda request: None
+        address = self.listen(site)
+        upstream = self.listen(Site(Upstream()))
+        store.values.put("g/routes/current", json.dumps(DOCUMENT).encode())
+        row = {**REGISTRATION, "address": upstream}
+        store.values.put("g/upstreams/i-1", json.dumps(row).encode())
+        gateway = yield self.start(address)
+        answer = yield self.ask("/menus/7")
+        assert answer == (200, b"menu of /menus/7")
+        assert (yield self.ask("/elsewhere"))[0] == 404
+        lookup = yield self.ask("/lookup?host=a.example&zone=a", "lookups")
+        assert json.loads(lookup[1])["entries"] == [self.cfg["callers"]]
+        gateway.stop()
+        yield gateway.stopped
+
+    @inlineCallbacks
+    def start(self, store_address):
+        names = ("callers", "readiness", "lookups", "operators")
+        self.cfg = {
+            **{name: free_address() for name in names},
+            "name": "e-1",
+            "zone": "a",
+            "region": "east",
+            "zones": {"a": "east"},
+            "store": store_address,
+            "stop_time": "400ms",
+            "drain_time": "500ms",
+            "lookup_life": "2s",
+            "record_life": "10s",
+            "retries": {"ratio": 0.2, "slack": 60.0, "window": "10s"},
+            "cold": {"overage": 1.5, "slack": 5.0},
+        }
+        http = HttpStore(reactor, store_address)
+        client = UpstreamClient(reactor, dialect=UPSTREAM_DIALECT)
+        control = StoreControl(http, "g/")
+        gateway = Gateway(
+            reactor, self.cfg, SystemClock(), kit.rng(), control, client, CALLER_HEADERS
+        )
+        for port in listen_pages(reactor, GatewayPages(gateway).app, self.cfg["lookups"]):
+            self.addCleanup(port.stopListening)
+        gateway.start()
+        self.addCleanup(lambda: gateway.pages and gateway.pages.stopListening())
+        self.addCleanup(client.close)
+        self.addCleanup(http.close)
+        while not gateway.ready():
+            yield deferLater(reactor, 0.02)
+        return gateway
+
+    @inlineCallbacks
+    def ask(self, path, where="callers"):
+        headers = Headers({"Host": ["a.example"], "X-Request-Id": ["id-1"]})
+        url = f"http://{self.cfg[where]}{path}".encode()
+        response = yield Agent(reactor).request(b"GET", url, headers)
+        body = yield readBody(response)
+        return response.code, body
+
+
+def free_address():
+    """Return a loopback address with a port that is free now."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return f"127.0.0.1:{listener.getsockname()[1]}"
--- a/packages/upstreams/src/cardamomloft/upstreams/connections.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -1,6 +1,7 @@
 """Connections to upstream endpoints: which may be reused, and what an attempt may have sent."""
 
 import re
+import socket
 import typing as t
 
 from twisted.internet.defer import Deferred
@@ -20,6 +21,11 @@
 # Part of the idle time that an upstream grants in its answers.
 IDLE_PART = 0.7
 
+# How long what was sent may stay unacknowledged, in milliseconds, before the connection counts as
+# dead. A round trip between regions takes some 70 ms and a lost packet some 200 ms more; without
+# this a kept connection that has gone silent holds its request until the timeout of the rule.
+SILENCE_MS = 700
+
 _KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 
 _FIRST_ERROR_STATUS = 400
@@ -48,6 +54,13 @@
     closed_in_order = False
     idle_s = IDLE_TIMEOUT_S
 
+    def connectionMade(self) -> None:  # noqa: N802
+        """Let the kernel end the connection soon when the other side has gone silent."""
+        super().connectionMade()
+        handle = getattr(self.transport, "getHandle", lambda: None)()
+        if isinstance(handle, socket.socket):
+            handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
+
     def request(self, request: t.Any) -> "Deferred[t.Any]":
         """Send one request; an error status stops an upload that is still under way."""
         self.exchange += 1
