Send nothing on after the caller has left; log what each send rested on

The real client ends a cancelled send with a failure and not with CancelledError, so an idempotent request of a caller that had left went to a second endpoint, and the endpoint that was given up counted as failing. The fake client did not do that; now it does, and its test failed first.

Refusals say the load of both endpoints with the age of the report, and each line of a request lists its sends: endpoint, expected load, age of the report, time, outcome.

--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -159,7 +159,8 @@
             chosen = self._cold_with_room(cold, now)
         if chosen is not None:
             return chosen
-        return Refusal(RefusalReason.OVERLOAD, f"no endpoint of {service} has room for {key}")
+        seen = ", ".join(_described(up, now) for up in warm) or f"{len(cold)} cold"
+        return Refusal(RefusalReason.OVERLOAD, f"no endpoint has room for {key}: {seen}")
 
     def _with_room(
         self, warm: list[Upstream], rule: RouteRule, until: timedelta, now: timedelta
@@ -313,3 +314,14 @@
     if upstream.work is None:
         return _ZERO
     return upstream.work * max(1.0, (load + 1) / upstream.registration.slots)
+
+
+def _described(upstream: Upstream, now: timedelta) -> str:
+    """Return an endpoint's load with the age of the report that it rests on, for a log line."""
+    report = upstream.report
+    known = (
+        "no report" if report is None else f"report {(now - report.at).total_seconds():.3f} s old"
+    )
+    return (
+        f"{upstream.id} {expected_load(upstream, now):.1f}/{upstream.registration.slots} ({known})"
+    )
--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -6,7 +6,7 @@
 
 import random
 import typing as t
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from http import HTTPStatus
 
@@ -30,7 +30,7 @@
 from cardamomloft.core.selection import Selector, expected_load
 from cardamomloft.entry.metrics import Metrics
 from cardamomloft.gateway.calls import Call
-from cardamomloft.gateway.records import RequestLog
+from cardamomloft.gateway.records import RequestLog, SendNote
 from cardamomloft.upstreams.client import (
     SendFailure,
     UpstreamAnswer,
@@ -86,6 +86,13 @@
 Sent = Served | Refused | Failed
 
 
+class Caller:
+    """Whether the caller still waits: its request is not sent on after it has left."""
+
+    def __init__(self) -> None:
+        self.left = False
+
+
 class Forwarder:
     """Carries the requests of one gateway.
 
@@ -135,31 +142,36 @@
         self, call: Call, head: RequestHead, body: RequestBody, gone: "Deferred[None]"
     ) -> Answer:
         """Answer a call; if the caller leaves, its work is given up."""
-        attempt = ensureDeferred(self._carry(call, head, body))
-        left = False
+        caller = Caller()
+        attempt = ensureDeferred(self._carry(call, head, body, caller))
 
         def leave(_: None) -> None:
-            nonlocal left
-            left = True
+            caller.left = True
             attempt.cancel()
 
         gone.addCallback(leave)
         try:
             return await attempt
         except CancelledError:
-            if not left:
+            if not caller.left:
                 raise
-            self._metrics.count("caller-left")
-            self._records.write(call, "caller-left", self._clock.monotonic())
-            return failed("the caller has left")
+            return self.left(call, ())
 
-    async def _carry(self, call: Call, head: RequestHead, body: RequestBody) -> Answer:
+    async def _carry(
+        self, call: Call, head: RequestHead, body: RequestBody, caller: Caller
+    ) -> Answer:
         payload = await self._payload(body)
         if isinstance(payload, Refusal):
             return self.refuse(payload)
         size = len(payload) if isinstance(payload, bytes) else t.cast(int, payload.length)
         self._selector.sizes.note(call.rule.name, size)
-        return await _Passage(self, call, head, payload).run()
+        return await _Passage(self, call, head, payload, caller).run()
+
+    def left(self, call: Call, sends: Sequence[SendNote]) -> Answer:
+        """Return an answer for nobody, after logging that the caller has left."""
+        self._metrics.count("caller-left")
+        self._records.write(call, "caller-left", self._clock.monotonic(), sends=sends)
+        return failed("the caller has left")
 
     async def _payload(self, body: RequestBody) -> bytes | RequestBody | Refusal:
         """Hold bodies whole so that they can be sent again; leave very large ones to stream."""
@@ -189,12 +201,19 @@
     """One request on its way: what was tried, and what that proves."""
 
     def __init__(
-        self, owner: Forwarder, call: Call, head: RequestHead, payload: bytes | RequestBody
+        self,
+        owner: Forwarder,
+        call: Call,
+        head: RequestHead,
+        payload: bytes | RequestBody,
+        caller: Caller,
     ) -> None:
         self._owner = owner
         self._call = call
         self._head = head
         self._payload = payload
+        self._caller = caller
+        self._sends: list[SendNote] = []
         self._tried: list[str] = []
         self._arrivals = 0
         self._ran = False
@@ -211,6 +230,8 @@
             if not isinstance(chosen, Upstream):
                 return self._end(last, chosen)
             last = await self._send(chosen)
+            if self._caller.left:
+                return self._owner.left(self._call, self._sends)
             if isinstance(last, Served):
                 self._answer = last
             if self._is_final(last):
@@ -242,6 +263,7 @@
             self._owner._metrics.count("repeats")
         self._arrivals += 1
         load = expected_load(upstream, now)
+        report_age = None if upstream.report is None else now - upstream.report.at
         selector.sent(upstream, now)
         try:
             result = await self._owner._client.send(self._request_for(upstream, now))
@@ -249,6 +271,9 @@
         finally:
             selector.ended(upstream)
         self._learn(upstream, outcome, now, load)
+        took = self._now() - now
+        note = SendNote(upstream.id, load, upstream.registration.slots, report_age, took, outcome)
+        self._sends.append(note)
         return outcome
 
     def _request_for(self, upstream: Upstream, now: timedelta) -> UpstreamRequest:
@@ -315,6 +340,9 @@
                 self._owner._records.write(self._call, "misdirected", now, upstream=upstream)
             case Refused():
                 self._selector.refused(upstream, now)
+            case Failed() if self._caller.left:
+                # The send was given up here; it says nothing about the endpoint.
+                self._ran = True
             case Failed():
                 self._arrivals -= outcome.not_run
                 self._ran = self._ran or not outcome.not_run
@@ -342,7 +370,7 @@
         owner, now = self._owner, self._now()
         owner._metrics.count("complete")
         owner._metrics.observe(self._call.service, now - self._call.arrived)
-        owner._records.served(self._call, outcome.answer.status, self._tried, now)
+        owner._records.served(self._call, outcome.answer.status, self._sends, now)
         return outcome.answer
 
     def _give_up(self, last: Sent | None, refusal: Refusal | None) -> Answer:
@@ -351,7 +379,7 @@
         outcome = "refused"
         if self._ran:
             outcome = "late" if isinstance(last, Failed) and last.late else "failed"
-        owner._records.write(self._call, outcome, now, detail=detail, tried=self._tried)
+        owner._records.write(self._call, outcome, now, detail=detail, sends=self._sends)
         if not self._ran:
             return owner.refuse(refusal or Refusal(RefusalReason.SHED, detail))
         owner._metrics.count(outcome)
--- a/packages/gateway/src/cardamomloft/gateway/records.py
+++ b/packages/gateway/src/cardamomloft/gateway/records.py
@@ -5,7 +5,7 @@
 """
 
 import typing as t
-from collections.abc import Collection
+from collections.abc import Sequence
 from datetime import timedelta
 
 from cardamomloft.core.registrations import Upstream
@@ -21,6 +21,32 @@
 _SECOND = timedelta(seconds=1)
 
 
+class SendNote(t.NamedTuple):
+    """One send of a request: where, by what knowledge, and what came of it.
+
+    `load` is the load that was expected there, of `slots`, from a report of the age `report_age`
+    (None: no report).
+    """
+
+    endpoint: str
+    load: float
+    slots: int
+    report_age: timedelta | None
+    took: timedelta
+    outcome: t.NamedTuple
+
+    def fields(self) -> dict[str, t.Any]:
+        """Return the note for a log line."""
+        return {
+            "endpoint": self.endpoint,
+            "load": f"{self.load:.1f}/{self.slots}",
+            "report_age_ms": None if self.report_age is None else _ms(self.report_age),
+            "ms": _ms(self.took),
+            "outcome": type(self.outcome).__name__.lower(),
+            "detail": getattr(self.outcome, "detail", ""),
+        }
+
+
 class RequestLog:
     """Writes lines about requests.
 
@@ -37,12 +63,12 @@
         self._left_out = 0
         self._well = 0
 
-    def served(self, call: Call, status: int, tried: Collection[str], now: timedelta) -> None:
+    def served(self, call: Call, status: int, sends: Sequence[SendNote], now: timedelta) -> None:
         """Log a request that has its answer if it is of interest or in the sample."""
         self._well += 1
         slow = now - call.arrived > call.rule.target
-        if slow or len(tried) > 1 or status >= 500 or self._well % SAMPLE == 0:
-            self.write(call, "served", now, status=status, tried=tried)
+        if slow or len(sends) > 1 or status >= 500 or self._well % SAMPLE == 0:
+            self.write(call, "served", now, status=status, sends=sends)
 
     def write(self, call: Call, outcome: str, now: timedelta, **fields: t.Any) -> None:
         """Log what became of a request."""
@@ -51,8 +77,8 @@
         upstream = fields.pop("upstream", None)
         if isinstance(upstream, Upstream):
             fields["endpoint"] = upstream.id
-        if "tried" in fields:
-            fields["tried"] = list(fields["tried"])
+        if "sends" in fields:
+            fields["sends"] = [note.fields() for note in fields["sends"]]
         log(
             "request",
             id=call.id,
@@ -60,8 +86,8 @@
             rule=call.rule.name,
             service=call.service,
             key=call.key,
-            ms=round((now - call.arrived) / timedelta(milliseconds=1), 1),
-            left_ms=round((call.until - now) / timedelta(milliseconds=1), 1),
+            ms=_ms(now - call.arrived),
+            left_ms=_ms(call.until - now),
             configuration=self._version(),
             **fields,
         )
@@ -76,3 +102,7 @@
             return True
         self._left_out += 1
         return False
+
+
+def _ms(duration: timedelta) -> float:
+    return round(duration / timedelta(milliseconds=1), 1)
--- a/packages/gateway/tests/test_gateway_forwarding.py
+++ b/packages/gateway/tests/test_gateway_forwarding.py
@@ -196,7 +196,22 @@
     assert all(up.in_flight == 0 for up in bench.book.of_service("menus"))
     results = []
     done.addBoth(results.append)
+    assert results
     assert len(bench.client.sent) == 1
+    assert bench.metrics.counters["caller-left"] == 1
+    assert not any(up.failures for up in bench.book.of_service("menus"))
+
+
+def test_log_lines_of_a_request_say_where_it_went_and_by_what_knowledge():
+    bench = Bench(SHED, RESET)
+    lines = []
+    bench.forwarder._records.write = lambda call, outcome, now, **fields: lines.append(fields)
+    bench.answer("/orders/1")
+    first, second = [note.fields() for note in lines[-1]["sends"]]
+    assert (first["outcome"], first["detail"]) == ("refused", "status 503")
+    assert (second["outcome"], second["detail"]) == ("failed", "reset")
+    assert first["load"] == "0.0/4"
+    assert first["report_age_ms"] is None
 
 
 def test_a_misdirected_endpoint_gets_nothing_more():
--- a/standins/src/cardamomloft_standins/gateway.py
+++ b/standins/src/cardamomloft_standins/gateway.py
@@ -16,7 +16,7 @@
 from cardamomloft.gateway.calls import CallerHeaders
 from cardamomloft.gateway.control import Changes, Listing
 from cardamomloft.store.failures import StoreFailure
-from cardamomloft.upstreams.client import UpstreamAnswer
+from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer
 from cardamomloft.upstreams.dialect import Dialect
 from expression import Error, Ok
 from twisted.internet.defer import Deferred, succeed
@@ -103,8 +103,10 @@
             return Deferred(self._cancel)
         return succeed(outcome)
 
-    def _cancel(self, _) -> None:
+    def _cancel(self, result) -> None:
         self.cancelled += 1
+        # As the real client does: the result is a failure, not a CancelledError.
+        result.callback(Error(SendFailure(False, "cancelled")))
 
 
 class FakeControl:
