Log requests that were refused before they became a call, by id and bounded

A request without a rule, malformed or at a stopping entry had a line without its id and without the configuration that refused it, and these lines had no bound.

--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -129,6 +129,7 @@
             self.book, cfg["name"], cfg["zone"], _cold_limit(cfg), Preferences()
         )
         self._budgets: dict[str, RetryBudget] = {}
+        self.records = RequestLog(lambda: self.configuration)
         self.forwarder = Forwarder(
             self._reactor,
             clock,
@@ -138,7 +139,7 @@
             self._client,
             self._budget_for,
             self.metrics,
-            RequestLog(lambda: self.configuration),
+            self.records,
         )
         self.app = CallersApp(None, self.handle, self._on_fault)
         self.presence = Presence(self._control, own, bounds.record_life)
@@ -250,17 +251,20 @@
 
     async def _handle(self, head: RequestHead, body: RequestBody, gone: "Deferred[None]") -> Answer:
         self.metrics.count("requests")
-        if not self.life.admits() or self._reader is None:
-            reason = RefusalReason.STOPPING
-            if self.life.state() == "starting":
-                reason = RefusalReason.NOT_READY
-            return self.forwarder.refuse(Refusal(reason, "ask another entry"))
-        call = self.read(head)
+        call = self._admitted(head)
         if isinstance(call, Refusal):
-            log("request-refused", reason=call.reason, detail=call.detail, path=head.path)
+            request_id = dict(head.headers).get(self.headers.request_id, "")
+            self.records.unread(head, request_id, call, self._clock.monotonic())
             return self.forwarder.refuse(call)
         return await self.forwarder.carry(call, head, body, gone)
 
+    def _admitted(self, head: RequestHead) -> Call | Refusal:
+        if self.life.admits() and self._reader is not None:
+            return self.read(head)
+        starting = self.life.state() == "starting"
+        reason = RefusalReason.NOT_READY if starting else RefusalReason.STOPPING
+        return Refusal(reason, "ask another entry")
+
     def read(self, head: RequestHead) -> Call | Refusal:
         """Return the call behind a request by the configuration in force."""
         if self._reader is None:
--- a/packages/gateway/src/cardamomloft/gateway/records.py
+++ b/packages/gateway/src/cardamomloft/gateway/records.py
@@ -8,6 +8,8 @@
 from collections.abc import Sequence
 from datetime import timedelta
 
+from cardamomloft.callers.exchange import RequestHead
+from cardamomloft.core.model import Refusal
 from cardamomloft.core.registrations import Upstream
 from cardamomloft.entry.logs import log
 from cardamomloft.gateway.calls import Call
@@ -92,6 +94,20 @@
             **fields,
         )
 
+    def unread(self, head: RequestHead, request_id: str, refusal: Refusal, now: timedelta) -> None:
+        """Log a request that was refused before it became a call."""
+        if self._has_room(now):
+            log(
+                "request",
+                id=request_id,
+                outcome="refused",
+                reason=str(refusal.reason),
+                detail=refusal.detail,
+                host=dict(head.headers).get("host", ""),
+                path=head.path,
+                configuration=self._version(),
+            )
+
     def _has_room(self, now: timedelta) -> bool:
         if now - self._window >= _SECOND:
             if self._left_out:
--- a/packages/gateway/tests/test_gateway.py
+++ b/packages/gateway/tests/test_gateway.py
@@ -17,6 +17,7 @@
     ZoneDrained,
     ZoneRestored,
 )
+from cardamomloft.gateway import records
 from cardamomloft.gateway.control import Changes
 from cardamomloft.gateway.node import Gateway
 from cardamomloft.gateway.reloading import SettingsFile
@@ -313,3 +314,29 @@
     slept = []
     assert SettingsFile(tmp_path / "none.json").wait(2, slept.append) is None
     assert sum(slept) == pytest.approx(2)
+
+
+def test_each_refused_request_has_a_log_line_with_its_id_and_the_configuration(monkeypatch):
+    lines = []
+    monkeypatch.setattr(records, "log", lambda event, **fields: lines.append((event, fields)))
+    run = Run()
+    run.ask(host="unknown.example")
+    run.gateway.stop()
+    run.time.advance(4000 * MS)
+    run.ask()
+    (_, unknown), (_, stopping) = lines
+    assert (unknown["id"], unknown["configuration"]) == ("id-1", 1)
+    assert unknown["reason"] == "no-such-service"
+    assert stopping["reason"] == "entry-is-stopping"
+
+
+def test_log_lines_of_requests_are_bounded_and_counted(monkeypatch):
+    lines = []
+    monkeypatch.setattr(records, "log", lambda event, **fields: lines.append((event, fields)))
+    run = Run()
+    for _ in range(records.LINES_PER_S + 40):
+        run.ask(host="unknown.example")
+    assert len(lines) == records.LINES_PER_S
+    run.time.advance(1500 * MS)
+    run.ask(host="unknown.example")
+    assert ("requests-not-logged", {"count": 40}) in lines
