Let 1,024 connections wait to be accepted; read and check settings in one place

Cause looked for: requests held past their rule's timeout after all machines lost power (findings). A full queue of 50 connections drops opening packets for a second. The held requests are as many as before, so the queue was not their cause; the finding stays open.

--- a/packages/callers/src/cardamomloft/callers/app.py
+++ b/packages/callers/src/cardamomloft/callers/app.py
@@ -23,6 +23,13 @@
 from .streaming import CallerFactory, CallerRequest
 from .waiting import Waiters
 
+BACKLOG = 1024
+"""Connections that may wait to be accepted.
+
+With the default of 50, callers that all come back at once after an entry's start overflow it: their
+opening packets are dropped and sent again after a second, longer than they wait.
+"""
+
 _CLIENT_QUERY = b"client="
 
 
@@ -189,7 +196,7 @@
 def listen(reactor: t.Any, address: str, app: CallersApp) -> IListeningPort:
     """Accept callers' connections on `address`, which is ``ip:port``."""
     host, _, port = address.rpartition(":")
-    return reactor.listenTCP(int(port), app.factory(reactor), interface=host)
+    return reactor.listenTCP(int(port), app.factory(reactor), backlog=BACKLOG, interface=host)
 
 
 _LOOKUP_HEADERS = (("Content-Type", "application/json"),)
--- a/packages/core/src/cardamomloft/core/checking.py
+++ b/packages/core/src/cardamomloft/core/checking.py
@@ -98,6 +98,11 @@
         return Error(tuple(sorted({_mistake(error, raw) for error in exc.errors()})))
 
 
+def load_typed(type_: type[T], text: str | bytes) -> Checked[T]:
+    """Read JSON strictly and check it against a type of strict TypedDicts."""
+    return load_json(text).bind(lambda raw: check_typed(type_, raw))
+
+
 def check_document(raw: object) -> Checked[Document]:
     """Check a whole configuration document; what is returned is `raw` itself."""
     typed = check_typed(Document, raw)
--- a/packages/entry/src/cardamomloft/entry/settings.py
+++ b/packages/entry/src/cardamomloft/entry/settings.py
@@ -7,9 +7,9 @@
 import typing as t
 from typing import NotRequired
 
-from cardamomloft.core.checking import check_typed, load_json
+from cardamomloft.core.checking import load_typed
 from cardamomloft.core.document import Address, Mistake, Name
-from expression import Error, Ok, Result
+from expression import Result
 from pydantic import ConfigDict, Field, with_config
 from typing_extensions import TypedDict
 
@@ -64,9 +64,4 @@
     Result
         The settings, or every mistake with its path.
     """
-    match load_json(text):
-        case Result(tag="error", error=mistakes):
-            return Error(mistakes if isinstance(mistakes, tuple) else (mistakes,))
-        case Result(tag="ok", ok=raw):
-            return check_typed(EntrySettings, raw)
-    return Ok(t.cast(EntrySettings, {}))
+    return load_typed(EntrySettings, text)
--- a/packages/gateway/src/cardamomloft/gateway/documents.py
+++ b/packages/gateway/src/cardamomloft/gateway/documents.py
@@ -8,7 +8,7 @@
 from datetime import timedelta
 from typing import NotRequired
 
-from cardamomloft.core.checking import check_typed, load_json
+from cardamomloft.core.checking import load_typed
 from cardamomloft.core.difference import dotted
 from cardamomloft.core.document import Address, Mistake, Name
 from cardamomloft.core.registrations import Registration
@@ -126,7 +126,7 @@
     Mistake
         Every mistake, with its path.
     """
-    match load_json(text).bind(lambda raw: check_typed(RouteDocument, raw)):
+    match load_typed(RouteDocument, text):
         case Result(tag="error", error=mistakes):
             return Error(mistakes)
         case Result(ok=document):
@@ -137,7 +137,7 @@
 
 def load_registration(text: bytes, upstream_id: str) -> Result[Registration, tuple[Mistake, ...]]:
     """Check a registration's text."""
-    match load_json(text).bind(lambda raw: check_typed(RegistrationRow, raw)):
+    match load_typed(RegistrationRow, text):
         case Result(tag="error", error=mistakes):
             return Error(mistakes)
         case Result(ok=row):
--- a/packages/gateway/src/cardamomloft/gateway/pages.py
+++ b/packages/gateway/src/cardamomloft/gateway/pages.py
@@ -3,6 +3,7 @@
 import typing as t
 
 import msgspec
+from cardamomloft.callers.app import BACKLOG
 from cardamomloft.core.model import Refusal
 from cardamomloft.gateway.node import Gateway
 from klein import Klein
@@ -50,7 +51,7 @@
     site = Site(app.resource())
     site.log = lambda request: None
     return [
-        reactor.listenTCP(int(port), site, interface=host)
+        reactor.listenTCP(int(port), site, backlog=BACKLOG, interface=host)
         for host, _, port in (address.rpartition(":") for address in dict.fromkeys(addresses))
     ]
 
--- a/packages/gateway/src/cardamomloft/gateway/settings.py
+++ b/packages/gateway/src/cardamomloft/gateway/settings.py
@@ -7,10 +7,10 @@
 from datetime import timedelta
 from typing import NotRequired
 
-from cardamomloft.core.checking import check_typed, load_json
+from cardamomloft.core.checking import load_typed
 from cardamomloft.core.document import Address, Mistake
 from cardamomloft.gateway.durations import PATTERN, parse_duration
-from expression import Error, Ok, Result
+from expression import Result
 from pydantic import ConfigDict, Field, with_config
 from typing_extensions import TypedDict
 
@@ -94,12 +94,7 @@
     Result
         The settings, or every mistake with its path.
     """
-    match load_json(text):
-        case Result(tag="error", error=mistakes):
-            return Error(mistakes if isinstance(mistakes, tuple) else (mistakes,))
-        case Result(tag="ok", ok=raw):
-            return check_typed(GatewaySettings, raw)
-    return Ok(t.cast(GatewaySettings, {}))
+    return load_typed(GatewaySettings, text)
 
 
 def bounds_of(cfg: GatewaySettings) -> Bounds:
--- a/packages/operators/src/cardamomloft/operators/trail.py
+++ b/packages/operators/src/cardamomloft/operators/trail.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 
 from cardamomloft.core.changes import Record, audit_entry, canonical
-from cardamomloft.core.checking import check_typed, load_json
+from cardamomloft.core.checking import load_json, load_typed
 from cardamomloft.store.failures import StoreFailure
 from cardamomloft.store.keyvalue import Record as StoredRecord
 from cardamomloft.store.keyvalue import Store
@@ -68,7 +68,7 @@
 
     Whether it belongs where it stands is for :func:`cardamomloft.core.changes.verify_chain`.
     """
-    checked = load_json(raw).bind(lambda value: check_typed(AuditEntry, value))
+    checked = load_typed(AuditEntry, raw)
     return checked.default_value(None)
 
 
