Pass no unproved refusal on, and bound the time a body may take

Found by reading the code against what callers may conclude: an endpoint's 503 (408, 421, 429) without its definite mark was passed on, and a caller repeats a request after that although it may have run. It is a failure now: repeated if idempotent, else 502. A body that stalls held its request and its memory without end; at the deadline it is refused as not run. Tests failed first (both kinds).

--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -39,7 +39,7 @@
 )
 from cardamomloft.upstreams.dialect import parse_header_load
 from expression import Result
-from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
+from twisted.internet.defer import CancelledError, Deferred, TimeoutError, ensureDeferred
 
 WHOLE_BODY = 1024 * 1024
 """Bytes up to which a request's body is held, so that it can be sent again after a refusal."""
@@ -61,6 +61,20 @@
 """
 
 
+PROMISES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+"""Statuses by which callers take a request as not run and repeat it, whatever it does.
+
+An endpoint that gives one without its definite mark may have run the request.
+"""
+
+
 class Served(t.NamedTuple):
     """An endpoint's answer; `faulty` if it says that the endpoint itself has failed."""
 
@@ -160,8 +174,9 @@
     async def _carry(
         self, call: Call, head: RequestHead, body: RequestBody, caller: Caller
     ) -> Answer:
-        payload = await self._payload(body)
+        payload = await self._payload(body, call.until)
         if isinstance(payload, Refusal):
+            self._records.write(call, "refused", self._clock.monotonic(), detail=payload.detail)
             return self.refuse(payload)
         size = len(payload) if isinstance(payload, bytes) else t.cast(int, payload.length)
         self._selector.sizes.note(call.rule.name, size)
@@ -173,13 +188,22 @@
         self._records.write(call, "caller-left", self._clock.monotonic(), sends=sends)
         return failed("the caller has left")
 
-    async def _payload(self, body: RequestBody) -> bytes | RequestBody | Refusal:
+    async def _payload(self, body: RequestBody, until: timedelta) -> bytes | RequestBody | Refusal:
         """Hold bodies whole so that they can be sent again; leave very large ones to stream."""
         if body.length == 0:
             return b""
         if isinstance(body.length, int) and body.length > WHOLE_BODY:
             return body
-        match await body.collect(WHOLE_BODY):
+        collected = body.collect(WHOLE_BODY)
+        left = max(timedelta(0), until - self._clock.monotonic())
+        collected.addTimeout(left.total_seconds(), self._reactor)
+        try:
+            outcome = await collected
+        except TimeoutError:
+            return Refusal(
+                RefusalReason.DEADLINE, f"{body.received} bytes of the body came in time"
+            )
+        match outcome:
             case Result(tag="ok", ok=whole):
                 return whole
             case Result(error=detail):
@@ -304,6 +328,10 @@
             answer.body.abort()
             dialect = self._owner._client.dialect
             return Refused(f"status {answer.status}", answer.status == dialect.misdirected)
+        if answer.status in PROMISES:
+            answer.body.abort()
+            detail = f"status {answer.status} without a proof that it was not run"
+            return Failed(False, detail, self._is_late())
         headers, faulty = _for_caller(answer), answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if answer.length is not None and answer.length > WHOLE_ANSWER:
             return Served(complete(answer.status, headers, t.cast(Source, answer.body)))
--- a/packages/gateway/tests/test_gateway_forwarding.py
+++ b/packages/gateway/tests/test_gateway_forwarding.py
@@ -48,14 +48,15 @@
             RequestLog(lambda: 1),
         )
 
-    def start(self, path="/menus/7", body=b""):
+    def start(self, path="/menus/7", body=b"", whole=True):
         pairs = (("host", "a.example"), ("x-request-id", "id-1"), ("x-object", "17"))
         head = RequestHead("GET", path, "", pairs, "10.0.0.9", len(body), False)
         call = Reader(kit.plan(), kit.HEADERS, kit.rng()).read(head, self.time.clock.monotonic())
         carried = RequestBody(len(body), self)
         if body:
-            carried.data_received(body)
-            carried.end()
+            carried.data_received(body if whole else body[:1])
+            if whole:
+                carried.end()
         self.gone = Deferred()
         return ensureDeferred(self.forwarder.carry(call, head, carried, self.gone))
 
@@ -160,6 +161,32 @@
     assert all(0.1 < wait < 1 for wait in waits)
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_a_refusal_without_its_mark_is_not_passed_on_as_not_run(status):
+    """Callers would repeat an order that may have run."""
+    bench = Bench(kit.answer(status, b"busy", x_stamp="s-1"))
+    answer = bench.answer("/orders/1")
+    assert answer.status == 502
+    assert _header(answer, "x-stamp") is None
+    assert len(bench.client.sent) == 1
+
+
+def test_an_idempotent_request_refused_without_a_mark_goes_to_another():
+    bench = Bench(kit.answer(503, b"busy"), kit.answer())
+    assert bench.answer().status == 200
+
+
+def test_a_body_that_does_not_come_in_time_is_refused_as_not_run():
+    bench = Bench(kit.answer())
+    results = []
+    bench.start("/orders/1", b"two boxes", whole=False).addBoth(results.append)
+    bench.time.advance(990 * MS)
+    assert results == []
+    bench.time.advance(20 * MS)
+    assert results[0].status == 503
+    assert bench.client.sent == []
+
+
 def test_a_failed_endpoints_own_status_is_passed_on():
     bench = Bench(kit.answer(500, b"broken"))
     answer = bench.answer("/orders/1")
