Split the entry's node by job; measure gateways' slopes on the product's own registrations

entry/node.py 651 -> 511 lines: look-ups, stopping, messages of peers, fetching of the map and the adapters are modules of their own; behaviour and tests unchanged but for import paths.

--- /dev/null
+++ b/packages/entry/src/cardamomloft/entry/lookups.py
@@ -0,0 +1,61 @@
+"""The answers to callers' look-ups: which entries to use, and how to begin operation ids."""
+
+import socket
+from datetime import timedelta
+
+from cardamomloft.callers.app import LookupAnswer, LookupEntry
+from cardamomloft.core.membership import Membership
+from cardamomloft.core.model import Incarnation
+from cardamomloft.core.operations import OperationIds
+from cardamomloft.core.router import Router
+
+ENTRIES = 3
+"""Entries in one answer, so that a caller has others when one is lost."""
+
+VALID = timedelta(seconds=2)
+"""How long an answer may be kept; an entry that stops goes on serving longer than that."""
+
+
+class Lookups:
+    """Answers the look-ups of one entry.
+
+    Parameters
+    ----------
+    me
+        This process.
+    membership
+        Which entries are there.
+    ids
+        This entry's prefixes of operation ids.
+    """
+
+    def __init__(self, me: Incarnation, membership: Membership, ids: OperationIds) -> None:
+        self._me = me
+        self._membership = membership
+        self._ids = ids
+
+    def answer(self, client: str, router: Router, revision: int) -> LookupAnswer:
+        """Name the entries that `client` should use, and the prefix for its operation ids."""
+        site = router.classifier.site_of(int.from_bytes(socket.inet_aton(client)))
+        seats = self._membership.entries_for(site, ENTRIES)
+        executor, prefix, left = self._executor_among(seats)
+        rows = router.document["entries"]
+        entries = [LookupEntry(name=seat, address=rows[seat]["callers"]) for seat in seats]
+        return LookupAnswer(
+            site=site,
+            entries=entries,
+            executor=executor,
+            operation_prefix=prefix,
+            valid_ms=min(VALID, left) // timedelta(milliseconds=1),
+            revision=revision,
+        )
+
+    def _executor_among(self, seats: list[str]) -> tuple[str, str, timedelta]:
+        for seat in seats:
+            if seat == self._me.seat:
+                break
+            found = self._membership.prefix_of(seat)
+            if found is not None:
+                return seat, *found
+        own = self._ids.prefix()
+        return self._me.seat, own.text, own.left
--- a/packages/entry/src/cardamomloft/entry/main.py
+++ b/packages/entry/src/cardamomloft/entry/main.py
@@ -51,7 +51,8 @@
 def _run(cfg: EntrySettings) -> int:
     # Imported here so that --check needs neither reactor nor sockets.
     from cardamomloft.entry.logs import start_logs
-    from cardamomloft.entry.node import EntryNode, connect
+    from cardamomloft.entry.node import EntryNode
+    from cardamomloft.entry.outside import connect
     from cardamomloft.peers.node import BindError
     from twisted.internet import error, reactor
 
--- a/packages/entry/src/cardamomloft/entry/node.py
+++ b/packages/entry/src/cardamomloft/entry/node.py
@@ -5,11 +5,10 @@
 
 import random
 import secrets
-import socket
 import typing as t
 from datetime import timedelta
 
-from cardamomloft.callers.app import CallersApp, LookupAnswer, LookupEntry, listen
+from cardamomloft.callers.app import CallersApp, LookupAnswer, listen
 from cardamomloft.callers.body import RequestBody
 from cardamomloft.callers.exchange import Answer, RequestHead, to_answer
 from cardamomloft.core.admission import Admission
@@ -20,20 +19,7 @@
 from cardamomloft.core.document import Revision, regions_of_zones
 from cardamomloft.core.ledger import Ledger
 from cardamomloft.core.membership import Membership, VmRow
-from cardamomloft.core.messages import (
-    ChunkReply,
-    ChunkRequest,
-    Digest,
-    DocumentReply,
-    DocumentRequest,
-    LoanGrant,
-    LoanRecall,
-    LoanRequest,
-    LoanReturn,
-    Message,
-    Outgoing,
-    VmNotice,
-)
+from cardamomloft.core.messages import Digest, DocumentRequest, Message, Outgoing
 from cardamomloft.core.model import Incarnation, Refusal, RefusalReason, Request
 from cardamomloft.core.operations import OperationIds
 from cardamomloft.core.rates import Pacer
@@ -49,63 +35,33 @@
 from cardamomloft.entry.lifecycle import LifeActions, make_life_cycle
 from cardamomloft.entry.loads import LoadPoller
 from cardamomloft.entry.logs import log
+from cardamomloft.entry.lookups import VALID, Lookups
+from cardamomloft.entry.mapfetching import CHUNKS, MapFetcher
 from cardamomloft.entry.maps import MapLoader
 from cardamomloft.entry.metrics import Metrics
+from cardamomloft.entry.outside import Outside
+from cardamomloft.entry.receiving import receive
 from cardamomloft.entry.seat import SeatRecord
-from cardamomloft.entry.settings import EntrySettings
+from cardamomloft.entry.settings import DEFAULTS, EntrySettings
 from cardamomloft.entry.status import StatusPage
 from cardamomloft.entry.steward import CONFIGURATION_KEY, StewardRunner, offer_record
+from cardamomloft.entry.stopping import close, cut_off
 from cardamomloft.entry.timers import Timers
 from cardamomloft.entry.vms import VmWatch
 from cardamomloft.peers.curve import CurveKeys
 from cardamomloft.peers.node import PeerNode
-from cardamomloft.store.keyvalue import HttpStore, Store
-from cardamomloft.store.vms import HttpVmList, VmList
-from cardamomloft.upstreams.client import UpstreamClient
 from expression import Result
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.python.failure import Failure
 
 TICK = timedelta(milliseconds=50)
 COME_BACK = timedelta(seconds=1)
-LOOKUP_ENTRIES = 3
-LOOKUP_VALID = timedelta(seconds=2)
-LINGER = LOOKUP_VALID + timedelta(milliseconds=500)
-CLEAR_PATIENCE = timedelta(seconds=2)
+LINGER = VALID + timedelta(milliseconds=500)
 SEAT_RETRY = timedelta(seconds=2)
 FIRST_READ = timedelta(milliseconds=1500)
-CHUNKS = timedelta(milliseconds=100)
 USELESS = timedelta(seconds=10)
 CLAIMS_PER_S = 300
 
-_DEFAULTS: dict[str, t.Any] = {
-    "store_timeout_ms": 2000,
-    "vms_every_ms": 2000,
-    "load_every_ms": 500,
-    "max_in_flight": 2000,
-    "ledger_entries": 20_000,
-    "ledger_bytes": 24 * 1024 * 1024,
-    "claims_per_s": 20,
-}
-
-
-class Outside(t.NamedTuple):
-    """The adapters of what is not ours."""
-
-    store: Store
-    vms: VmList
-    client: UpstreamClient
-
-
-def connect(reactor: t.Any, cfg: EntrySettings) -> Outside:
-    """Make the adapters that the settings name; nothing is sent yet."""
-    timeout = timedelta(milliseconds=cfg.get("store_timeout_ms", _DEFAULTS["store_timeout_ms"]))
-    return Outside(
-        HttpStore(reactor, _address(cfg["store"]), timeout=timeout),
-        HttpVmList(reactor, _address(cfg["vms"]), timeout=timeout),
-        UpstreamClient(reactor),
-    )
-
 
 class EntryNode:
     """One entry process.
@@ -131,7 +87,7 @@
         outside: Outside,
     ) -> None:
         self._reactor = reactor
-        self._cfg: dict[str, t.Any] = {**_DEFAULTS, **cfg}
+        self._cfg: dict[str, t.Any] = {**DEFAULTS, **cfg}
         self._clock = clock
         self._rng = rng
         self.me = Incarnation(cfg["seat"], secrets.token_hex(8))
@@ -143,11 +99,10 @@
         self.seat = SeatRecord(self.me, self.store)
         self._build_decisions()
         self._build_edges()
-        self._in_force = 0
+        self.in_force = 0
         self._reported: tuple[object, ...] = ()
         self._timers = Timers(reactor, self._on_fault)
         self.store_at: timedelta | None = None
-        self._complete = 0
         self._refused = 0
         self._useful_at = clock.monotonic()
 
@@ -171,13 +126,15 @@
             rng,
             self.membership,
             self.shares,
-            lambda: self._describe(self._in_force),
+            lambda: self._describe(self.in_force),
         )
-        self.maps = MapLoader(rng, self._read_chunk, self._on_map)
+        self.maps = MapLoader(rng, lambda digest: self.fetcher.read(digest), self._on_map)
+        self.fetcher = MapFetcher(self, self._on_fault)
         self.ids = OperationIds(self.me, clock, secrets.token_bytes(32))
         self.ledger = Ledger(
             clock, max_entries=cfg["ledger_entries"], max_bytes=cfg["ledger_bytes"]
         )
+        self.lookups = Lookups(self.me, self.membership, self.ids)
         per_s = cfg["claims_per_s"]
         self.claims = Claims(self.me, clock, writes_per_s=per_s) if per_s else None
         self.steward: StewardRunner | None = None
@@ -224,7 +181,7 @@
         every(timedelta(milliseconds=self._cfg["vms_every_ms"]), self._poll_vms)
         every(timedelta(milliseconds=self._cfg["load_every_ms"]), self._poll_load)
         every(SEAT_RETRY, self._record_seat)
-        every(CHUNKS, self._fetch_chunks)
+        every(CHUNKS, self.fetcher.fetch)
         every(FIRST_READ, self._look_for_first)
 
     def stop(self) -> None:
@@ -233,7 +190,7 @@
 
     def on_ready(self) -> None:
         """Tell peers that callers may come."""
-        log("ready", revision=self._in_force)
+        log("ready", revision=self.in_force)
         self.gossip.announce()
 
     def on_leaving(self) -> None:
@@ -243,41 +200,13 @@
         self.app.closing()
         hard = self._cfg.get("hard_stop_ms")
         if hard is not None:
-            self._reactor.callLater(hard / 1000, self._cut_off)
+            self._reactor.callLater(hard / 1000, cut_off, self)
         self._reactor.callLater(LINGER.total_seconds(), self.life.lingered)
 
     def on_closing(self) -> None:
         """Refuse new work, finish what is in flight, hand the shares over."""
         log("closing", in_flight=self.app.in_flight)
-        ensureDeferred(self._close()).addErrback(self._on_fault)
-
-    async def _close(self) -> None:
-        await self.app.drained()
-        while self.executor is not None and (self.executor.running or self.forwarder.lingering):
-            await self._timers.sleep(TICK)
-        self._send_all(self.shares.hand_over())
-        end = self._clock.monotonic() + CLEAR_PATIENCE
-        while not self.shares.is_clear and self._clock.monotonic() < end:
-            await self._timers.sleep(TICK)
-        if self.shares.is_clear and self.seat.recorded:
-            noted = await self.seat.note_stop()
-            log("handed-over", noted=noted)
-        if self.steward is not None:
-            await self.steward.release()
-        await self.app.disconnect()
-        self.life.drained()
-
-    def _cut_off(self) -> None:
-        """Stop in spite of requests in flight, and say which."""
-        if self.life.state() == "stopped":
-            return
-        flights = self.router.in_flight() if self.router else []
-        log(
-            "cut-off",
-            requests=[f"{d.ticket.req.method} {d.ticket.req.path}" for d in flights],
-            endpoints=[d.endpoint.name for d in flights],
-        )
-        self.life.drained()
+        ensureDeferred(close(self, self._timers, self._clock)).addErrback(self._on_fault)
 
     def on_stopped(self) -> None:
         """Release everything and end the process."""
@@ -297,32 +226,9 @@
     def lookup(self, client: str) -> LookupAnswer | Refusal:
         """Name the entries that a client should use, and the prefix for its operation ids."""
         self.metrics.count("lookups")
-        classifier = self.router.classifier if self.router else None
-        if classifier is None or not self.replica.ready:
+        if self.router is None or self.router.classifier is None or not self.replica.ready:
             return Refusal(RefusalReason.NOT_READY, "no configuration yet", COME_BACK)
-        site = classifier.site_of(int.from_bytes(socket.inet_aton(client)))
-        seats = self.membership.entries_for(site, LOOKUP_ENTRIES)
-        executor, prefix, left = self._executor_among(seats)
-        rows = self.router.document["entries"]
-        entries = [LookupEntry(name=seat, address=rows[seat]["callers"]) for seat in seats]
-        return LookupAnswer(
-            site=site,
-            entries=entries,
-            executor=executor,
-            operation_prefix=prefix,
-            valid_ms=min(LOOKUP_VALID, left) // timedelta(milliseconds=1),
-            revision=self._in_force,
-        )
-
-    def _executor_among(self, seats: list[str]) -> tuple[str, str, timedelta]:
-        for seat in seats:
-            if seat == self.me.seat:
-                break
-            found = self.membership.prefix_of(seat)
-            if found is not None:
-                return seat, *found
-        own = self.ids.prefix()
-        return self.me.seat, own.text, own.left
+        return self.lookups.answer(client, self.router, self.in_force)
 
     def handle(
         self, head: RequestHead, body: RequestBody, gone: "Deferred[None]"
@@ -368,12 +274,12 @@
             case Result(tag="ok", ok=record):
                 self.store_at = self._clock.monotonic()
                 offer_record(self.replica, record)
-                self._put_in_force()
+                self.put_in_force()
 
-    def _put_in_force(self) -> None:
+    def put_in_force(self) -> None:
         """Put the replica's revision in force if it is a new one."""
         held = self.replica.held
-        if held is None or held.number <= max(self._in_force, self._refused):
+        if held is None or held.number <= max(self.in_force, self._refused):
             return
         try:
             self._configure(held)
@@ -391,7 +297,7 @@
         self._update_ownership()
         blocks = self.maps.configure(held.document["clients"])
         self.router.configure(held, quarantine=self.seat.predecessor, blocks=blocks)
-        self._in_force = held.number
+        self.in_force = held.number
         self.gossip.configure(held.document)
         self.membership.configure(held.document, self.shares.partners)
         self._place_steward()
@@ -405,11 +311,26 @@
     def _build_router(self, held: Revision) -> None:
         zone = self._cfg["zone"]
         region = regions_of_zones(held.document).get(zone, "")
-        free = self.shares.free
-        base = self.shares.base
-        steering = Steering(zone, region, self._clock, self._rng, free, base)
-        admission = Admission(self._clock)
-        router = Router(zone, region, self._clock, self.shares, steering, admission)
+        steering = Steering(
+            zone, region, self._clock, self._rng, self.shares.free, self.shares.base
+        )
+        self.router = Router(
+            zone, region, self._clock, self.shares, steering, Admission(self._clock)
+        )
+        self._build_forwarding(self.router)
+        self.steward = StewardRunner(
+            self.me,
+            region,
+            self._clock,
+            self._rng,
+            self.store,
+            self.replica,
+            Stewardship(region, self._clock, self._rng),
+            self._on_offer,
+            self._on_fault,
+        )
+
+    def _build_forwarding(self, router: Router) -> None:
         self.forwarder = Forwarder(
             self._reactor,
             self._clock,
@@ -434,19 +355,6 @@
             self._is_current,
             self._on_fault,
         )
-        stewardship = Stewardship(region, self._clock, self._rng)
-        self.steward = StewardRunner(
-            self.me,
-            region,
-            self._clock,
-            self._rng,
-            self.store,
-            self.replica,
-            stewardship,
-            self._on_offer,
-            self._on_fault,
-        )
-        self.router = router
 
     def _place_steward(self) -> None:
         standby, size = self.membership.standing(STANDBYS)
@@ -454,7 +362,7 @@
 
     def _on_offer(self) -> None:
         self.store_at = self._clock.monotonic()
-        self._put_in_force()
+        self.put_in_force()
 
     def _callers_address(self, seat: str) -> str | None:
         row = self.router.document["entries"].get(seat) if self.router else None
@@ -480,30 +388,7 @@
         )
 
     def _on_message(self, sender: Incarnation, message: Message) -> None:
-        if self.steward is not None:
-            self.steward.stewardship.heard(str(sender))
-        match message:
-            case Digest():
-                self.membership.on_digest(sender, message)
-                self.shares.on_digest(sender, message)
-                self._send_all(self.replica.on_digest(sender, message))
-            case DocumentRequest():
-                self._send_all(self.replica.on_document_request(sender, message), sender)
-            case DocumentReply():
-                # Announced before it is in force here, so that no hop waits for the one before;
-                # nothing else is handled in between.
-                self._send_all(self.replica.on_document_reply(sender, message))
-                self._put_in_force()
-            case LoanRequest() | LoanGrant() | LoanReturn() | LoanRecall():
-                self._send_all(self.shares.on_message(sender, message), sender)
-                if self.forwarder is not None:
-                    self.forwarder.pump()
-            case ChunkRequest():
-                self._send_all(self.maps.on_request(sender.seat, message), sender)
-            case ChunkReply():
-                self.maps.take(message.digest, message.chunk)
-            case VmNotice():
-                self.vms.on_notice(message)
+        receive(self, sender, message)
 
     def _send_all(self, outgoing: list[Outgoing], to: Incarnation | None = None) -> None:
         self.gossip.send(outgoing, to)
@@ -518,7 +403,7 @@
 
     def _tick(self) -> None:
         outgoing = self.replica.tick()
-        self._put_in_force()
+        self.put_in_force()
         self._send_all(outgoing)
         if self.router is None:
             return
@@ -528,7 +413,7 @@
         self.steward.tick()
         probe = self.steward.stewardship.peer_to_probe()
         if probe is not None:
-            self._send_all([Outgoing(probe, DocumentRequest(self._in_force))])
+            self._send_all([Outgoing(probe, DocumentRequest(self.in_force))])
         state = (self.shares.settled, self.life.state())
         if state != self._reported:
             self._reported = state
@@ -538,27 +423,6 @@
         """Read the store while nothing is held: without a roster no steward does."""
         return None if self.replica.held else ensureDeferred(self._read_configuration())
 
-    def complete_revision(self) -> int:
-        """Return the highest revision in force here with all of its client-block map."""
-        if not self.maps.missing:
-            self._complete = self._in_force
-        return self._complete
-
-    def _fetch_chunks(self) -> None:
-        if self.router is None or not self.maps.missing:
-            return
-        peers = self._near_seats()
-        watching = self.steward.stewardship.watches_configuration
-        self._send_all(self.maps.next_requests(peers, from_store=watching or not peers))
-
-    def _read_chunk(self, digest: str) -> None:
-        ensureDeferred(self._fetch_chunk(digest)).addErrback(self._on_fault)
-
-    async def _fetch_chunk(self, digest: str) -> None:
-        match await self.store.get(f"map/{digest}"):
-            case Result(tag="ok", ok=record) if record is not None:
-                self.maps.take(digest, record.value)
-
     def _on_map(self, blocks: BlockMap) -> None:
         if self.router is not None and self.router.classifier is not None:
             self.router.classifier.use_blocks(blocks)
@@ -584,10 +448,10 @@
         return self.vms.poll(
             len(self.router.document["entries"]),
             watches=stewardship.watches_configuration,
-            tells=self._near_seats() if stewardship.is_steward else (),
+            tells=self.near_seats() if stewardship.is_steward else (),
         )
 
-    def _near_seats(self) -> list[str]:
+    def near_seats(self) -> list[str]:
         """Return the other seats of this region."""
         region_of, here = self.router.region_of, self.router.region
         entries = self.router.document["entries"].items()
@@ -645,7 +509,3 @@
 
     def on_stopped(self) -> None:
         self._reactor.callLater(0, self._actions.on_stopped)
-
-
-def _address(url: str) -> str:
-    return url.removeprefix("http://")
--- a/packages/entry/src/cardamomloft/entry/settings.py
+++ b/packages/entry/src/cardamomloft/entry/settings.py
@@ -56,6 +56,18 @@
     claims_per_s: NotRequired[t.Annotated[int, Field(ge=0, le=500)]]
 
 
+DEFAULTS: t.Final[dict[str, t.Any]] = {
+    "store_timeout_ms": 2000,
+    "vms_every_ms": 2000,
+    "load_every_ms": 500,
+    "max_in_flight": 2000,
+    "ledger_entries": 20_000,
+    "ledger_bytes": 24 * 1024 * 1024,
+    "claims_per_s": 20,
+}
+"""What the settings that may be left out are then."""
+
+
 def load_settings(text: str) -> Result[EntrySettings, tuple[Mistake, ...]]:
     """Check a settings file's text.
 
--- a/packages/entry/src/cardamomloft/entry/status.py
+++ b/packages/entry/src/cardamomloft/entry/status.py
@@ -46,7 +46,7 @@
             "incarnation": node.me.number,
             "zone": router.zone if router else "",
             "region": router.region if router else "",
-            "revision": node.complete_revision(),
+            "revision": node.fetcher.complete_revision(),
             "chunks_missing": len(node.maps.missing),
             "settled": node.shares.settled,
             "state": node.life.state(),
--- a/scripts/slopes_chunks.py
+++ b/scripts/slopes_chunks.py
@@ -5,8 +5,8 @@
 from datetime import timedelta
 
 from cardamomloft.core.messages import ChunkRequest
+from cardamomloft.entry.mapfetching import CHUNKS
 from cardamomloft.entry.maps import MapLoader
-from cardamomloft.entry.node import CHUNKS
 from slopes_document import make_map
 from slopes_fit import Series
 from slopes_roles import TARGET
--- a/scripts/slopes_gateway.py
+++ b/scripts/slopes_gateway.py
@@ -14,7 +14,7 @@
 from cardamomloft.core.registrations import Registration, UpstreamBook
 from cardamomloft.core.routes import RouteRule, ServiceShare
 from cardamomloft.core.selection import Preferences, Selector
-from cardamomloft.platform.decoding import decode_item
+from cardamomloft.gateway.documents import load_registration
 
 ZONES = 20
 REGIONS = 8
@@ -86,34 +86,28 @@
     return book / endpoints, ranks / KEYS
 
 
-def event() -> tuple[int, float]:
-    """Return the bytes of one registration as a change, and the time to decode it."""
-    row = {
-        "service": "huvo11a",
-        "address": "10.128.0.9:8080",
-        "zone": "kgn-hall-a",
-        "version": "v1",
-        "slots": 4,
-        "state": "ready",
-        "coldRemaining": "0ms",
-        "sequence": 412,
+def row() -> tuple[int, float]:
+    """Return the bytes of one registration in a list, and the time to check it."""
+    value = json.dumps(
+        {"service": "menus", "address": "10.128.0.9:8080", "zone": "kgn-hall-a", "slots": 4},
+        separators=(",", ":"),
+    ).encode()
+    listed = {
+        "Key": "gateway/upstreams/i-7f3a91c2",
+        "Value": base64.b64encode(value).decode(),
+        "Flags": 0,
+        "CreateIndex": 400,
+        "ModifyIndex": 41_200,
+        "LockIndex": 0,
     }
-    value = json.dumps(row, separators=(",", ":")).encode()
-    change = {
-        "key": "servers/i-7f3a91c2",
-        "value": base64.b64encode(value).decode(),
-        "revision": 41_200,
-        "created": 400,
-        "lease": 0,
-    }
-    size = len(json.dumps(change, separators=(",", ":"))) + 1
-    return size, micros(lambda: decode_item("servers/i-7f3a91c2", value), KEYS * ROUNDS)
+    size = len(json.dumps(listed, separators=(",", ":"))) + 1
+    return size, micros(lambda: load_registration(value, "i-7f3a91c2"), KEYS * ROUNDS)
 
 
 def main() -> None:
     """Measure everything and print it."""
-    event_bytes, event_us = event()
-    result: dict[str, t.Any] = {"event_bytes": event_bytes, "event_us": round(event_us, 1)}
+    row_bytes, row_us = row()
+    result: dict[str, t.Any] = {"row_bytes": row_bytes, "row_us": round(row_us, 1)}
     for size in SIZES:
         new, known = choice(size)
         per_endpoint, per_key = memory(size)
--- a/scripts/slopes_members.py
+++ b/scripts/slopes_members.py
@@ -12,7 +12,7 @@
 from cardamomloft.core.messages import Digest
 from cardamomloft.core.model import Incarnation
 from cardamomloft.entry import gossip
-from cardamomloft.entry.node import LOOKUP_ENTRIES
+from cardamomloft.entry.lookups import ENTRIES as LOOKUP_ENTRIES
 from cardamomloft.store.vms import parse_vms
 from slopes_document import SITES, Size, full_size, make_document
 from slopes_fit import Series, cpu_ms, held_bytes
