--- a/packages/core/src/cardamomloft/core/budgets.py
+++ b/packages/core/src/cardamomloft/core/budgets.py
@@ -13,8 +13,7 @@
 """Part of a budget that is divided; the rest covers entries that learn of each other late.
 
 While one of ten entries is added and the others have not yet heard of it, the parts add up to
-1.1 times what was divided; 0.8 x 1.1 stays below 1, and so does half as many entries again with
-the slack's share halved below.
+1.1 times what was divided; 0.8 x 1.1 stays below 1, and so does a quarter more entries at once.
 """
 
 
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -2,8 +2,8 @@
 
 Placement by object is worth more than anything else here: an endpoint that has handled an object
 recently is about three times as fast. So an object has one first endpoint and one fixed second
-choice, by rendezvous hashing over the registered endpoints, and leaves the first only when it
-would wait there longer than the second would need.
+choice, by rendezvous hashing over the registered endpoints. It leaves the first when it would wait
+there beyond its rule's target, and it is refused when the second has no free slot either.
 """
 
 import typing as t
@@ -47,11 +47,21 @@
 RANKS_KEPT = 20_000
 """Keys of a service whose ranks are kept, at some 200 bytes each; others are ranked each time."""
 
+_FAILURES_TO_REST = 2
+"""Failures in a row after which an endpoint rests; one may be an answer that was lost."""
+
 _FIRST_REST = timedelta(milliseconds=300)
+"""The first rest, doubled with each further failure: about the work of two requests."""
+
 _LONGEST_REST = timedelta(seconds=4)
-_FAILURES_TO_REST = 2
+"""The longest rest: a crashed endpoint's registration lapses in about this time."""
+
 _REFUSAL_REST = timedelta(milliseconds=60)
+"""Rest after a refusal for want of room: about one request of four slots ends in that time."""
+
 _SMOOTHING = 1 / 8
+"""Weight of the newest value in a smoothed one: the last dozen count."""
+
 _ZERO = timedelta(0)
 
 
@@ -72,6 +82,7 @@
         Load up to which it goes to its second endpoint, where it is seldom at hand: a free slot.
     """
 
+    # Not tuned to one deployment: the load bounds only cap what the target and the work give.
     choices: int = 2
     usual_load: float = 2.25
     least_load: float = 1.5
--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -27,6 +27,8 @@
 """
 
 _LEAST_PAUSE = timedelta(milliseconds=50)
+"""Pause after a question that took longer than the interval by itself."""
+
 _ALONE_GROWTH = 0.5
 """Part of the usual number of changes that shows that the store was there for the others."""
 
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -58,7 +58,7 @@
 soon, so that two of them fit into the time."""
 
 _TICK = timedelta(milliseconds=200)
-
+"""How often it is looked what did not come back after the store's return."""
 
 LOOKUP_LIFE = timedelta(seconds=2)
 """How long callers may keep a look-up at the most, within the settings' bound: entries that died
