Measure the figures that comments state, and restore a strict check

Timed alone, 3,000 times each: a log line 20 us (the comment said 0.1 ms), naming among 12 entries 36 us (said 1 ms with nothing measured), the settings file 16 us. Rests and the time to come back are said to be chosen, not measured.

A test of look-ups compared sorted addresses, although the order is fixed; it compares the order now and passes. The rule of tests and slopes is written once. Ruled out by the diff: other checks eased (tests that existed before changed in import paths only). No behaviour of gateways changed.

--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -45,19 +45,23 @@
 """
 
 RANKS_KEPT = 20_000
-"""Keys of a service whose ranks are kept, at some 200 bytes each; others are ranked each time."""
+"""Keys of a service whose ranks are kept, at 0.2 KB each with 50 endpoints and 1.9 KB with 3,200
+(scripts/slopes_gateway.py); others are ranked each time."""
 
 _FAILURES_TO_REST = 2
 """Failures in a row after which an endpoint rests; one may be an answer that was lost."""
 
 _FIRST_REST = timedelta(milliseconds=300)
-"""The first rest, doubled with each further failure: about the work of two requests."""
+"""The first rest, doubled with each further failure. Chosen short, not measured."""
 
 _LONGEST_REST = timedelta(seconds=4)
-"""The longest rest: a crashed endpoint's registration lapses in about this time."""
+"""The longest rest, after which an endpoint is tried again. Chosen, not measured."""
 
 _REFUSAL_REST = timedelta(milliseconds=60)
-"""Rest after a refusal for want of room: about one request of four slots ends in that time."""
+"""Rest after a refusal for want of room, so that the next requests of this entry try another.
+
+Chosen as a part of the usual time of work; not measured.
+"""
 
 _SMOOTHING = 1 / 8
 """Weight of the newest value in a smoothed one: the last dozen count."""
--- a/packages/core/tests/test_selection.py
+++ b/packages/core/tests/test_selection.py
@@ -8,25 +8,13 @@
 from cardamomloft.core.budgets import ColdLimit
 from cardamomloft.core.model import Refusal
 from cardamomloft.core.registrations import LoadReport, Registration, UpstreamBook
-from cardamomloft.core.routes import RouteRule, ServicePolicy, ServiceShare
+from cardamomloft.core.routes import ServicePolicy
 from cardamomloft.core.selection import REPORT_LIFE, Preferences, Selector, expected_load
+from cardamomloft_standins.gateway import RULE
 
 MS = timedelta(milliseconds=1)
 ZERO = timedelta(0)
 NOW = timedelta(seconds=100)
-RULE = RouteRule(
-    name="menus",
-    host="a.example",
-    prefix="/",
-    services=(ServiceShare("menus", 1),),
-    idempotent=True,
-    timeout=timedelta(seconds=1),
-    target=timedelta(milliseconds=400),
-    attempts=2,
-    priority=1,
-    keyed=True,
-    homes=frozenset(),
-)
 POLICY = ServicePolicy("menus", 360, timedelta(seconds=3), 7.0)
 
 
--- a/packages/entry/src/cardamomloft/entry/output.py
+++ b/packages/entry/src/cardamomloft/entry/output.py
@@ -4,7 +4,8 @@
 import os
 
 PENDING_BYTES = 256 * 1024
-"""Bytes kept for a reader that is behind: some seconds of the busiest log, 1,000 lines."""
+"""Bytes kept for a reader that is behind: about six seconds of 100 lines of 413 bytes,
+the mean of the 3,844 lines about requests of one recorded day."""
 
 
 class LogOutput:
--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -57,7 +57,8 @@
 MAX_BACK = timedelta(milliseconds=600)
 """Bounds of the time after which refused callers are asked to come back, spread evenly.
 
-Work at an endpoint takes some hundred milliseconds, so slots become free within that time.
+Work at an endpoint takes some hundred milliseconds, so slots become free within that time. Chosen
+by that, not measured against other bounds.
 """
 
 
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -62,7 +62,8 @@
 
 LOOKUP_LIFE = timedelta(seconds=2)
 """How long callers may keep a look-up at the most, within the settings' bound: entries that died
-are named so much longer, and each look-up costs about 1 ms."""
+are named so much longer. Choosing the names among 12 entries takes 36 us (3,000 timed alone), the
+exchange around it not counted."""
 
 
 class Named(t.NamedTuple):
--- a/packages/gateway/src/cardamomloft/gateway/records.py
+++ b/packages/gateway/src/cardamomloft/gateway/records.py
@@ -15,7 +15,7 @@
 from cardamomloft.gateway.calls import Call
 
 LINES_PER_S = 100
-"""Lines a second; a line costs about 0.1 ms, so logging takes 1 % of a core at the most."""
+"""Lines a second; one takes 20 us to write (3,000 timed alone), 0.2 % of a core in all."""
 
 SAMPLE = 50
 """One in this many requests that went well gets a line."""
--- a/packages/gateway/src/cardamomloft/gateway/running.py
+++ b/packages/gateway/src/cardamomloft/gateway/running.py
@@ -11,7 +11,7 @@
 EXIT_SETTINGS = 2
 
 LOOK_EVERY_S = 1.0
-"""How often the settings file is looked at, in seconds; reading it takes some 20 microseconds."""
+"""How often the settings file is looked at, in seconds; reading it takes 16 us."""
 
 
 def run(reactor: t.Any, gateway: Gateway, settings: SettingsFile) -> int:
--- a/packages/gateway/tests/test_gateway.py
+++ b/packages/gateway/tests/test_gateway.py
@@ -166,7 +166,7 @@
     run = Run()
     for number, zone, region in ((2, "a", "east"), (3, "b", "west")):
         run.change(EntryRecorded(EntryRecord(f"e-{number}", f"10.0.0.{number}:80", zone, region)))
-    assert sorted(_lookup(run).addresses) == ["10.0.0.2:80", "127.0.0.1:7101"]
+    assert _lookup(run).addresses == ["127.0.0.1:7101", "10.0.0.2:80"]
     assert _lookup(run, "b", "west").addresses == ["10.0.0.3:80"]
     run.change(EntryWithdrawn("e-2"))
     assert _lookup(run).addresses == ["127.0.0.1:7101"]
--- a/scripts/slopes_gateway.py
+++ b/scripts/slopes_gateway.py
@@ -12,9 +12,9 @@
 
 from cardamomloft.core.budgets import ColdLimit
 from cardamomloft.core.registrations import Registration, UpstreamBook
-from cardamomloft.core.routes import RouteRule, ServiceShare
 from cardamomloft.core.selection import Preferences, Selector
 from cardamomloft.gateway.documents import load_registration
+from cardamomloft_standins.gateway import RULE
 
 ZONES = 20
 REGIONS = 8
@@ -25,20 +25,6 @@
 NOW = timedelta(seconds=100)
 ZERO = timedelta(0)
 
-RULE = RouteRule(
-    name="menus",
-    host="a.example",
-    prefix="/",
-    services=(ServiceShare("menus", 1),),
-    idempotent=True,
-    timeout=timedelta(seconds=1),
-    target=timedelta(milliseconds=400),
-    attempts=2,
-    priority=1,
-    keyed=True,
-    homes=frozenset(),
-)
-
 
 def registration(number: int) -> Registration:
     """Return one of many registrations, spread over all zones."""
