Enforce the configured limits of request heads

Cause: head_timeout and head_bytes were read and not enforced, so a head that trickles held its connection without end, and a configuration that allows larger heads was not followed. Ruled out: the idle timeout does not help, since each byte starts it anew. The head's timer starts with its first byte and waits one turn of the loop, so that a busy process does not refuse what it has not read. test_storecontrol's document allowed 1 byte of headers, which nothing enforced; it says 4096 now, and its checks are the same.

--- a/packages/callers/src/cardamomloft/callers/app.py
+++ b/packages/callers/src/cardamomloft/callers/app.py
@@ -20,7 +20,7 @@
 from .body import RequestBody
 from .delivery import AnswerWriter
 from .exchange import Answer, Delivery, RequestHead, broken, to_answer
-from .streaming import CallerFactory, CallerRequest
+from .streaming import CallerFactory, CallerRequest, HeadLimits
 from .waiting import Waiters
 
 BACKLOG = 1024
@@ -107,6 +107,11 @@
         if self._factory is not None:
             self._factory.timeOut = duration.total_seconds()
 
+    def bound_heads(self, size: int, duration: timedelta) -> None:
+        """Hold heads on new connections to `size` bytes of header lines and to `duration`."""
+        if self._factory is not None:
+            self._factory.head_limits = HeadLimits(size, duration.total_seconds())
+
     def closing(self) -> None:
         """Answer with ``Connection: close`` from now on."""
         self._closing = True
--- a/packages/callers/src/cardamomloft/callers/streaming.py
+++ b/packages/callers/src/cardamomloft/callers/streaming.py
@@ -27,22 +27,48 @@
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_HEADERS = 100
+HEAD_TIMEOUT_S = 10
 IDLE_TIMEOUT_S = 60
 # After an early answer, a rest of the body up to this size is read so that the connection lives on.
 REST_TO_KEEP_ALIVE = 256 * 1024
 # How long a larger rest is read and dropped, so that the caller gets to see its answer.
 DISCARD_TIMEOUT_S = 5
 
+# Room for the parser's own bounds beyond ours, so that ours come first.
+_PARSER_ROOM = 2
+
 _HTTP_VERSION = b"HTTP/1.1"
 _PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
+class HeadLimits(t.NamedTuple):
+    """What the head of one request may take.
+
+    Attributes
+    ----------
+    size
+        Bytes of its header lines, and of its request line.
+    time_s
+        Seconds from its first byte to its last.
+    """
+
+    size: int = MAX_HEAD_BYTES
+    time_s: float = HEAD_TIMEOUT_S
+
+
 class CallerChannel(http.HTTPChannel):
-    """One caller's connection."""
+    """One caller's connection.
+
+    Attributes
+    ----------
+    head_limits
+        Bounds of each request's head.
+    """
 
-    totalHeadersSize = 2 * MAX_HEAD_BYTES  # noqa: N815  (our own, stricter limits come first)
     factory: "CallerFactory"
+    head_limits = HeadLimits()
 
+    _head_timer: t.Any = None
     _head_bytes = 0
     _head_lines = 0
     _dead = False
@@ -59,6 +85,7 @@
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         """Tell the request in progress that its caller has gone."""
         self._cancel_discard_timer()
+        self._cancel_head_timer()
         super().connectionLost(reason)
         self.factory.forget(self)
 
@@ -69,13 +96,36 @@
 
     # The head.
 
+    def bound_heads(self, limits: HeadLimits) -> None:
+        """Hold the heads that are still to come to `limits`."""
+        self.head_limits = limits
+        self.totalHeadersSize = _PARSER_ROOM * limits.size
+        self.MAX_LENGTH = max(type(self).MAX_LENGTH, limits.size)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes; a head that has begun must end within its time."""
+        super().dataReceived(data)
+        begun = self.line_mode and bool(self._head_lines or self._buffer) and not self._dead
+        if begun and self._head_timer is None:
+            self._head_timer = self.callLater(self.head_limits.time_s, self._head_late)
+
+    def _head_late(self) -> None:
+        # Bytes that came while this process was busy are read before the head counts as late.
+        self._head_timer = self.callLater(0, self._refuse_head, HTTPStatus.REQUEST_TIMEOUT)
+
+    def _cancel_head_timer(self) -> None:
+        if self._head_timer is not None and self._head_timer.active():
+            self._head_timer.cancel()
+        self._head_timer = None
+
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Hold the head to its limits, then let the parser have the line."""
         if self._dead:
             return
         self._head_lines += 1
-        self._head_bytes += len(line) + len(self.delimiter)
-        if self._head_bytes > MAX_HEAD_BYTES or self._head_lines > MAX_HEADERS + 2:
+        if self._head_lines > 1:
+            self._head_bytes += len(line) + len(self.delimiter)
+        if self._head_bytes > self.head_limits.size or self._head_lines > MAX_HEADERS + 2:
             self._refuse_head(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         else:
             super().lineReceived(line)
@@ -88,6 +138,7 @@
     def allHeadersReceived(self) -> None:  # noqa: N802
         """Start to process the request; its body is still to come."""
         self._head_bytes = self._head_lines = 0
+        self._cancel_head_timer()
         self._content_received = False
         request: CallerRequest = self.requests[-1]
         if self._version != _HTTP_VERSION:
@@ -100,6 +151,7 @@
 
     def _refuse_head(self, status: HTTPStatus) -> None:
         self._dead = True
+        self._cancel_head_timer()
         self.persistent = False
         refusal = Refusal(RefusalReason.BAD_REQUEST, status.phrase)
         answer = to_answer(refusal)._replace(status=int(status))
@@ -348,6 +400,7 @@
         self.resource = resource
         self.on_fault = on_fault
         self.closing = False
+        self.head_limits = HeadLimits()
         self.channels: set[CallerChannel] = set()
         self._gone = Waiters(lambda: not self.channels)
 
@@ -355,6 +408,7 @@
         """Make the channel of a new connection."""
         channel = super().buildProtocol(addr)
         channel.requestFactory = CallerRequest
+        channel.bound_heads(self.head_limits)
         return channel
 
     def startFactory(self) -> None:  # noqa: N802
--- a/packages/callers/tests/test_callers_channel.py
+++ b/packages/callers/tests/test_callers_channel.py
@@ -5,7 +5,12 @@
 import pytest
 from cardamomloft.callers.app import CallersApp
 from cardamomloft.callers.exchange import Answer, Delivery, complete, failed, to_answer
-from cardamomloft.callers.streaming import DISCARD_TIMEOUT_S, IDLE_TIMEOUT_S
+from cardamomloft.callers.streaming import (
+    DISCARD_TIMEOUT_S,
+    HEAD_TIMEOUT_S,
+    IDLE_TIMEOUT_S,
+    HeadLimits,
+)
 from cardamomloft.core.model import Refusal, RefusalReason, Unknown
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.error import ConnectionDone
@@ -318,6 +323,49 @@
     assert harness.transport.disconnecting
 
 
+@pytest.mark.parametrize("begin", [b"GE", POST, b"", GET + b"GET /"])
+def test_a_head_that_has_begun_must_end_in_time_however_it_trickles(begin):
+    harness = Harness()
+    harness.receive(begin)
+    if harness.answers:
+        harness.answers[0].callback(text(b"ok"))
+        harness.written()
+    for _ in range(HEAD_TIMEOUT_S + 1):
+        harness.clock.advance(1)
+        if begin and not harness.transport.disconnecting:
+            harness.receive(b"x")
+    harness.clock.advance(0)
+    refused = harness.written().startswith(b"HTTP/1.1 408 ")
+    assert refused == bool(begin) and harness.transport.disconnecting == bool(begin)
+
+
+def test_a_head_whose_rest_came_while_the_process_was_busy_is_not_late():
+    harness = Harness()
+    harness.receive(POST)
+    # The loop runs due timers first and then reads: the rest waits in the socket meanwhile.
+    harness.clock.callLater(HEAD_TIMEOUT_S, harness.receive, b"\r\n")
+    harness.clock.advance(HEAD_TIMEOUT_S + 1)
+    assert len(harness.calls) == 1 and harness.written() == b""
+
+
+def test_heads_are_held_to_the_size_that_was_set_the_request_line_apart():
+    harness = Harness()
+    harness.channel.bound_heads(HeadLimits(64, 1))
+    harness.receive(b"GET /" + b"x" * 100 + b" HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert len(harness.calls) == 1
+    harness.answers[0].callback(text(b"ok"))
+    harness.written()
+    harness.receive(b"GET / HTTP/1.1\r\nHost: a\r\nB: " + b"x" * 64 + b"\r\n")
+    assert harness.written().startswith(b"HTTP/1.1 431 ")
+
+
+def test_a_head_may_be_larger_than_usual_where_that_was_set():
+    harness = Harness()
+    harness.channel.bound_heads(HeadLimits(64 * 1024, 1))
+    harness.receive(b"GET / HTTP/1.1\r\nHost: a\r\nB: " + b"x" * 30_000 + b"\r\n\r\n")
+    assert len(harness.calls) == 1
+
+
 def test_lookup_answers_json_and_refuses_a_malformed_client():
     asked = []
 
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -386,6 +386,7 @@
         self._reader = Reader(plan, self.headers, self._rng)
         self.selector.policies = plan.services
         self.app.keep_idle(plan.limits.idle_timeout)
+        self.app.bound_heads(plan.limits.head_bytes, plan.limits.head_timeout)
         log("in-force", configuration=plan.number, rules=len(plan.rules))
         self._check_prepared()
 
--- a/packages/gateway/tests/test_storecontrol.py
+++ b/packages/gateway/tests/test_storecontrol.py
@@ -48,7 +48,7 @@
         }
     ],
     "services": {"menus": {"connections": 90}},
-    "limits": {"head_bytes": 1, "body_bytes": 9, "head_timeout": "3s", "idle_timeout": "15s"},
+    "limits": {"head_bytes": 4096, "body_bytes": 9, "head_timeout": "3s", "idle_timeout": "15s"},
 }
 REGISTRATION = {"service": "menus", "address": "10.0.0.1:80", "zone": "a", "slots": 4}
 RECORD = EntryRecord("e-1", "10.0.0.1:80", "a", "east")
