--- a/standins/src/cardamomloft_standins/experiment/scenarios.py
+++ b/standins/src/cardamomloft_standins/experiment/scenarios.py
@@ -119,7 +119,8 @@
     ----------
     name
         ``calm``; ``burst``: 1.7 times the load for 3 s; ``loss``: a zone's endpoints are lost for
-        4.5 s; ``hot``: few objects get most requests.
+        4.5 s; ``hot``: few objects get most requests; ``roomy``: endpoints
+        have room for twice the objects.
     use
         Load in parts of what all slots can do when every object is at hand.
 
@@ -147,9 +148,10 @@
         "calm": calm,
         "burst": calm._replace(bursts=(Burst(6 * _SECOND, 9 * _SECOND, 1.7),)),
         "loss": calm._replace(crashes=(Crash(6 * _SECOND, 10.5 * _SECOND, "b1"),)),
+        "roomy": calm._replace(traits=traits._replace(keeps=2 * traits.keeps)),
         "hot": calm._replace(load=dict.fromkeys(_ZONES, load._replace(skew=1.5))),
     }
     return found[name]
 
 
-NAMES = ("calm", "burst", "loss", "hot")
+NAMES = ("calm", "burst", "loss", "hot", "roomy")
