Split the loans' two sides from the shares

Cause: shares.py had 462 lines and two jobs, what an entry owns and what it deals with others; the second is lending.py now (Lender, Borrower), with the same code. Ruled out: one class for both sides, which share nothing but the clock's drift.

--- a/packages/core/src/cardamomloft/core/shares.py
+++ b/packages/core/src/cardamomloft/core/shares.py
@@ -12,8 +12,9 @@
 
 from cardamomloft.core.accounts import Account, ShareRow
 from cardamomloft.core.clock import Clock
+from cardamomloft.core.lending import Borrower, Lender
 from cardamomloft.core.limits import Limit, LimitKind, base_shares
-from cardamomloft.core.loans import Lendings, Loans, denial, loan_numbers, longest_loan
+from cardamomloft.core.loans import denial, longest_loan
 from cardamomloft.core.messages import (
     Digest,
     LoanGrant,
@@ -26,14 +27,10 @@
 from cardamomloft.core.ownership import CoHolders
 from expression import Error, Ok, Result
 
-MAX_ASKS = 8
-"""Requests under way at one time for one limit."""
-
 REVIEW = timedelta(milliseconds=200)
 """How often a division that is not settled is looked at without a report."""
 
 _ZERO = timedelta(0)
-_MILLISECOND = timedelta(milliseconds=1)
 
 LoanMessage = LoanRequest | LoanGrant | LoanReturn | LoanRecall
 
@@ -75,8 +72,8 @@
         self._holds: set[int] = set()
         self._others = CoHolders()
         self._hold_numbers = itertools.count(1)
-        self._loan_numbers = loan_numbers(me)
-        self._turn = 0
+        self._lender = Lender(drift)
+        self._borrower = Borrower(me, drift, self._others)
         self._quarantined_at: timedelta | None = None
         self._configured = 0
         self._reviewed_at = clock.monotonic()
@@ -279,9 +276,9 @@
             case LoanRequest():
                 answer = self._lend(account, sender, message, now) if account else denial(message)
             case LoanGrant():
-                answer = self._take(account, sender, message, now)
+                answer = self._borrower.take(account, sender, message, now)
             case LoanReturn():
-                answer = self._close(account, sender, message)
+                answer = self._lender.close(account, sender, message)
             case LoanRecall():
                 known = account and account.loans and account.loans.recall(sender, message.number)
                 answer = None if known else LoanReturn(message.number, message.key)
@@ -296,8 +293,8 @@
         for key in sorted(self._active):
             account = self._accounts[key]
             self._touch(account)
-            outgoing += self._tick_lender(key, account, now)
-            outgoing += self._tick_borrower(key, account, now)
+            outgoing += self._lender.tick(key, account, now, stopping=self._stopping)
+            outgoing += self._borrower.tick(key, account, now, stopping=self._stopping)
             if not account.wanted and not account.lendings and not account.loans:
                 self._active.discard(key)
         return outgoing
@@ -376,87 +373,5 @@
     def _lend(
         self, account: Account, borrower: Incarnation, req: LoanRequest, now: timedelta
     ) -> LoanGrant | None:
-        if account.lendings is None:
-            account.lendings = Lendings(self._drift)
         self._active.add(req.key)
-        spare = -1 if self._stopping else account.spare(now)
-        longest = longest_loan(account.limit, self._drift)
-        return account.lendings.answer(borrower, req, spare, longest, now)
-
-    def _take(
-        self, account: Account | None, lender: Incarnation, grant: LoanGrant, now: timedelta
-    ) -> LoanReturn | None:
-        loans = account.loans if account else None
-        if not grant.amount:
-            if loans is not None:
-                loans.refuse(lender, grant, now)
-            return None
-        if loans is not None and loans.take(lender, grant, now):
-            return None
-        return LoanReturn(grant.number, grant.key)
-
-    def _close(self, account: Account | None, borrower: Incarnation, msg: LoanReturn) -> None:
-        lendings = account.lendings if account else None
-        lending = lendings.find(borrower, msg.number) if lendings is not None else None
-        if lending:
-            lendings.close(lending)
-
-    def _tick_lender(self, key: str, account: Account, now: timedelta) -> Iterator[Outgoing]:
-        lendings = account.lendings
-        if lendings is None:
-            return
-        lendings.expire(now)
-        if not lendings:
-            account.lendings = None
-        short = lendings.lent if self._stopping else account.wanted - account.free_own()
-        for seat, number in lendings.recall(short, now):
-            yield Outgoing(seat, LoanRecall(number, key))
-
-    def _tick_borrower(self, key: str, account: Account, now: timedelta) -> Iterator[Outgoing]:
-        loans = account.loans
-        if loans is not None:
-            limit = account.limit
-            for seat, number in loans.drop_idle(now, at_once=self._stopping):
-                yield Outgoing(seat, LoanReturn(number, key))
-            for loan in loans.due_renewals(limit.longest_use, now):
-                yield Outgoing(loan.lender.seat, self._request(limit, loan.number, loan.amount))
-            for ask, again in loans.repeat(now, give_up=self._stopping):
-                request = self._request(limit, ask.number, ask.amount)
-                yield Outgoing(ask.seat, request if again else LoanReturn(ask.number, key))
-        if account.wanted and not self._stopping:
-            yield from self._borrow(account, now)
-        elif not account.loans:
-            account.loans = None
-
-    def _borrow(self, account: Account, now: timedelta) -> Iterator[Outgoing]:
-        """Ask for what is wanted, and for more the more is borrowed already."""
-        if account.loans is None:
-            account.loans = Loans(self._drift)
-        loans, limit = account.loans, account.limit
-        short = account.wanted - account.free(now) - loans.asked()
-        if short <= 0:
-            return
-        short = max(short, loans.borrowed() // 2)
-        for seat, base in self._lenders(limit):
-            if short <= 0 or len(loans.asks) >= MAX_ASKS:
-                return
-            if loans.may_ask(seat, now):
-                amount = min(base, short)
-                short -= amount
-                number = loans.ask(next(self._loan_numbers), seat, amount, now)
-                yield Outgoing(seat, self._request(limit, number, amount))
-
-    def _lenders(self, limit: Limit) -> list[tuple[str, int]]:
-        """Return the other seats with a base share, another one first each time."""
-        lenders = [
-            (seat, base)
-            for seat, base in base_shares(limit).items()
-            if base and seat != self._me.seat and not self._others.is_gone(seat)
-        ]
-        self._turn += 1
-        start = self._turn % max(len(lenders), 1)
-        return lenders[start:] + lenders[:start]
-
-    def _request(self, limit: Limit, number: int, amount: int) -> LoanRequest:
-        term = longest_loan(limit, self._drift) // _MILLISECOND
-        return LoanRequest(number, limit.key, amount, term)
+        return self._lender.answer(account, borrower, req, now, stopping=self._stopping)
