--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -161,6 +161,7 @@
     def _until_next(self, found: Listing | Changes) -> timedelta:
         """Return the pause after an answer."""
         if self._index is None:
+            # The history is lost: the list that takes its place is asked for soon.
             return self._until_retry()
         interval = self.pace.interval * self._rng.uniform(0.9, 1.1)
         if found.facts:
