--- a/standins/src/cardamomloft_standins/experiment/report.py
+++ b/standins/src/cardamomloft_standins/experiment/report.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 
-from cardamomloft_standins.experiment.world import Outcome
+from cardamomloft_standins.experiment.callers import Outcome
 
 WINDOW_S = 2
 """Length of the windows whose worst is reported, in seconds."""
--- a/standins/src/cardamomloft_standins/experiment/world.py
+++ b/standins/src/cardamomloft_standins/experiment/world.py
@@ -20,50 +20,23 @@
 from twisted.internet.task import Clock
 
 from cardamomloft_standins import gateway as kit
+from cardamomloft_standins.experiment.callers import Callers, Outcome
 from cardamomloft_standins.experiment.endpoints import Ended, Job, ModelEndpoint
 from cardamomloft_standins.experiment.policies import MakeSelector
 from cardamomloft_standins.experiment.scenarios import (
     CROSS_REGION,
     CROSS_ZONE,
     IN_ZONE,
-    Load,
     Scenario,
 )
 
 SERVICE = "modelled"
-LATE_PART = 0.2
-"""Credit of an answer that comes after its target: callers still use it."""
-
 _COLD = ColdLimit(1.5, 8.0)
 _POLICY = ServicePolicy(SERVICE, 1000, timedelta(seconds=3), 7.0)
 _BUDGET = (0.2, 60.0, timedelta(seconds=10))
 _DRAIN = timedelta(seconds=5)
 
 
-class Outcome(t.NamedTuple):
-    """What a caller got.
-
-    Attributes
-    ----------
-    at
-        When it first asked, in seconds.
-    credit
-        1 for an answer within the target, `LATE_PART` for a later one, else 0.
-    state
-        ``served``, ``late``, ``refused`` or ``failed``.
-    took
-        Time until its last answer, in seconds.
-    warm
-        Whether the object was at hand where it ran.
-    """
-
-    at: float
-    credit: float
-    state: str
-    took: float
-    warm: bool
-
-
 class SimulatedClock:
     """The decisions' clock over the loop's."""
 
@@ -125,7 +98,7 @@
         """Play the load and return what the callers got, in the order in which they asked."""
         arrivals = random.Random(self._seed)
         for zone, load in self.scenario.load.items():
-            _Callers(self, zone, load, random.Random(arrivals.random())).start()
+            Callers(self, zone, load, random.Random(arrivals.random())).start()
         end = (self.scenario.length + _DRAIN).total_seconds()
         while (calls := self.reactor.getDelayedCalls()) and calls[0].getTime() <= end:
             self.reactor.advance(max(0.0, calls[0].getTime() - self.reactor.seconds()))
@@ -236,77 +209,6 @@
         self._world.endpoints[endpoint.name].offer(job)
 
 
-class _Callers:
-    """The callers of one zone."""
-
-    def __init__(self, world: World, zone: str, load: Load, rng: random.Random) -> None:
-        self._world = world
-        self._zone = zone
-        self._load = load
-        self._rng = rng
-        # Apart from the arrivals, so that every policy gets the same ones.
-        self._ways = random.Random(rng.random())
-        self._weights = [1 / (place + 1) ** load.skew for place in range(load.objects)]
-
-    def start(self) -> None:
-        """Ask as often as the load says until the scenario ends."""
-        self._world.reactor.callLater(self._pause(), self._arrive, 0)
-
-    def _pause(self) -> float:
-        now = self._world.clock.monotonic()
-        factor = 1.0
-        for burst in self._world.scenario.bursts:
-            factor *= burst.factor if burst.begin <= now < burst.end else 1.0
-        return self._rng.expovariate(self._load.per_s * factor)
-
-    def _arrive(self, number: int) -> None:
-        if self._world.clock.monotonic() >= self._world.scenario.length:
-            return
-        self._world.reactor.callLater(self._pause(), self._arrive, number + 1)
-        (place,) = self._rng.choices(range(self._load.objects), self._weights)
-        _Ask(self._world, self._ways, self._zone, f"{self._zone}.{number}", f"{self._zone}/{place}")
-
-
-class _Ask:
-    """One caller with one request, which it repeats once if it is refused."""
-
-    def __init__(
-        self, world: World, rng: random.Random, zone: str, request_id: str, key: str
-    ) -> None:
-        self._world = world
-        self._rng = rng
-        self._zone = zone
-        self._id = request_id
-        self._key = key
-        self._begin = world.reactor.seconds()
-        self._attempts = 0
-        self._try()
-
-    def _try(self) -> None:
-        self._attempts += 1
-        entry = self._rng.choice(self._world.entries[self._zone])
-        request_id = f"{self._key}.{self._id}.{self._attempts}"
-        patience = 2 * self._world.rule.timeout - self._elapsed()
-        answered = entry.ask(request_id, self._key, patience)
-        answered.addCallback(self._answered, entry.client.warm, request_id)
-
-    def _elapsed(self) -> timedelta:
-        return timedelta(seconds=self._world.reactor.seconds() - self._begin)
-
-    def _answered(self, answer: Answer, warm: dict[str, bool], request_id: str) -> None:
-        was_warm = warm.pop(request_id, False)
-        if answer.status == 503 and self._attempts == 1:
-            headers = dict(answer.headers)
-            self._world.reactor.callLater(float(headers.get("Retry-After", "0")), self._try)
-            return
-        target = self._world.rule.target
-        states = {200: "served" if self._elapsed() <= target else "late", 503: "refused"}
-        state = states.get(answer.status, "failed")
-        credit = {"served": 1.0, "late": LATE_PART}.get(state, 0.0)
-        took = self._elapsed().total_seconds()
-        self._world.outcomes.append(Outcome(self._begin, credit, state, took, was_warm))
-
-
 def _key_of(req: UpstreamRequest) -> str:
     return req.request_id.partition(".")[0]
 
--- a/standins/tests/test_experiment.py
+++ b/standins/tests/test_experiment.py
@@ -5,11 +5,12 @@
 
 import pytest
 from cardamomloft.core.registrations import Registration
+from cardamomloft_standins.experiment.callers import Outcome
 from cardamomloft_standins.experiment.endpoints import Job, ModelEndpoint
 from cardamomloft_standins.experiment.policies import POLICIES
 from cardamomloft_standins.experiment.report import Summary, by_window, plot, summarize, table
 from cardamomloft_standins.experiment.scenarios import Traits, scenario
-from cardamomloft_standins.experiment.world import Outcome, World
+from cardamomloft_standins.experiment.world import World
 from twisted.internet.task import Clock
 
 TRAITS = Traits(2, 1, 2, timedelta(milliseconds=400), 0.25, 0.0)
