--- a/packages/callers/src/cardamomloft/callers/streaming.py
+++ b/packages/callers/src/cardamomloft/callers/streaming.py
@@ -27,6 +27,7 @@
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_HEADERS = 100
+# Unless a configuration sets it. Chosen, not measured: slow links take a second or two for a head.
 HEAD_TIMEOUT_S = 10
 IDLE_TIMEOUT_S = 60
 # After an early answer, a rest of the body up to this size is read so that the connection lives on.
--- a/packages/core/src/cardamomloft/core/registrations.py
+++ b/packages/core/src/cardamomloft/core/registrations.py
@@ -20,13 +20,16 @@
 """
 
 LEAST_LAPSED = 3
-"""Fewer registrations that vanish at once have left by plan, on deployments with few endpoints."""
+"""Fewer registrations that vanish at once count as planned, on deployments with few endpoints.
+
+Chosen, not measured.
+"""
 
 LAPSED_PART = 0.5
 """Part of all registrations beyond which those that vanish at once have lapsed with the store.
 
-Their endpoints most likely live: a region's loss takes up to 0.49 of them on the known deployments,
-and planned changes take the endpoints of one service step by step.
+Their endpoints most likely live: on the known deployments a region has up to 0.49 of a service's
+endpoints, and planned changes take those of one service step by step.
 """
 
 
