Show the fault of the lapses by a test that fails on the code before; correct what was claimed

Cause: reading the change again. Run now: on the tests on an entry cut off alone and on registrations that came back fail, the one on an outage for all passed, since four endpoints are fewer than the growth that the old rule expected; with 40 endpoints after a start (the test added here) it answers 503 and the new code 200.

No behaviour changes; before 1,419 tests, after 1,420.

--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -87,7 +87,8 @@
         Load up to which it goes to its second endpoint, where it is seldom at hand and pushes
         another object out. Up to a free slot (1.0) the model of ``make experiment`` gives 0.65 of
         the credit in its calm scenario, up to this 0.74, and without a second endpoint 0.76; with
-        room for twice the objects, played on a whole site, 0.66, 0.66 and 0.64 (scale-1).
+        room for twice the objects, played on a whole site, 0.66, 0.65 and 0.64 (scale-1), which is
+        no difference beyond noise.
     repeat_load
         Load up to which a request that has failed is sent to another endpoint: a free slot.
     """
--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -1,9 +1,9 @@
 """Following the control store: list once, then ask for changes, which the store waits for.
 
 While nothing changes a question lasts as long as the store may wait. In 45 calm seconds 12 entries
-make 424 calls so, starts included, against 613 when they ask at an interval, and a change is known
-within 20 ms. After a change the next question waits for the interval, so that a time of many
-changes, such as a service's release, costs no more than before.
+make 424 calls so, starts included, against 613 when they ask at an interval, and a change was known
+after 13 ms (one, logged). After a change the next question waits for the interval, so that a time
+of many changes, such as a service's release, costs no more than before.
 """
 
 import random
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -58,8 +58,9 @@
 that fails is repeated soon, so that two of them fit into the time."""
 
 WAIT_PART = 0.8
-"""Part of the drain time that the store may wait for a change before it answers: a question whose
-connection has died, and the next one, then end soon after the drain time."""
+"""Part of the drain time that the store may wait for a change before it answers. When a connection
+dies in silence, what has changed is known 2.75 s later with a drain time of 2.5 s (worked out: the
+wait, a call's own 0.7 s, a pause of 50 ms), and sooner on a connection that is reset."""
 
 _TICK = timedelta(milliseconds=200)
 """How often it is looked what did not come back after the store's return."""
--- a/packages/gateway/tests/test_gateway.py
+++ b/packages/gateway/tests/test_gateway.py
@@ -164,6 +164,20 @@
     assert [up.id for up in run.gateway.book.all()] == ["i-2"]
 
 
+def test_lapses_are_no_sign_that_the_store_was_there():
+    """Registrations come by the dozen at a start, later nothing changes, then all of them lapse."""
+    run = _run_with(40)
+    run.control.next = kit.no_changes(80)
+    run.time.advance(10_000 * MS)
+    run.control.next = kit.AWAY
+    run.time.advance(4000 * MS)
+    lapsed = tuple(UpstreamWithdrawn(f"i-{number}") for number in range(1, 41))
+    run.control.next = Ok(Changes(lapsed, 120))
+    run.time.advance(600 * MS)
+    run.control.next = kit.no_changes(120)
+    assert run.ask().status == 200
+
+
 def test_what_left_while_this_entry_was_cut_off_alone_gets_nothing_more():
     run = _run_with(4)
     _outage(run, UpstreamWithdrawn("i-1"), UpstreamWithdrawn("i-3"))
