Fit slopes by exact sums, so that the capacity page is the same on every processor

Cause: numpy's least squares picks a kernel by the processor and rounds the sums by it; the line through 7 n got the intercept -7.21e-10 on one and -3.92e-10 on another, and the test compares text. Ruled out: a looser comparison, which would also pass a wrong page.

--- a/scripts/slopes_fit.py
+++ b/scripts/slopes_fit.py
@@ -1,12 +1,12 @@
 """Series of measurements and the straight lines through them."""
 
 import gc
+import math
 import time
 import tracemalloc
 import typing as t
 from collections.abc import Callable, Sequence
-
-import numpy as np
+from fractions import Fraction
 
 LEAST_SIZES = 4
 
@@ -63,18 +63,25 @@
     if len(set(sizes)) < LEAST_SIZES:
         raise ValueError(f"{series.name}: {len(set(sizes))} sizes, at least {LEAST_SIZES} needed")
     x = _scaled(sizes, series.scale)
-    y = np.array([value for _, value in series.points], dtype=float)
-    slope, intercept = np.polyfit(x, y, 1)
-    spread = float(((y - y.mean()) ** 2).sum())
-    left = float(((y - (slope * x + intercept)) ** 2).sum())
+    y = [Fraction(value) for _, value in series.points]
+    # Exact sums: rounded ones give another intercept with each kernel that numpy picks for the
+    # processor (7.21e-10 and 3.92e-10 for a line through the origin), and so another page.
+    middle_x, middle_y = sum(x) / len(x), sum(y) / len(y)
+    slope = _covariance(x, y) / _covariance(x, x)
+    spread = _covariance(y, y)
     # Of values that do not differ there is nothing to explain.
-    r2 = 1 - left / spread if spread > 1e-12 * max(float((y**2).sum()), 1e-12) else 1.0
-    return Fit(float(slope), float(intercept), r2, series.scale)
+    r2 = slope * _covariance(x, y) / spread if spread else Fraction(1)
+    return Fit(float(slope), float(middle_y - slope * middle_x), float(r2), series.scale)
+
+
+def _covariance(x: Sequence[Fraction], y: Sequence[Fraction]) -> Fraction:
+    middle_x, middle_y = sum(x) / len(x), sum(y) / len(y)
+    products = ((one - middle_x) * (other - middle_y) for one, other in zip(x, y, strict=True))
+    return sum(products, Fraction(0))
 
 
-def _scaled(sizes: Sequence[float], scale: str) -> "np.ndarray[t.Any, t.Any]":
-    x = np.array(sizes, dtype=float)
-    return np.log2(x) if scale == "log2" else x
+def _scaled(sizes: Sequence[float], scale: str) -> list[Fraction]:
+    return [Fraction(math.log2(size) if scale == "log2" else size) for size in sizes]
 
 
 def cpu_ms(act: Callable[[], object], *, repeat: int = 3, loops: int = 1) -> float:
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -65,6 +65,13 @@
     assert (ROOT / "docs" / plot).stat().st_size < 200_000
 
 
+def test_a_line_through_the_origin_has_no_rounded_intercept_on_any_processor():
+    found = fit(
+        Series("a.b", "n", "ms", tuple((size, 7.0 * size) for size in (250, 700, 1500, 3100)))
+    )
+    assert (found.slope, found.intercept, found.r2) == (7, 0, 1)
+
+
 def test_a_line_is_found_again_and_too_few_sizes_are_refused():
     found = fit(Series("a.b", "n", "ms", ((1, 5.0), (2, 7.0), (3, 9.0), (4, 11.0))))
     assert (round(found.slope, 9), round(found.intercept, 9), round(found.r2, 9)) == (2, 3, 1)
