Handle requests that a caller sends ahead side by side, and answer them in order

Cause: the next head was read only when the answer before was written, so a short request stood behind a long one until its caller gave up. Answers wait for their turn; only the last closes; a caller that leaves cancels all; a malformed head is answered behind the good ones. Ruled out: running beside a request that may not be repeated (RFC 9112, 9.3.2: what follows may depend on it). Not yet played on a site.

--- a/packages/callers/src/cardamomloft/callers/app.py
+++ b/packages/callers/src/cardamomloft/callers/app.py
@@ -20,7 +20,7 @@
 from .body import RequestBody
 from .delivery import AnswerWriter
 from .exchange import Answer, Delivery, RequestHead, broken, to_answer
-from .streaming import CallerFactory, CallerRequest, HeadLimits
+from .streaming import CallerFactory, CallerRequest, HeadLimits, Meter
 from .waiting import Waiters
 
 BACKLOG = 1024
@@ -32,6 +32,9 @@
 
 _CLIENT_QUERY = b"client="
 
+SAFE_METHODS = frozenset({"GET", "HEAD"})
+"""Methods that are only read (RFC 9110, section 9.2.1) and that callers pipeline."""
+
 
 class LookupEntry(t.TypedDict):
     """One entry that the client may use."""
@@ -69,6 +72,11 @@
         outcome ``unknown``.
     on_fault
         Told of exceptions in `lookup` and `handle`.
+    may_overlap
+        Given a head, tells whether the request may run beside others of its connection, before or
+        after them; those with a body never do.
+    meter
+        Where counts and durations go, or None.
 
     Attributes
     ----------
@@ -81,11 +89,15 @@
         lookup: Lookup | None,
         handle: Handle,
         on_fault: Callable[[Failure], None] | None = None,
+        may_overlap: Callable[[RequestHead], bool] = lambda head: head.method in SAFE_METHODS,
+        meter: Meter | None = None,
     ) -> None:
         self.in_flight = 0
         self._lookup = lookup
         self._handle = handle
         self._on_fault = on_fault or (lambda failure: None)
+        self._may_overlap = may_overlap
+        self._meter = meter or _NoMeter()
         self._closing = False
         self._factory: CallerFactory | None = None
         self._drained = Waiters(lambda: not self.in_flight)
@@ -98,7 +110,14 @@
         """Return the factory of the callers' connections."""
         if self._factory is None:
             look_up = None if self._lookup is None else self._look_up
-            self._factory = CallerFactory(reactor, self._klein.resource(), self._on_fault, look_up)
+            self._factory = CallerFactory(
+                reactor,
+                self._klein.resource(),
+                self._on_fault,
+                look_up,
+                self._may_overlap,
+                self._meter,
+            )
             self._factory.closing = self._closing
         return self._factory
 
@@ -155,14 +174,14 @@
         """Handle one request; called by its resource."""
         fault = _fault_of(request)
         if fault is not None:
-            request.answer_at_once(to_answer(Refusal(RefusalReason.BAD_REQUEST, fault)))
+            request.answer_in_turn(to_answer(Refusal(RefusalReason.BAD_REQUEST, fault)))
             return
         self.in_flight += 1
         gone: Deferred[None] = Deferred()
         request.gone.addCallback(lambda _: gone.callback(None))
         answered = maybeDeferred(self._handle, request.head(), request.body, gone)
         answered.addErrback(self._fault)
-        answered.addCallback(self._respond, request)
+        answered.addCallback(self._respond_in_turn, request)
         answered.addErrback(request.processingFailed)
         answered.addBoth(lambda _: self._finished())
 
@@ -170,6 +189,12 @@
         self._on_fault(failure)
         return broken("internal error")
 
+    def _respond_in_turn(
+        self, answer: Answer, request: CallerRequest
+    ) -> "Deferred[Delivery | None]":
+        size = len(answer.body) if isinstance(answer.body, bytes) else 0
+        return request.turn(size).addCallback(lambda _: self._respond(answer, request))
+
     def _respond(self, answer: Answer, request: CallerRequest) -> "Deferred[Delivery] | None":
         """Answer the request; the result fires when its body has been delivered or given up."""
         if not isinstance(answer.body, bytes):
@@ -184,6 +209,16 @@
         self._drained.check()
 
 
+class _NoMeter:
+    """Drops what is measured."""
+
+    def count(self, name: str) -> None:
+        """Drop it."""
+
+    def observe(self, name: str, took: timedelta) -> None:
+        """Drop it."""
+
+
 class _RequestResource(Resource):
     """Takes a request over from klein, which would otherwise finish it."""
 
--- a/packages/callers/src/cardamomloft/callers/streaming.py
+++ b/packages/callers/src/cardamomloft/callers/streaming.py
@@ -1,19 +1,22 @@
 """The server side of HTTP/1.1: requests are processed when their head has arrived.
 
 ``twisted.web`` spools a whole body, to disk when it is large, before it processes a request. Here
-the body streams through :class:`RequestBody` instead. Pipelined requests still wait until the one
-before them has been read and answered completely, which `HTTPChannel` sees to.
+the body streams through :class:`RequestBody` instead. `HTTPChannel` reads a pipelined request only
+when the one before it is answered; here those that may overlap are handled side by side, and their
+answers wait for their turn (:mod:`.pipelining`).
 
-Three hooks of `HTTPChannel` are not public (`_respondToBadRequestAndDisconnect`, `_version` with
-`_command` and `_path`); the version of Twisted is pinned, and the tests cover each use.
+Some parts of `HTTPChannel` are not public (`_respondToBadRequestAndDisconnect`, `_version` with
+`_command` and `_path`, `_handlingRequest` with `_dataBuffer`, `_networkProducer`,
+`_waitingForTransport`); the version of Twisted is pinned, and the tests cover each use.
 """
 
 import typing as t
+from datetime import timedelta
 from http import HTTPStatus
 
 from cardamomloft.core.model import Refusal, RefusalReason
 from klein.interfaces import IKleinRequest
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.interfaces import IReactorTime
 from twisted.python.failure import Failure
 from twisted.web import http
@@ -23,6 +26,7 @@
 
 from .body import RequestBody
 from .exchange import Answer, RequestHead, broken, end_to_end, to_answer
+from .pipelining import Place, Room, may_read_on
 from .waiting import Waiters
 
 MAX_HEAD_BYTES = 16 * 1024
@@ -57,6 +61,18 @@
     time_s: float = HEAD_TIMEOUT_S
 
 
+class Meter(t.Protocol):
+    """Where counts and durations go."""
+
+    def count(self, name: str) -> None:
+        """Count one event."""
+        ...
+
+    def observe(self, name: str, took: timedelta) -> None:
+        """Add a duration to a histogram."""
+        ...
+
+
 class CallerChannel(http.HTTPChannel):
     """One caller's connection.
 
@@ -77,6 +93,10 @@
     _content_received = False
     _answered: "CallerRequest | None" = None
     _discard_timer: t.Any = None
+    _refusal: list[bytes] | None = None
+    # When bytes came first that were not read at once; of the request that is being read.
+    _unread_since: float | None = None
+    _reading_since: float | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register with the factory."""
@@ -87,6 +107,7 @@
         """Tell the request in progress that its caller has gone."""
         self._cancel_discard_timer()
         self._cancel_head_timer()
+        self._dead = True
         super().connectionLost(reason)
         self.factory.forget(self)
 
@@ -123,6 +144,10 @@
         """Hold the head to its limits, then let the parser have the line."""
         if self._dead:
             return
+        if not self._head_lines and self.requests and self.factory.closing:
+            # The answers to what was read before end this connection.
+            self._leave_unread(line + self.delimiter)
+            return
         self._head_lines += 1
         if self._head_lines > 1:
             self._head_bytes += len(line) + len(self.delimiter)
@@ -137,7 +162,7 @@
             self._refuse_head(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def allHeadersReceived(self) -> None:  # noqa: N802
-        """Start to process the request; its body is still to come."""
+        """Start to process the request, unless it must wait; its body is still to come."""
         self._head_bytes = self._head_lines = 0
         self._cancel_head_timer()
         self._content_received = False
@@ -149,22 +174,80 @@
         # From here on the deadline of the request rules, not the idle timeout.
         self.setTimeout(None)
         request.head_received(self._command, self._path, self._version, self.length)
+        request.waiting_since = self._reading_since
+        self._start_waiting()
+        if not request.started and request.waiting_since is None:
+            request.waiting_since = self.factory.seconds()
 
     def _refuse_head(self, status: HTTPStatus) -> None:
         self._dead = True
         self._cancel_head_timer()
         self.persistent = False
+        if self.requests and self.requests[-1].body is None:
+            # The parser has made a request of the head's first line.
+            del self.requests[-1]
         refusal = Refusal(RefusalReason.BAD_REQUEST, status.phrase)
-        answer = to_answer(refusal)._replace(status=int(status))
-        self.transport.writeSequence(_serialize(answer))
-        self.loseConnection()
+        self._refusal = _serialize(to_answer(refusal)._replace(status=int(status)))
+        if not self.requests:
+            self._close()
+
+    # Requests ahead of their turn.
+
+    def has_more(self, request: "CallerRequest") -> bool:
+        """Tell whether another answer follows that to `request`."""
+        return self.requests[-1] is not request or self._refusal is not None
+
+    def _start_waiting(self) -> None:
+        """Process the newest request if it waits and may run beside those before it.
+
+        Nothing is done for one whose head has not ended yet.
+
+        No further head is read while one waits, so only the newest can.
+        """
+        request: CallerRequest = self.requests[-1]
+        if request.started or request.body is None:
+            return
+        is_first = len(self.requests) == 1
+        overlaps = self.factory.may_overlap
+        if is_first or all(one.body.length == 0 and overlaps(one.head()) for one in self.requests):
+            if not is_first:
+                request.place.take()
+                self.factory.count("pipelined.beside")
+            if request.waiting_since is not None:
+                self.factory.observe_wait(request.waiting_since)
+            request.start()
+
+    def _read_on(self) -> None:
+        """Read the next request if the newest has been read and there is room for one more."""
+        if self._dead or not self._handlingRequest or not self.persistent:
+            return
+        if self.requests and (self.factory.closing or not self.requests[-1].started):
+            return
+        if not may_read_on([request.place for request in self.requests], self.factory.room):
+            return
+        self._handlingRequest = False
+        if not self._waitingForTransport:
+            self._networkProducer.resumeProducing()
+        data = b"".join(self._dataBuffer)
+        self._dataBuffer = []
+        self._reading_since, self._unread_since = self._unread_since, None
+        self.setLineMode(data)
+        self._reading_since = None
+
+    def _leave_unread(self, data: bytes) -> None:
+        self._handlingRequest = True
+        self.setRawMode()
+        self._dataBuffer.append(data)
 
     # The body.
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         """Ignore what follows a malformed head or body."""
-        if not self._dead:
-            super().rawDataReceived(data)
+        if self._dead:
+            return
+        if self._handlingRequest and self._unread_since is None:
+            self._unread_since = self.factory.seconds()
+        super().rawDataReceived(data)
 
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         # The parser's own reply would land in the midst of an answer that has begun.
@@ -191,6 +274,8 @@
         super().allContentReceived()
         if answered is not None:
             self._end_exchange(answered)
+        else:
+            self._read_on()
 
     def pause_body(self) -> None:
         """Stop reading while the body's consumer is behind."""
@@ -214,7 +299,7 @@
 
     def requestDone(self, request: "CallerRequest") -> None:  # noqa: N802
         """Go to the next request, but not before this one's body has been read."""
-        if self._content_received:
+        if self._content_received or request is not self.requests[-1]:
             self._end_exchange(request)
             return
         self._answered = request
@@ -222,11 +307,28 @@
         request.body.discard()
 
     def _end_exchange(self, request: "CallerRequest") -> None:
+        """Let the next request answer; without one, close the connection or let it rest."""
         self._cancel_discard_timer()
         self._answered = None
-        self._content_received = False
-        self.setTimeout(self.factory.timeOut)
-        super().requestDone(request)
+        if request is not self.requests[0]:
+            raise RuntimeError("an answer has ended out of turn")
+        del self.requests[0]
+        if self.requests:
+            self._start_waiting()
+            self.requests[0].begin_turn()
+            self._read_on()
+        elif self.persistent:
+            self.setTimeout(self.factory.timeOut)
+            self._read_on()
+        else:
+            self._close()
+
+    def _close(self) -> None:
+        """Close the connection after what was written; a refused head gets its answer first."""
+        if self._refusal is not None:
+            self.transport.writeSequence(self._refusal)
+            self._refusal = None
+        self.loseConnection()
 
     def _cancel_discard_timer(self) -> None:
         if self._discard_timer is not None and self._discard_timer.active():
@@ -244,6 +346,12 @@
         The body, or None as long as the head has not arrived.
     gone
         Fires with None if the caller's connection is lost before the answer is complete.
+    started
+        Whether it is being processed.
+    place
+        Its place among the requests of its connection.
+    waiting_since
+        When it came, in seconds of the reactor, if it had to wait for others; else None.
     """
 
     channel: CallerChannel
@@ -253,6 +361,10 @@
     def __init__(self, channel: CallerChannel, queued: object = False) -> None:
         super().__init__(channel, False)
         self.gone: Deferred[None] = Deferred()
+        self.started = False
+        self.place = Place(channel.factory.room)
+        self.waiting_since: float | None = None
+        self._turn: Deferred[None] | None = None
         self.branch_segments = [""]
         self.query = b""
         self.prepath: list[bytes] = []
@@ -260,15 +372,44 @@
         self._awaits_continue = False
 
     def head_received(self, method: bytes, uri: bytes, version: bytes, length: int | None) -> None:
-        """Take the head from the channel and process the request."""
+        """Take the head from the channel."""
         self.method, self.uri, self.clientproto = method, uri, version
         self.path, _, self.query = uri.partition(b"?")
         expectation = self.requestHeaders.getRawHeaders(b"Expect")
         if length != 0 and expectation and expectation[0].lower() == b"100-continue":
             self._awaits_continue = True
         self.body = RequestBody(length, self.channel, self._send_continue)
+
+    def start(self) -> None:
+        """Process the request."""
+        self.started = True
         self.process()
 
+    # The turn to answer.
+
+    @property
+    def _is_first(self) -> bool:
+        return self.over or self.channel.requests[0] is self
+
+    def turn(self, size: int = 0) -> "Deferred[None]":
+        """Return a result that fires when this request's answer may be written.
+
+        It also fires when the caller has gone. `size` are the bytes of the answer that is held
+        until then.
+        """
+        if self._is_first:
+            return succeed(None)
+        self.place.hold(size)
+        self._turn = Deferred()
+        return self._turn
+
+    def begin_turn(self) -> None:
+        """Note that all requests before this one are answered, or that the caller has gone."""
+        self.place.leave()
+        if self._turn is not None:
+            turn, self._turn = self._turn, None
+            turn.callback(None)
+
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Pass a part of the body on."""
         self._awaits_continue = False
@@ -285,6 +426,7 @@
             return
         self.body.fail(f"connection lost after {self.body.received} bytes of the body")
         self.gone.callback(None)
+        self.begin_turn()
 
     def process(self) -> None:
         """Answer a look-up at once, and route everything else.
@@ -298,7 +440,7 @@
         self.postpath = [b"lookup" if is_lookup else b""]
         try:
             if is_lookup and self.method == b"GET":
-                self.answer_at_once(lookup(self))
+                self.answer_in_turn(lookup(self))
             else:
                 self.channel.factory.resource.render(self)
         except Exception:
@@ -318,7 +460,7 @@
         if self.startedWriting:
             self.abort()
         else:
-            self.answer_at_once(broken("internal error"))
+            self.answer_in_turn(broken("internal error"))
 
     def head(self) -> RequestHead:
         """Return the head for the decision code."""
@@ -354,8 +496,16 @@
             self.channel.persistent = False
             headers.setRawHeaders(b"Connection", [b"close"])
 
+    def answer_in_turn(self, answer: Answer) -> None:
+        """Write an answer whose body is in memory when all before it are written."""
+        if self._is_first:
+            self.answer_at_once(answer)
+            return
+        size = len(answer.body) if isinstance(answer.body, bytes) else 0
+        self.turn(size).addCallback(lambda _: self.answer_at_once(answer))
+
     def answer_at_once(self, answer: Answer) -> None:
-        """Write an answer whose body is in memory, or that has none."""
+        """Write an answer whose body is in memory, or that has none; it must be its turn."""
         if self.over:
             return
         self.begin_answer(answer)
@@ -373,6 +523,9 @@
             self.channel.transport.abortConnection()
 
     def _must_close(self) -> bool:
+        if self.channel.has_more(self):
+            # What was read behind this request is answered too; only the last answer closes.
+            return False
         if self.channel.factory.closing or not self.channel.persistent or self._awaits_continue:
             return True
         rest = self.body.remaining
@@ -395,9 +548,15 @@
         resource: IResource,
         on_fault: t.Callable[[Failure], None],
         lookup: t.Callable[[CallerRequest], Answer] | None,
+        may_overlap: t.Callable[[RequestHead], bool],
+        meter: Meter,
     ) -> None:
         super().__init__(timeout=IDLE_TIMEOUT_S, reactor=reactor)
         self.lookup = lookup
+        self.may_overlap = may_overlap
+        self.room = Room()
+        self.seconds = reactor.seconds
+        self._meter = meter
         self.resource = resource
         self.on_fault = on_fault
         self.closing = False
@@ -412,6 +571,15 @@
         channel.bound_heads(self.head_limits)
         return channel
 
+    def count(self, name: str) -> None:
+        """Count an event."""
+        self._meter.count(name)
+
+    def observe_wait(self, since: float) -> None:
+        """Note that a request came at the instant `since` and is processed only now."""
+        self.count("pipelined.waited")
+        self._meter.observe("pipelined.wait", timedelta(seconds=self.seconds() - since))
+
     def startFactory(self) -> None:  # noqa: N802
         """Open no access log: the entry logs what matters."""
 
--- a/packages/entry/src/cardamomloft/entry/node.py
+++ b/packages/entry/src/cardamomloft/entry/node.py
@@ -143,7 +143,7 @@
         self.loads = LoadPoller(
             self.client, self._clock, lambda e: self.shares.free(slots_key(e)) > 0
         )
-        self.app = CallersApp(self.lookup, self.handle, self._on_fault)
+        self.app = CallersApp(self.lookup, self.handle, self._on_fault, meter=self.metrics)
         self.forwarder: Forwarder | None = None
         self.executor: Executor | None = None
         self.status_page = StatusPage(self, self._clock)
--- a/packages/gateway/src/cardamomloft/gateway/calls.py
+++ b/packages/gateway/src/cardamomloft/gateway/calls.py
@@ -67,6 +67,11 @@
         }
         self.homes = _homes_by_host(plan)
 
+    def is_idempotent(self, head: RequestHead) -> bool:
+        """Tell whether the request may run more than once."""
+        rule = self._table.match(dict(head.headers).get("host", ""), head.path)
+        return rule is not None and rule.idempotent
+
     def read(self, head: RequestHead, now: timedelta) -> Call | Refusal:
         """Return the call, or why the request is refused."""
         headers = dict(head.headers)
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -147,7 +147,9 @@
             self.metrics,
             self.records,
         )
-        self.app = CallersApp(None, self.handle, self._on_fault)
+        self.app = CallersApp(
+            None, self.handle, self._on_fault, may_overlap=self._may_overlap, meter=self.metrics
+        )
         self.presence = Presence(self._control, own, bounds.record_life)
         self.follower = Follower(
             self._reactor,
@@ -264,6 +266,9 @@
             return self.forwarder.refuse(call)
         return await self.forwarder.carry(call, head, body, gone)
 
+    def _may_overlap(self, head: RequestHead) -> bool:
+        return self._reader is not None and self._reader.is_idempotent(head)
+
     def _admitted(self, head: RequestHead) -> Call | Refusal:
         if self.life.admits() and self._reader is not None:
             return self.read(head)
