Tell two lives of an endpoint apart, and use no registration that can't be read

Cause: an endpoint may start again under its old id; the book kept work time, failures, rest, report and cold state of the life before, and the pool its connections. And a list with one unreadable item withdrew nothing, while an unreadable registration left its endpoint in use. Change: a life is id and start (`started_ms`; `born` on the platform). A later one replaces the endpoint's whole state and closes its idle connections; an earlier one, written late, is left aside, also after the later one has gone. Objects keep their places, which hang on the id alone. A registration that can't be read hides its endpoint until the next one that can; it is logged once. Replaced tests: the one on lists said that one unreadable item withdraws nothing; the users say that such an entry names no endpoint and the others hold, and the tests now check both.

--- a/packages/core/src/cardamomloft/core/registrations.py
+++ b/packages/core/src/cardamomloft/core/registrations.py
@@ -33,11 +33,16 @@
 """
 
 
+STARTS_KEPT = 10_000
+"""Endpoints whose latest start is kept, those heard of longest ago forgotten first: 0.2 KB each."""
+
+
 class Registration(t.NamedTuple):
     """One life of an upstream endpoint, as it describes itself in the store.
 
-    `id` is new with each start. `cold_left` is how long it said that it will be cold, counted
-    from when the registration was written.
+    `cold_left` is how long it said that it will be cold, counted from when the registration was
+    written. An endpoint may start again under its old `id`: `started_ms`, the Unix millisecond of
+    its start, tells its lives apart; 0 where endpoints don't say it and ids are new each time.
     """
 
     id: str
@@ -47,6 +52,7 @@
     slots: int
     draining: bool
     cold_left: timedelta
+    started_ms: int = 0
 
 
 class EntryRecord(t.NamedTuple):
@@ -76,6 +82,13 @@
     id: str
 
 
+class UpstreamUnreadable(t.NamedTuple):
+    """The registration of endpoint `id` can't be decoded: it names no endpoint to use."""
+
+    id: str
+    detail: str
+
+
 class ZoneDrained(t.NamedTuple):
     """Endpoints of `zone` must get nothing more."""
 
@@ -111,6 +124,7 @@
     PlanRead
     | UpstreamRegistered
     | UpstreamWithdrawn
+    | UpstreamUnreadable
     | ZoneDrained
     | ZoneRestored
     | EntryRecorded
@@ -146,8 +160,10 @@
         Own requests in a row that failed.
     rest_until
         Monotonic instant until which it is left alone after failures or refusals.
+    unreadable
+        Whether its registration can't be read now, so that it must not be used.
     seed
-        Hash of its id, for the placement of objects.
+        Hash of its id, for the placement of objects: the same in all of its lives.
     work
         How long its answers take without waiting, smoothed; None if not known.
     """
@@ -165,6 +181,7 @@
         "report",
         "rest_until",
         "seed",
+        "unreadable",
         "work",
     )
 
@@ -181,6 +198,7 @@
         self.cold_sends: list[timedelta] = []
         self.leaving = False
         self.missing = False
+        self.unreadable = False
         self.work: timedelta | None = None
 
     @property
@@ -208,6 +226,7 @@
         self._by_id: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._versions: Counter[str] = Counter()
+        self._starts = _Starts()
         self._patience_until = timedelta(0)
         self._started = False
 
@@ -240,27 +259,44 @@
         return {upstream.registration.zone for upstream in self._by_id.values()}
 
     def register(self, registration: Registration, now: timedelta) -> bool:
-        """Take a registration; return whether anything but its age has changed."""
+        """Take a registration; return whether anything but its age has changed.
+
+        A new life under an old id holds nothing of before, so nothing that was known of the
+        endpoint is kept. A registration of an earlier life, written late, is left aside.
+        """
+        if not self._starts.note(registration):
+            return False
         known = self._by_id.get(registration.id)
         region = self.regions.get(registration.zone, "")
-        if known is None:
+        if known is None or known.registration.started_ms != registration.started_ms:
             upstream = Upstream(registration, region, now)
             if not self._started:
                 upstream.joined_at = None
             self._by_id[registration.id] = upstream
             self._rebuild()
             return True
-        changed = known.missing or known.registration._replace(
-            cold_left=registration.cold_left
-        ) != (registration)
+        before = known.registration._replace(cold_left=registration.cold_left)
+        changed = known.missing or known.unreadable or before != registration
         known.registration = registration
-        known.missing = False
+        known.missing = known.unreadable = False
         if registration.cold_left:
             known.cold_until = max(known.cold_until, now + registration.cold_left)
         if changed:
             self._rebuild()
         return changed
 
+    def hide(self, upstream_id: str) -> bool:
+        """Use an endpoint no more until its registration can be read; return whether it was used.
+
+        What is known of it stays: its next own registration replaces the one of another writer.
+        """
+        upstream = self._by_id.get(upstream_id)
+        if upstream is None or upstream.unreadable:
+            return False
+        upstream.unreadable = True
+        self._rebuild()
+        return True
+
     def withdraw(self, upstream_id: str, now: timedelta) -> bool:
         """Forget an endpoint; soon after many have lapsed at once only if it stays away."""
         upstream = self._by_id.get(upstream_id)
@@ -335,7 +371,9 @@
         before, self._by_service = self._by_service, {}
         for upstream in sorted(self._by_id.values(), key=lambda known: known.id):
             row = upstream.registration
-            if row.draining or upstream.leaving or row.zone in self.drained_zones:
+            if row.draining or upstream.leaving or upstream.unreadable:
+                continue
+            if row.zone in self.drained_zones:
                 continue
             self._by_service.setdefault(row.service, []).append(upstream)
         for service in before.keys() | self._by_service.keys():
@@ -343,6 +381,31 @@
                 self._versions[service] += 1
 
 
-def _placed(upstreams: Iterable[Upstream]) -> list[tuple[str, str, int]]:
-    """Return what placement depends on."""
-    return [(up.id, up.registration.zone, up.registration.slots) for up in upstreams]
+class _Starts:
+    """When the latest known life of each endpoint began, also of those that have gone."""
+
+    def __init__(self) -> None:
+        self._latest: dict[str, int] = {}
+
+    def note(self, registration: Registration) -> bool:
+        """Return whether a registration is not of an earlier life than a known one."""
+        latest = self._latest.pop(registration.id, 0)
+        if registration.started_ms or latest:
+            self._latest[registration.id] = max(latest, registration.started_ms)
+        if len(self._latest) > STARTS_KEPT:
+            del self._latest[next(iter(self._latest))]
+        return registration.started_ms >= latest
+
+
+class _Placed(t.NamedTuple):
+    """What placement depends on."""
+
+    id: str
+    started_ms: int
+    zone: str
+    slots: int
+
+
+def _placed(upstreams: Iterable[Upstream]) -> list[_Placed]:
+    rows = (upstream.registration for upstream in upstreams)
+    return [_Placed(row.id, row.started_ms, row.zone, row.slots) for row in rows]
--- a/packages/core/tests/test_registrations.py
+++ b/packages/core/tests/test_registrations.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 import pytest
+from cardamomloft.core import registrations
 from cardamomloft.core.registrations import RETURN_TIME, Registration, UpstreamBook
 
 MS = timedelta(milliseconds=1)
@@ -125,3 +126,48 @@
     book.register(_row(), ZERO)
     book.mark_leaving(book.get("i-1"))
     assert _ids(book) == []
+
+
+def test_a_new_life_under_an_old_id_is_known_for_nothing_and_keeps_its_place():
+    book = UpstreamBook(REGIONS)
+    book.register(_row(started_ms=100), ZERO)
+    before, version = book.get("i-1"), book.version("menus")
+    before.failures, before.work, before.rest_until = 3, 40 * MS, 900 * MS
+    before.in_flight, before.leaving = 2, True
+    assert book.register(_row(started_ms=200, cold_left=500 * MS), 1000 * MS)
+    after = book.get("i-1")
+    assert (after.failures, after.work, after.rest_until, after.in_flight) == (0, None, ZERO, 0)
+    assert after.report is None and not after.leaving and after.cold_until == 1500 * MS
+    assert after.seed == before.seed and book.version("menus") > version
+    assert book.of_service("menus") == [after]
+
+
+def test_a_registration_of_an_earlier_life_never_replaces_a_later_one():
+    book = UpstreamBook(REGIONS)
+    book.register(_row(started_ms=200), ZERO)
+    for late in (_row(started_ms=100, address="10.0.0.9:80"), _row(started_ms=0, draining=True)):
+        assert not book.register(late, MS)
+    assert book.get("i-1").registration == _row(started_ms=200)
+    book.withdraw("i-1", MS)
+    assert not book.register(_row(started_ms=100), MS) and _ids(book) == []
+    assert book.register(_row(started_ms=200), MS) and _ids(book) == ["i-1"]
+
+
+def test_starts_are_kept_for_a_bounded_number_of_endpoints(monkeypatch):
+    monkeypatch.setattr(registrations, "STARTS_KEPT", 2)
+    book = UpstreamBook(REGIONS)
+    for number in (1, 2, 3):
+        book.register(_row(number, started_ms=200), ZERO)
+        book.withdraw(f"i-{number}", ZERO)
+    assert book.register(_row(1, started_ms=100), ZERO)
+    assert not book.register(_row(3, started_ms=100), ZERO)
+
+
+def test_an_endpoint_whose_registration_is_unreadable_waits_for_its_next_one():
+    book = UpstreamBook(REGIONS)
+    book.register(_row(), ZERO)
+    book.get("i-1").work = 40 * MS
+    assert book.hide("i-1") and not book.hide("i-1") and not book.hide("i-2")
+    assert _ids(book) == []
+    assert book.register(_row(), ZERO) and _ids(book) == ["i-1"]
+    assert book.get("i-1").work == 40 * MS
--- a/packages/gateway/src/cardamomloft/gateway/documents.py
+++ b/packages/gateway/src/cardamomloft/gateway/documents.py
@@ -20,6 +20,7 @@
     ServiceShare,
 )
 from cardamomloft.gateway.durations import PATTERN, parse_duration
+from cardamomloft.gateway.entryrecords import address_text
 from expression import Error, Ok, Result
 from pydantic import ConfigDict, Field, with_config
 from typing_extensions import TypedDict
@@ -108,14 +109,18 @@
 
 @_strict
 class RegistrationRow(TypedDict):
-    """How an upstream endpoint registers itself, under a key that is new with each start."""
+    """How an upstream endpoint registers itself.
+
+    `started_ms` is the Unix millisecond of its start; needed if it starts again under an old key.
+    """
 
     service: Name
     address: Address
     zone: Name
     slots: Count
     draining: NotRequired[bool]
-    cold_ms: NotRequired[t.Annotated[int, Field(ge=0)]]
+    cold_ms: NotRequired[t.Annotated[int, Field(ge=0, le=1_000_000_000)]]
+    started_ms: NotRequired[t.Annotated[int, Field(ge=0, lt=2**63)]]
 
 
 def load_plan(text: str | bytes, number: int) -> Result[RoutePlan, tuple[Mistake, ...]]:
@@ -142,6 +147,10 @@
             return Error(mistakes)
         case Result(ok=row):
             pass
+    try:
+        address_text(row["address"])
+    except ValueError as exc:
+        return Error((Mistake("address", str(exc)),))
     return Ok(
         Registration(
             id=upstream_id,
@@ -151,6 +160,7 @@
             slots=row["slots"],
             draining=row.get("draining", False),
             cold_left=row.get("cold_ms", 0) * _MS,
+            started_ms=row.get("started_ms", 0),
         )
     )
 
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/entryrecords.py
@@ -0,0 +1,40 @@
+"""How an entry's own record is written and read, and what counts as an address."""
+
+import ipaddress
+
+import msgspec
+from cardamomloft.core.registrations import EntryRecord
+
+MAX_PORT = 65_535
+
+
+def encode_entry(record: EntryRecord) -> bytes:
+    """Return the value under which an entry is recorded."""
+    return msgspec.json.encode(record._asdict())
+
+
+def read_entry(value: bytes) -> EntryRecord:
+    """Return the record in a value.
+
+    Raises
+    ------
+    msgspec.DecodeError, TypeError, ValueError
+        If it is not a record with an address that callers can be sent to.
+    """
+    record = EntryRecord(**msgspec.json.decode(value, type=dict[str, str]))
+    return record._replace(address=address_text(record.address))
+
+
+def address_text(text: str) -> str:
+    """Return `text` if it is an IPv4 address with a port, ``ip:port``.
+
+    Raises
+    ------
+    ValueError
+        If it is not.
+    """
+    host, _, port = text.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not (port.isascii() and port.isdigit()) or not 1 <= int(port[:6]) <= MAX_PORT:
+        raise ValueError(f"{port[:6]} is no port")
+    return text
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -22,6 +22,7 @@
     Unreadable,
     UpstreamBook,
     UpstreamRegistered,
+    UpstreamUnreadable,
     UpstreamWithdrawn,
     ZoneDrained,
     ZoneRestored,
@@ -38,7 +39,7 @@
 from cardamomloft.gateway.following import Follower, Pace
 from cardamomloft.gateway.forwarding import Forwarder
 from cardamomloft.gateway.presence import Presence
-from cardamomloft.gateway.records import RequestLog
+from cardamomloft.gateway.records import Known, RequestLog
 from cardamomloft.gateway.settings import FIXED, Bounds, GatewaySettings, bounds_of
 from cardamomloft.gateway.status import GatewayStatus
 from cardamomloft.upstreams.client import UpstreamClient
@@ -124,6 +125,7 @@
         self._hard_stop: IDelayedCall | None = None
         self._reader: Reader | None = None
         self._listed = False
+        self._unreadable = Known()
         self._build()
 
     def _build(self) -> None:
@@ -305,14 +307,10 @@
     def _on_listing(self, listing: Listing) -> None:
         now = self._clock.monotonic()
         self._on_changes(listing.facts)
-        upstreams = {
-            fact.registration.id for fact in listing.facts if isinstance(fact, UpstreamRegistered)
-        }
+        upstreams = _listed_upstreams(listing.facts)
         entries = {fact.record.name for fact in listing.facts if isinstance(fact, EntryRecorded)}
         drained = {fact.zone for fact in listing.facts if isinstance(fact, ZoneDrained)}
-        unreadable = {fact.key for fact in listing.facts if isinstance(fact, Unreadable)}
-        if not unreadable:
-            self._log_gone(self.book.listed(upstreams, now))
+        self._log_gone(self.book.listed(upstreams, now))
         self.entries.listed(entries, now)
         for zone in self.book.drained_zones - drained:
             self._take(ZoneRestored(zone))
@@ -345,8 +343,12 @@
 
     @_take.register
     def _(self, fact: UpstreamRegistered) -> None:
-        row = fact.registration
+        row, before = fact.registration, self.book.get(fact.registration.id)
+        self._unreadable.forget(row.id)
         if self.book.register(row, self._clock.monotonic()):
+            if before is not None and self.book.get(row.id) is not before:
+                # What was kept open belongs to the life before.
+                self._client.forget(before.registration.address)
             log(
                 "upstream",
                 id=row.id,
@@ -354,14 +356,22 @@
                 address=row.address,
                 zone=row.zone,
                 draining=row.draining,
+                started_ms=row.started_ms,
                 cold_ms=row.cold_left // timedelta(milliseconds=1),
             )
 
     @_take.register
     def _(self, fact: UpstreamWithdrawn) -> None:
+        self._unreadable.forget(fact.id)
         if self.book.withdraw(fact.id, self._clock.monotonic()):
             self._log_gone([fact.id])
 
+    @_take.register
+    def _(self, fact: UpstreamUnreadable) -> None:
+        used = self.book.hide(fact.id)
+        if self._unreadable.is_new(fact.id, fact.detail):
+            log("unreadable", upstream=fact.id, detail=fact.detail, was_used=used)
+
     @_take.register
     def _(self, fact: ZoneDrained) -> None:
         if self.book.drain_zone(fact.zone):
@@ -385,7 +395,8 @@
 
     @_take.register
     def _(self, fact: Unreadable) -> None:
-        log("unreadable", key=fact.key, detail=fact.detail)
+        if self._unreadable.is_new(fact.key, fact.detail):
+            log("unreadable", key=fact.key, detail=fact.detail)
 
     def _put_in_force(self, plan: RoutePlan) -> None:
         held = self.configuration
@@ -430,6 +441,12 @@
     return Pace(bounds.drain_time * FOLLOW_PART, bounds.drain_time * WAIT_PART)
 
 
+def _listed_upstreams(facts: t.Iterable[Fact]) -> set[str]:
+    """Return the ids under which something is registered, readable or not."""
+    found = {fact.registration.id for fact in facts if isinstance(fact, UpstreamRegistered)}
+    return found | {fact.id for fact in facts if isinstance(fact, UpstreamUnreadable)}
+
+
 def _withdrawn(facts: t.Iterable[Fact]) -> set[str]:
     """Return the ids of the endpoints that are withdrawn after all of `facts`."""
     found: set[str] = set()
--- a/packages/gateway/src/cardamomloft/gateway/storecontrol.py
+++ b/packages/gateway/src/cardamomloft/gateway/storecontrol.py
@@ -5,24 +5,27 @@
 """
 
 import typing as t
-from collections.abc import Mapping
 from datetime import timedelta
 
 import msgspec
+from cardamomloft.core.document import Mistake
 from cardamomloft.core.registrations import (
     EntryRecord,
     EntryRecorded,
     EntryWithdrawn,
     Fact,
     PlanRead,
+    Registration,
     Unreadable,
     UpstreamRegistered,
+    UpstreamUnreadable,
     UpstreamWithdrawn,
     ZoneDrained,
     ZoneRestored,
 )
 from cardamomloft.gateway.control import Changes, Listing
 from cardamomloft.gateway.documents import load_plan, load_registration
+from cardamomloft.gateway.entryrecords import encode_entry, read_entry
 from cardamomloft.store.failures import StoreFailure
 from cardamomloft.store.keyvalue import Listed, Record, Store
 from expression import Error, Ok, Result
@@ -89,7 +92,7 @@
                 return Error(failure)
             case Result(ok=lease):
                 pass
-        key, value = f"{self._prefix}{ENTRIES}{record.name}", msgspec.json.encode(record._asdict())
+        key, value = f"{self._prefix}{ENTRIES}{record.name}", encode_entry(record)
         match await self._store.acquire(key, value, lease):
             case Result(tag="ok", ok=True):
                 return Ok(lease)
@@ -113,7 +116,7 @@
         return _fact(key, load_plan(record.value, record.version).map(PlanRead))
     if key.startswith(UPSTREAMS):
         loaded = load_registration(record.value, key.removeprefix(UPSTREAMS))
-        return _fact(key, loaded.map(UpstreamRegistered))
+        return _upstream(key.removeprefix(UPSTREAMS), loaded)
     if key.startswith(DRAINED_ZONES):
         return ZoneDrained(key.removeprefix(DRAINED_ZONES))
     if key.startswith(ENTRIES):
@@ -140,9 +143,16 @@
             return Unreadable(key, "; ".join(map(str, mistakes)))
 
 
+def _upstream(upstream_id: str, loaded: Result[Registration, tuple[Mistake, ...]]) -> Fact:
+    match loaded:
+        case Result(tag="ok", ok=registration):
+            return UpstreamRegistered(registration)
+        case Result(error=mistakes):
+            return UpstreamUnreadable(upstream_id, "; ".join(map(str, mistakes)))
+
+
 def _entry(key: str, record: Record) -> Fact:
     try:
-        row: Mapping[str, str] = msgspec.json.decode(record.value, type=dict[str, str])
-        return EntryRecorded(EntryRecord(**row))
+        return EntryRecorded(read_entry(record.value))
     except (TypeError, ValueError, msgspec.DecodeError) as exc:
         return Unreadable(key, str(exc))
--- a/packages/gateway/tests/test_documents.py
+++ b/packages/gateway/tests/test_documents.py
@@ -8,6 +8,8 @@
 import pytest
 from cardamomloft.core.routes import ServiceShare
 from cardamomloft.gateway.documents import load_plan, load_registration
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 EXAMPLE = pathlib.Path(__file__).parents[3] / "examples" / "gateway-routes.json"
 DOCUMENT = json.loads(EXAMPLE.read_text())
@@ -97,3 +99,43 @@
 def test_an_odd_registration_is_an_error(name, value):
     text = json.dumps({**REGISTRATION, name: value}).encode()
     assert [mistake.path for mistake in load_registration(text, "i-1").error] == [name]
+
+
+ROW = {
+    "service": "menus",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "slots": 4,
+    "draining": False,
+    "cold_ms": 20,
+    "started_ms": 1_700_000_000_123,
+}
+_SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20)
+_VALUES = _SCALARS | st.lists(_SCALARS, max_size=3) | st.dictionaries(st.text(), _SCALARS)
+
+
+def test_a_registration_says_when_its_life_began():
+    row = load_registration(json.dumps(ROW).encode(), "i-1").ok
+    assert (row.started_ms, row.cold_left) == (1_700_000_000_123, timedelta(milliseconds=20))
+
+
+@pytest.mark.parametrize("address", ["999.0.0.1:80", "10.0.0.1:0", "10.0.0.1:99999"])
+def test_an_address_that_nobody_can_have_is_a_mistake(address):
+    loaded = load_registration(json.dumps({**ROW, "address": address}).encode(), "i-1")
+    assert [mistake.path for mistake in loaded.error] == ["address"]
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.dictionaries(st.sampled_from(sorted(ROW)), _VALUES, min_size=1, max_size=3))
+def test_an_odd_registration_is_read_rightly_or_not_at_all(changed):
+    loaded = load_registration(json.dumps({**ROW, **changed}).encode(), "i-1")
+    if loaded.is_ok():
+        row = loaded.ok
+        assert type(row.slots) is type(row.started_ms) is int and row.slots >= 1
+        assert type(row.draining) is bool and row.service and row.zone
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.binary(max_size=200))
+def test_bytes_that_are_no_registration_are_mistakes(value):
+    assert load_registration(value, "i-1").is_error()
--- a/packages/gateway/tests/test_gateway.py
+++ b/packages/gateway/tests/test_gateway.py
@@ -13,6 +13,7 @@
     PlanRead,
     Unreadable,
     UpstreamRegistered,
+    UpstreamUnreadable,
     UpstreamWithdrawn,
     ZoneDrained,
     ZoneRestored,
@@ -118,11 +119,55 @@
     assert run.ask().status == 200
 
 
-def test_a_list_with_an_unreadable_item_withdraws_nothing():
-    run = Run()
+UNREADABLE = UpstreamUnreadable("i-1", "no slots")
+
+
+def listed(run, *facts):
     run.control.next = Ok(Changes((), 10, lost=True))
-    run.control.listing = Ok(kit.listing()._replace(facts=(Unreadable("i-1", "no slots"),)))
+    run.control.listing = Ok(kit.listing()._replace(facts=facts))
     run.time.advance(2000 * MS)
+    run.control.next = kit.no_changes()
+
+
+def test_a_list_with_an_unreadable_registration_names_no_endpoint_there_and_keeps_the_others():
+    run = Run()
+    run.change(UpstreamRegistered(kit.registration(2)), UpstreamRegistered(kit.registration(3)))
+    listed(run, UNREADABLE, UpstreamRegistered(kit.registration(2)))
+    assert run.ask().status == 200
+    assert {request.endpoint.name for request in run.client.sent} == {"i-2"}
+
+
+def test_an_unreadable_registration_is_not_used_until_it_is_readable_again():
+    run = Run()
+    run.change(UNREADABLE)
+    assert run.ask().status == 503 and run.client.sent == []
+    run.change(UpstreamRegistered(kit.registration(1)), index=12)
+    assert run.ask().status == 200
+    listed(run, UNREADABLE)
+    assert run.ask().status == 503
+
+
+def test_what_is_unreadable_is_logged_once_and_again_when_it_was_mended(monkeypatch):
+    lines = []
+    monkeypatch.setattr("cardamomloft.gateway.node.log", lambda name, **row: lines.append(name))
+    run = Run()
+    for index in (11, 12, 13):
+        run.change(UNREADABLE, Unreadable("entries/e-9", "no address"), index=index)
+    assert lines.count("unreadable") == 2
+    run.change(UpstreamRegistered(kit.registration(1)), index=14)
+    run.change(UNREADABLE, index=15)
+    assert lines.count("unreadable") == 3
+
+
+def test_a_new_life_under_an_old_id_gets_no_kept_connection_of_the_one_before():
+    run = Run()
+    run.change(UpstreamRegistered(kit.registration(1, started_ms=5)))
+    run.change(UpstreamRegistered(kit.registration(1, started_ms=5, draining=True)), index=12)
+    assert run.client.forgotten == ["10.0.0.1:80"]
+    run.change(UpstreamRegistered(kit.registration(1, started_ms=9)), index=13)
+    assert run.client.forgotten == ["10.0.0.1:80"] * 2
+    assert run.ask().status == 200
+    run.change(UpstreamRegistered(kit.registration(1, started_ms=5, draining=True)), index=14)
     assert run.ask().status == 200
 
 
--- a/packages/gateway/tests/test_storecontrol.py
+++ b/packages/gateway/tests/test_storecontrol.py
@@ -12,6 +12,7 @@
     PlanRead,
     Unreadable,
     UpstreamRegistered,
+    UpstreamUnreadable,
     UpstreamWithdrawn,
     ZoneDrained,
     ZoneRestored,
@@ -118,7 +119,8 @@
 def test_unreadable_items_say_why():
     store = ListStore(routes__current={}, upstreams__i_1={}, entries__e_1=[])
     facts = _result(StoreControl(store, "g/").read()).ok.facts
-    assert {type(fact) for fact in facts} == {Unreadable}
+    assert {type(fact) for fact in facts} == {Unreadable, UpstreamUnreadable}
+    assert UpstreamUnreadable in {type(fact) for fact in facts if getattr(fact, "id", "")}
     assert all(fact.detail for fact in facts)
 
 
--- a/packages/upstreams/src/cardamomloft/upstreams/client.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/client.py
@@ -142,6 +142,11 @@
         body = self._control("GET", endpoint, "/-/load", timeout)
         return body.addCallback(lambda raw: raw.bind(parse_load))
 
+    def forget(self, address: str) -> None:
+        """Close the idle connections to `address`: who listens there has started again."""
+        self.pool.drop(address)
+        self._control_pool.drop(address)
+
     def close(self) -> "Deferred[None]":
         """Close the idle connections."""
         done = self.pool.closeCachedConnections()
--- a/packages/upstreams/src/cardamomloft/upstreams/connections.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -134,6 +134,14 @@
         self.cachedConnectionTimeout = connection.idle_s
         super()._putConnection(key, connection)
 
+    def drop(self, address: str) -> None:
+        """Close the idle connections to `address`, which is ``ip:port``."""
+        host, _, port = address.rpartition(":")
+        key = (b"http", host.encode(), int(port))
+        for connection in tuple(self._connections.get(key, ())):
+            self._timeouts[connection].cancel()
+            self._removeConnection(key, connection)
+
     def open(self, key: t.Hashable, endpoint: IStreamClientEndpoint) -> "Deferred[t.Any]":
         """Open a new connection, which joins the pool after its first answer."""
         return self._newConnection(key, endpoint)
--- a/standins/src/cardamomloft_standins/gateway.py
+++ b/standins/src/cardamomloft_standins/gateway.py
@@ -93,8 +93,13 @@
     def __init__(self, *outcomes) -> None:
         self.outcomes = deque(outcomes)
         self.sent = []
+        self.forgotten = []
         self.cancelled = 0
 
+    def forget(self, address):
+        """Note that the idle connections to an address are to be closed."""
+        self.forgotten.append(address)
+
     def send(self, req):
         """Note the request and return the next outcome; None never comes."""
         self.sent.append(req)
--- a/tests/adapter/test_client.py
+++ b/tests/adapter/test_client.py
@@ -22,7 +22,16 @@
 LOST = Error(CallFailure(True, "no answer"))
 NOT_SENT = Error(CallFailure(False, "refused"))
 RECORD = EntryRecord("e-1", "10.0.0.1:80", "a", "east")
-SERVER = {"service": "menus", "address": "10.1.0.9:80", "zone": "a", "slots": 4, "state": "ready"}
+SERVER = {
+    "service": "menus",
+    "address": "10.1.0.9:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "coldRemaining": "0ms",
+    "sequence": 1,
+}
 
 
 class FakeExchange:
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -12,12 +12,16 @@
     Registration,
     Unreadable,
     UpstreamRegistered,
+    UpstreamUnreadable,
     UpstreamWithdrawn,
     ZoneDrained,
     ZoneRestored,
 )
 from cardamomloft.core.routes import ServicePolicy, ServiceShare
-from cardamomloft.platform.decoding import decode_item, decode_removal, encode_entry
+from cardamomloft.gateway.entryrecords import encode_entry
+from cardamomloft.platform.decoding import decode_item, decode_removal
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 MS = timedelta(milliseconds=1)
 
@@ -81,11 +85,11 @@
     assert fact == UpstreamRegistered(wanted)
 
 
-def test_a_leaving_endpoint_without_the_time_it_is_cold():
-    row = {**SERVER, "state": "draining", "coldRemaining": None, "later": 1}
+def test_a_leaving_endpoint_with_fields_that_came_later_and_the_start_of_its_life():
+    row = {**SERVER, "state": "draining", "later": 1, "born": 1_700_000_000_123}
     registration = decode_item("servers/i-7", json.dumps(row).encode()).registration
     assert registration.draining
-    assert registration.cold_left == timedelta(0)
+    assert registration.started_ms == 1_700_000_000_123
 
 
 @pytest.mark.parametrize(
@@ -93,6 +97,23 @@
     [
         ("slots", 0),
         ("slots", "4"),
+        ("slots", True),
+        ("slots", 4.0),
+        ("slots", 10**30),
+        ("version", 1),
+        ("sequence", "4"),
+        ("sequence", None),
+        ("born", 1.5),
+        ("born", "1"),
+        ("born", True),
+        ("born", None),
+        ("born", -1),
+        ("address", "10.1.0.9"),
+        ("address", "10.1.0.900:80"),
+        ("address", "10.1.0.9:0"),
+        ("address", "10.1.0.9:99999"),
+        ("address", "somewhere.example:80"),
+        ("coldRemaining", None),
         ("state", "unheard-of"),
         ("address", None),
         ("service", ""),
@@ -102,15 +123,75 @@
 )
 def test_an_odd_registration_is_unreadable(name, value):
     fact = decode_item("servers/i-7", json.dumps({**SERVER, name: value}).encode())
-    assert isinstance(fact, Unreadable)
-    assert fact.key == "servers/i-7"
-    assert fact.detail
+    assert isinstance(fact, UpstreamUnreadable)
+    assert fact.id == "i-7"
+    assert 0 < len(fact.detail) <= 200
 
 
-@pytest.mark.parametrize("name", ["service", "address", "zone", "slots", "state"])
+@pytest.mark.parametrize("name", sorted(SERVER))
 def test_a_registration_that_lacks_a_field_is_unreadable(name):
     row = {key: value for key, value in SERVER.items() if key != name}
-    assert isinstance(decode_item("servers/i-7", json.dumps(row).encode()), Unreadable)
+    assert isinstance(decode_item("servers/i-7", json.dumps(row).encode()), UpstreamUnreadable)
+
+
+@pytest.mark.parametrize("name", ["", "i 7", "i-7\r\nX: 1", "i-\u00e9", "x" * 201])
+def test_an_id_that_fits_into_no_header_names_no_endpoint(name):
+    fact = decode_item(f"servers/{name}", json.dumps(SERVER).encode())
+    assert isinstance(fact, UpstreamUnreadable)
+
+
+_SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20)
+_VALUES = st.recursive(
+    _SCALARS,
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=10,
+)
+_CHANGED = st.dictionaries(st.sampled_from([*SERVER, "born"]), _VALUES, min_size=1, max_size=3)
+
+
+def _is_usable(registration):
+    host, _, port = registration.address.rpartition(":")
+    numbers = (registration.slots, registration.started_ms)
+    return (
+        all(type(number) is int for number in numbers)
+        and registration.slots >= 1
+        and all(0 <= int(part) <= 255 for part in host.split("."))
+        and 0 < int(port) < 65_536
+        and all(type(text) is str and text for text in (registration.service, registration.zone))
+        and registration.cold_left >= timedelta(0)
+    )
+
+
+@settings(max_examples=500, deadline=None)
+@given(_CHANGED)
+def test_what_another_writer_changes_is_read_rightly_or_not_at_all(changed):
+    fact = decode_item("servers/i-7", json.dumps({**SERVER, **changed}).encode())
+    if isinstance(fact, UpstreamRegistered):
+        assert _is_usable(fact.registration)
+    else:
+        assert isinstance(fact, UpstreamUnreadable)
+
+
+@settings(max_examples=500, deadline=None)
+@given(st.sampled_from(["servers/i-7", "entries/e-1", "op/config"]), st.binary(max_size=200))
+def test_bytes_that_are_no_value_are_unreadable(key, value):
+    assert isinstance(decode_item(key, value), Unreadable | UpstreamUnreadable)
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.sampled_from(sorted(CONFIG)), _VALUES)
+def test_a_configuration_with_an_odd_part_is_unreadable_or_whole(name, value):
+    fact = decode_item("op/config", _config(**{name: value}))
+    assert isinstance(fact, Unreadable) or type(fact.plan.number) is int
+
+
+@pytest.mark.parametrize("key", ["servers/i-7", "entries/e-1", "op/config"])
+@pytest.mark.parametrize(
+    "value",
+    [b"[" * 100_000, b'{"a":' * 100_000, b"9" * 100_000, b'{"slots": 1e400}', b"\xff\xfe", b""],
+)
+def test_giant_and_nested_values_are_unreadable(key, value):
+    assert isinstance(decode_item(key, value), Unreadable | UpstreamUnreadable)
 
 
 def test_a_configuration():
