Count why each send went where it went, and whether the object was at hand there

Counters by service: sends by reason (home, overflow, moved, repeat, cold) and touches (first, beside the first, known), histograms of the time that each takes, and a log line with the growth of all counters each 2 s, since a process that is killed takes its page along. A request's line names reason and touch of each send.

--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -7,6 +7,7 @@
 when the second is not half idle either.
 """
 
+import enum
 import typing as t
 from collections import Counter
 from collections.abc import Collection, Mapping
@@ -102,6 +103,28 @@
     repeat_load: float = 1.0
 
 
+class Reason(enum.StrEnum):
+    """Why an endpoint was chosen.
+
+    `HOME`: it is the first of its object. `OVERFLOW`: the first has no room. `MOVED`: the first
+    rests after failures, or is cold. `REPEAT`: another had this request before. `COLD`: there are
+    only cold ones.
+    """
+
+    HOME = "home"
+    OVERFLOW = "overflow"
+    MOVED = "moved"
+    REPEAT = "repeat"
+    COLD = "cold"
+
+
+class Choice(t.NamedTuple):
+    """An endpoint, and why it was chosen."""
+
+    upstream: Upstream
+    reason: Reason
+
+
 class _Ranking(t.NamedTuple):
     """The endpoints of a service with their weights, and the first ones of each known key."""
 
@@ -163,7 +186,7 @@
         tried: Collection[str],
         until: timedelta,
         now: timedelta,
-    ) -> Upstream | Refusal:
+    ) -> Choice | Refusal:
         """Return the endpoint for a request.
 
         Parameters
@@ -195,12 +218,12 @@
         left = [up for up in warm if up.id not in tried][:choices]
         chosen = self._with_room(left, bool(tried), rule, until, now)
         if chosen is not None:
-            return chosen
+            return Choice(chosen, _reason(chosen, order[0], left[0], bool(tried)))
         cold = [up for up in fit if up.cold_until > now and up.id not in tried]
         if not warm:
             chosen = self._cold_with_room(cold, now)
         if chosen is not None:
-            return chosen
+            return Choice(chosen, Reason.REPEAT if tried else Reason.COLD)
         seen = ", ".join(_described(up, now) for up in left) or f"{len(cold)} cold"
         return Refusal(RefusalReason.OVERLOAD, f"no endpoint has room for {key}: {seen}")
 
@@ -321,6 +344,14 @@
             upstream.rest_until = now + min(rest, _LONGEST_REST)
 
 
+def _reason(chosen: Upstream, home: Upstream, first_fit: Upstream, repeated: bool) -> Reason:
+    if repeated:
+        return Reason.REPEAT
+    if chosen is home:
+        return Reason.HOME
+    return Reason.MOVED if chosen is first_fit else Reason.OVERFLOW
+
+
 class Sizes:
     """How large the bodies of each rule's requests are, smoothed."""
 
--- /dev/null
+++ b/packages/core/src/cardamomloft/core/touches.py
@@ -0,0 +1,61 @@
+"""Which objects this entry has had worked on at which endpoints.
+
+An endpoint works about three times as long on an object that it has not handled lately. This tells
+such first touches from the others, as far as one entry can: those of other entries it does not see.
+"""
+
+import enum
+from collections import OrderedDict
+
+from cardamomloft.core.registrations import Upstream
+
+PAIRS_KEPT = 20_000
+"""Pairs of endpoint and object that are kept, the longest unused forgotten first: 0.3 KB each."""
+
+
+class Touch(enum.StrEnum):
+    """What a request is for its object at its endpoint, as this entry sees it.
+
+    `FIRST`: nothing was done there before. `BESIDE`: the first has not ended yet, so this one is
+    as slow. `KNOWN`: the object was handled there.
+    """
+
+    FIRST = "first"
+    BESIDE = "beside-first"
+    KNOWN = "known"
+
+
+class Touches:
+    """Remembers pairs of endpoint and object; a new life of an endpoint knows nothing."""
+
+    def __init__(self) -> None:
+        self._answered: OrderedDict[tuple[str, int, str], bool] = OrderedDict()
+
+    def look(self, upstream: Upstream, key: str) -> Touch:
+        """Return what a request for `key` would be at `upstream`."""
+        answered = self._answered.get(_pair(upstream, key))
+        if answered is None:
+            return Touch.FIRST
+        return Touch.KNOWN if answered else Touch.BESIDE
+
+    def sent(self, upstream: Upstream, key: str) -> None:
+        """Note that a request for `key` goes to `upstream`."""
+        pair = _pair(upstream, key)
+        self._answered.setdefault(pair, False)
+        self._answered.move_to_end(pair)
+        if len(self._answered) > PAIRS_KEPT:
+            self._answered.popitem(last=False)
+
+    def answered(self, upstream: Upstream, key: str) -> None:
+        """Note that `upstream` has handled a request for `key`."""
+        self._answered[_pair(upstream, key)] = True
+
+    def failed(self, upstream: Upstream, key: str) -> None:
+        """Note that a request did not run, or that nobody knows whether it did."""
+        pair = _pair(upstream, key)
+        if self._answered.get(pair) is False:
+            del self._answered[pair]
+
+
+def _pair(upstream: Upstream, key: str) -> tuple[str, int, str]:
+    return upstream.id, upstream.registration.started_ms, key
--- a/packages/core/tests/test_selection.py
+++ b/packages/core/tests/test_selection.py
@@ -9,7 +9,13 @@
 from cardamomloft.core.model import Refusal
 from cardamomloft.core.registrations import LoadReport, Registration, UpstreamBook
 from cardamomloft.core.routes import ServicePolicy
-from cardamomloft.core.selection import REPORT_LIFE, Preferences, Selector, expected_load
+from cardamomloft.core.selection import (
+    REPORT_LIFE,
+    Choice,
+    Preferences,
+    Selector,
+    expected_load,
+)
 from cardamomloft_standins.gateway import RULE
 
 MS = timedelta(milliseconds=1)
@@ -30,7 +36,8 @@
 
 
 def _choose(selector: Selector, key: str = "17", tried=(), now: timedelta = NOW, rule=RULE):
-    return selector.choose(rule, "menus", key, tried, now + rule.timeout, now)
+    found = selector.choose(rule, "menus", key, tried, now + rule.timeout, now)
+    return found.upstream if isinstance(found, Choice) else found
 
 
 def _fill(upstream, load: int, now: timedelta = NOW) -> None:
@@ -149,7 +156,7 @@
     for load in range(16):
         _fill(first, load)
         chosen = selector.choose(RULE, "menus", "17", [], NOW + until, NOW)
-        assert (chosen is first) == (load <= most)
+        assert (chosen.upstream is first) == (load <= most)
 
 
 def test_what_cannot_be_answered_in_time_is_refused():
--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -27,7 +27,8 @@
 from cardamomloft.core.model import Endpoint, Refusal, RefusalReason
 from cardamomloft.core.registrations import LoadReport, Upstream, UpstreamBook
 from cardamomloft.core.retries import may_retry
-from cardamomloft.core.selection import Selector, expected_load
+from cardamomloft.core.selection import Choice, Reason, Selector, expected_load
+from cardamomloft.core.touches import Touch, Touches
 from cardamomloft.entry.metrics import Metrics
 from cardamomloft.gateway.calls import Call
 from cardamomloft.gateway.records import RequestLog, SendNote
@@ -152,6 +153,7 @@
         self._budget_for = budget_for
         self._metrics = metrics
         self._records = records
+        self.touches = Touches()
 
     async def carry(
         self, call: Call, head: RequestHead, body: RequestBody, gone: "Deferred[None]"
@@ -252,9 +254,9 @@
         last: Sent | None = None
         while True:
             chosen = self._choose()
-            if not isinstance(chosen, Upstream):
+            if not isinstance(chosen, Choice):
                 return self._end(last, chosen)
-            last = await self._send(chosen)
+            last = await self._send(chosen.upstream, chosen.reason)
             if self._caller.left:
                 return self._owner.left(self._call, self._sends)
             if isinstance(last, Served):
@@ -270,7 +272,7 @@
     def _now(self) -> timedelta:
         return self._owner._clock.monotonic()
 
-    def _choose(self) -> Upstream | Refusal:
+    def _choose(self) -> Choice | Refusal:
         call, now = self._call, self._now()
         if call.until - now < LEAST_TIME:
             return Refusal(RefusalReason.DEADLINE, "no time is left")
@@ -280,8 +282,9 @@
 
     # Sending.
 
-    async def _send(self, upstream: Upstream) -> Sent:
+    async def _send(self, upstream: Upstream, reason: Reason) -> Sent:
         selector, now = self._selector, self._now()
+        touch = self._begin_touch(upstream, reason)
         self._tried.append(upstream.id)
         if self._arrivals:
             self._budget.spend(now)
@@ -297,10 +300,28 @@
             selector.ended(upstream)
         self._learn(upstream, outcome, now, load)
         took = self._now() - now
-        note = SendNote(upstream.id, load, upstream.registration.slots, report_age, took, outcome)
+        self._end_touch(upstream, touch, outcome, took)
+        slots = upstream.registration.slots
+        note = SendNote(upstream.id, reason, touch, load, slots, report_age, took, outcome)
         self._sends.append(note)
         return outcome
 
+    def _begin_touch(self, upstream: Upstream, reason: Reason) -> Touch:
+        owner, call = self._owner, self._call
+        touch = owner.touches.look(upstream, call.key)
+        owner.touches.sent(upstream, call.key)
+        owner._metrics.count(f"sends.{reason}.{call.service}")
+        owner._metrics.count(f"touch.{touch}.{call.service}")
+        return touch
+
+    def _end_touch(self, upstream: Upstream, touch: Touch, outcome: Sent, took: timedelta) -> None:
+        owner, call = self._owner, self._call
+        if isinstance(outcome, Served):
+            owner.touches.answered(upstream, call.key)
+            owner._metrics.observe(f"{call.service}.{touch}", took)
+        else:
+            owner.touches.failed(upstream, call.key)
+
     def _request_for(self, upstream: Upstream, now: timedelta) -> UpstreamRequest:
         call, row = self._call, upstream.registration
         endpoint = Endpoint(
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -2,6 +2,7 @@
 
 import random
 import typing as t
+from collections import Counter
 from datetime import timedelta
 from functools import singledispatchmethod
 
@@ -63,6 +64,9 @@
 dies in silence, what has changed is known 2.75 s later with a drain time of 2.5 s (worked out: the
 wait, a call's own 0.7 s, a pause of 50 ms), and sooner on a connection that is reset."""
 
+FIGURES_INTERVAL = timedelta(seconds=2)
+"""How often the counters' growth is logged: a line of up to some 50 counts, 50 us each time."""
+
 _TICK = timedelta(milliseconds=200)
 """How often it is looked what did not come back after the store's return."""
 
@@ -125,6 +129,7 @@
         self._hard_stop: IDelayedCall | None = None
         self._reader: Reader | None = None
         self._listed = False
+        self._logged_figures: Counter[str] = Counter()
         self._unreadable = Known()
         self._build()
 
@@ -207,6 +212,7 @@
         self.pages = self._reactor.listenTCP(int(port), pages, interface=host)
         self.follower.start(self._on_fault)
         self._timers.every(_TICK, self._tick)
+        self._timers.every(FIGURES_INTERVAL, self._log_figures)
         log("started", entry=self._cfg["name"], zone=self._cfg["zone"])
 
     def stop(self) -> None:
@@ -428,6 +434,15 @@
             log("entry-gone", name=name)
         self._share_budgets()
 
+    def _log_figures(self) -> None:
+        """Log what was counted since the last time: the process's own page dies with it."""
+        counted = Counter(self.metrics.counters)
+        counted.subtract(self._logged_figures)
+        self._logged_figures = Counter(self.metrics.counters)
+        grown = {name: value for name, value in sorted(counted.items()) if value}
+        if grown:
+            log("figures", **grown)
+
     def _on_fault(self, failure: Failure) -> None:
         self.metrics.count("faults")
         log("fault", detail=failure.getErrorMessage(), trace=failure.getTraceback())
--- a/packages/gateway/src/cardamomloft/gateway/records.py
+++ b/packages/gateway/src/cardamomloft/gateway/records.py
@@ -11,6 +11,8 @@
 from cardamomloft.callers.exchange import RequestHead
 from cardamomloft.core.model import Refusal
 from cardamomloft.core.registrations import Upstream
+from cardamomloft.core.selection import Reason
+from cardamomloft.core.touches import Touch
 from cardamomloft.entry.logs import log
 from cardamomloft.gateway.calls import Call
 
@@ -29,11 +31,14 @@
 class SendNote(t.NamedTuple):
     """One send of a request: where, by what knowledge, and what came of it.
 
-    `load` is the load that was expected there, of `slots`, from a report of the age `report_age`
-    (None: no report).
+    `reason` is why the endpoint was chosen, and `touch` whether it had the object at hand. `load`
+    is the load that was expected there, of `slots`, from a report of the age `report_age` (None: no
+    report).
     """
 
     endpoint: str
+    reason: Reason
+    touch: Touch
     load: float
     slots: int
     report_age: timedelta | None
@@ -44,6 +49,8 @@
         """Return the note for a log line."""
         return {
             "endpoint": self.endpoint,
+            "reason": str(self.reason),
+            "touch": str(self.touch),
             "load": f"{self.load:.1f}/{self.slots}",
             "report_age_ms": None if self.report_age is None else _ms(self.report_age),
             "ms": _ms(self.took),
--- a/standins/src/cardamomloft_standins/experiment/policies.py
+++ b/standins/src/cardamomloft_standins/experiment/policies.py
@@ -8,7 +8,7 @@
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.registrations import Upstream, UpstreamBook
 from cardamomloft.core.routes import RouteRule
-from cardamomloft.core.selection import Preferences, Selector, expected_load
+from cardamomloft.core.selection import Choice, Preferences, Reason, Selector, expected_load
 
 MakeSelector = Callable[[UpstreamBook, str, str, ColdLimit], Selector]
 
@@ -24,7 +24,7 @@
         tried: Collection[str],
         until: timedelta,
         now: timedelta,
-    ) -> Upstream | Refusal:
+    ) -> Choice | Refusal:
         """Return the first endpoint in order that rests no more and had the request not yet."""
         usable = [
             up
@@ -33,7 +33,7 @@
         ]
         if not usable:
             return Refusal(RefusalReason.OVERLOAD, "no endpoint is left")
-        return min(usable, key=lambda up: self.rank(up, key, now))
+        return Choice(min(usable, key=lambda up: self.rank(up, key, now)), Reason.HOME)
 
     def rank(self, upstream: Upstream, key: str, now: timedelta) -> t.Any:
         """Return what the least of is chosen."""
