--- a/packages/callers/src/cardamomloft/callers/app.py
+++ b/packages/callers/src/cardamomloft/callers/app.py
@@ -18,9 +18,11 @@
 from twisted.web.server import NOT_DONE_YET
 
 from .body import RequestBody
+from .channel import HeadLimits
 from .delivery import AnswerWriter
 from .exchange import Answer, Delivery, RequestHead, broken, to_answer
-from .streaming import CallerFactory, CallerRequest, HeadLimits, Meter
+from .factory import CallerFactory, Meter
+from .request import CallerRequest
 from .waiting import Waiters
 
 BACKLOG = 1024
--- a/packages/callers/src/cardamomloft/callers/delivery.py
+++ b/packages/callers/src/cardamomloft/callers/delivery.py
@@ -7,7 +7,7 @@
 from zope.interface import implementer
 
 from .exchange import Answer, Delivery, Source
-from .streaming import CallerRequest
+from .request import CallerRequest
 
 
 @implementer(IConsumer)
--- a/packages/callers/tests/test_callers_channel.py
+++ b/packages/callers/tests/test_callers_channel.py
@@ -4,13 +4,9 @@
 import msgspec
 import pytest
 from cardamomloft.callers.app import CallersApp
+from cardamomloft.callers.channel import DISCARD_TIMEOUT_S, HEAD_TIMEOUT_S, HeadLimits
 from cardamomloft.callers.exchange import Answer, Delivery, complete, failed, to_answer
-from cardamomloft.callers.streaming import (
-    DISCARD_TIMEOUT_S,
-    HEAD_TIMEOUT_S,
-    IDLE_TIMEOUT_S,
-    HeadLimits,
-)
+from cardamomloft.callers.factory import IDLE_TIMEOUT_S
 from cardamomloft.core.model import Refusal, RefusalReason, Unknown
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.error import ConnectionDone
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -65,7 +65,7 @@
 wait, a call's own 0.7 s, a pause of 50 ms), and sooner on a connection that is reset."""
 
 FIGURES_INTERVAL = timedelta(seconds=2)
-"""How often the counters' growth is logged: a line of up to some 50 counts, 50 us each time."""
+"""How often the counters' growth is logged: a line of up to some 50 counts."""
 
 _TICK = timedelta(milliseconds=200)
 """How often it is looked what did not come back after the store's return."""
