Let an endpoint that refused keep its objects' places

Cause: after a refusal an endpoint rested for 60 ms and left its objects' order, so their second endpoint counted as the first (filled up to three times its slots) and a third became the second. With endpoints that shed 55 % of their requests and have room, each refusal spread objects so. Change: a refusing endpoint counts as full for those 60 ms and keeps its place; one that reports a free slot with its refusal does not even count as full. Three tests fail on the code before and pass now.

--- a/packages/core/src/cardamomloft/core/registrations.py
+++ b/packages/core/src/cardamomloft/core/registrations.py
@@ -159,7 +159,9 @@
     failures
         Own requests in a row that failed.
     rest_until
-        Monotonic instant until which it is left alone after failures or refusals.
+        Monotonic instant until which it is left alone after failures.
+    full_until
+        Monotonic instant until which it counts as full after a refusal.
     unreadable
         Whether its registration can't be read now, so that it must not be used.
     seed
@@ -172,6 +174,7 @@
         "cold_sends",
         "cold_until",
         "failures",
+        "full_until",
         "in_flight",
         "joined_at",
         "leaving",
@@ -195,6 +198,7 @@
         self.joined_at: timedelta | None = now
         self.failures = 0
         self.rest_until = timedelta(0)
+        self.full_until = timedelta(0)
         self.cold_sends: list[timedelta] = []
         self.leaving = False
         self.missing = False
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -59,10 +59,11 @@
 _LONGEST_REST = timedelta(seconds=4)
 """The longest rest, after which an endpoint is tried again. Chosen, not measured."""
 
-_REFUSAL_REST = timedelta(milliseconds=60)
-"""Rest after a refusal for want of room, so that the next requests of this entry try another.
+_FULL_TIME = timedelta(milliseconds=60)
+"""How long an endpoint that refused a request for want of room counts as full.
 
-Chosen as a part of the usual time of work; not measured.
+Its objects then go to their second endpoint only as far as those of any full one. Chosen as a part
+of the usual time of work; not measured.
 """
 
 _SMOOTHING = 1 / 8
@@ -239,6 +240,8 @@
         preferences = self._preferences
         other = preferences.repeat_load if repeated else preferences.second_load
         for place, upstream in enumerate(warm):
+            if upstream.full_until > now:
+                continue
             load = expected_load(upstream, now)
             is_first = not rule.keyed or not (place or repeated)
             bound = self._bound(upstream, rule) if is_first else other
@@ -332,9 +335,10 @@
         known = upstream.work
         upstream.work = alone if known is None else known + (alone - known) * _SMOOTHING
 
-    def refused(self, upstream: Upstream, now: timedelta) -> None:
-        """Note that the endpoint refused a request as full."""
-        upstream.rest_until = max(upstream.rest_until, now + _REFUSAL_REST)
+    def refused(self, upstream: Upstream, now: timedelta, *, had_room: bool) -> None:
+        """Note that the endpoint refused a request; `had_room` if it reported a free slot then."""
+        if not had_room:
+            upstream.full_until = now + _FULL_TIME
 
     def failed(self, upstream: Upstream, now: timedelta) -> None:
         """Note that a request there failed; after some in a row the endpoint rests."""
--- a/packages/core/tests/test_selection.py
+++ b/packages/core/tests/test_selection.py
@@ -124,6 +124,26 @@
     assert isinstance(_choose(selector), Refusal)
 
 
+def test_an_endpoint_that_refused_counts_as_full_and_keeps_its_place():
+    """For want of room, for 60 ms: its keys may use their second endpoint, and never fill it."""
+    selector = _selector()
+    first = _choose(selector)
+    selector.refused(first, NOW, had_room=False)
+    second = _choose(selector)
+    assert second is not first
+    _fill(second, 2)
+    assert isinstance(_choose(selector), Refusal)
+    assert _choose(selector, now=NOW + 60 * MS) is first
+
+
+def test_an_endpoint_that_refused_with_a_free_slot_keeps_its_keys():
+    """It sheds a part of its requests; elsewhere they are slow and push others out."""
+    selector = _selector()
+    first = _choose(selector)
+    selector.refused(first, NOW, had_room=True)
+    assert _choose(selector) is first
+
+
 def test_a_repeat_needs_a_free_slot_at_the_next_endpoint():
     selector = _selector()
     first = _choose(selector)
--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -38,7 +38,7 @@
     UpstreamClient,
     UpstreamRequest,
 )
-from cardamomloft.upstreams.dialect import parse_header_load
+from cardamomloft.upstreams.dialect import HeaderLoad, parse_header_load
 from expression import Result
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError, ensureDeferred
 
@@ -85,10 +85,14 @@
 
 
 class Refused(t.NamedTuple):
-    """The endpoint has definitely refused the request; it was not run."""
+    """The endpoint has definitely refused the request; it was not run.
+
+    `had_room`: it reported a free slot with the refusal.
+    """
 
     detail: str
     misdirected: bool
+    had_room: bool = False
 
 
 class Failed(t.NamedTuple):
@@ -345,11 +349,13 @@
                 return Failed(failure.not_run, failure.detail, self._is_late())
             case Result(ok=answer):
                 pass
-        self._note_load(upstream, answer)
+        load = self._note_load(upstream, answer)
         if answer.not_run:
             answer.body.abort()
             dialect = self._owner._client.dialect
-            return Refused(f"status {answer.status}", answer.status == dialect.misdirected)
+            had_room = load is not None and load.running + load.waiting < load.slots
+            misdirected = answer.status == dialect.misdirected
+            return Refused(f"status {answer.status}", misdirected, had_room)
         if answer.status in PROMISES:
             answer.body.abort()
             detail = f"status {answer.status} without a proof that it was not run"
@@ -368,7 +374,7 @@
 
     # Learning.
 
-    def _note_load(self, upstream: Upstream, answer: UpstreamAnswer) -> None:
+    def _note_load(self, upstream: Upstream, answer: UpstreamAnswer) -> HeaderLoad | None:
         name = self._owner._client.dialect.load
         text = next((value for key, value in answer.headers if key == name), None)
         load = parse_header_load(text)
@@ -376,6 +382,7 @@
             # This request is still counted here, and not by the endpoint any more.
             own = max(0, upstream.in_flight - 1)
             upstream.report = LoadReport(*load, own=own, at=self._now())
+        return load
 
     def _learn(self, upstream: Upstream, outcome: Sent, sent_at: timedelta, load: float) -> None:
         now = self._now()
@@ -388,8 +395,9 @@
             case Refused(misdirected=True):
                 self._owner._book.mark_leaving(upstream)
                 self._owner._records.write(self._call, "misdirected", now, upstream=upstream)
-            case Refused():
-                self._selector.refused(upstream, now)
+            case Refused(had_room=had_room):
+                self._owner._metrics.count(f"refused-there.{'with-room' if had_room else 'full'}")
+                self._selector.refused(upstream, now, had_room=had_room)
             case Failed() if self._caller.left:
                 # The send was given up here; it says nothing about the endpoint.
                 self._ran = True
--- a/packages/gateway/tests/test_gateway_forwarding.py
+++ b/packages/gateway/tests/test_gateway_forwarding.py
@@ -161,6 +161,16 @@
     assert all(0.1 < wait < 1 for wait in waits)
 
 
+@pytest.mark.parametrize(("load", "keeps"), [("1,0,4", True), ("4,3,4", False), ("3,1,4", False)])
+def test_a_refusing_endpoint_keeps_its_keys_if_it_reports_a_free_slot(load, keeps):
+    shed = kit.answer(503, b"", not_run=True, x_load=load)
+    bench = Bench(shed, kit.answer())
+    bench.answer()
+    first, _ = bench.client.sent
+    bench.answer()
+    assert (bench.client.sent[2].endpoint == first.endpoint) == keeps
+
+
 @pytest.mark.parametrize("status", [408, 421, 429, 503])
 def test_a_refusal_without_its_mark_is_not_passed_on_as_not_run(status):
     """Callers would repeat an order that may have run."""
