Let the store wait six seconds for a change, and notice lost questions by other signs

Cause: a question to the store ended after 0.8 of the drain time, only so that a connection that had died in silence was noticed; each answer is paid for. Change: probes end such a connection after 2 s, and a renewal of the lease that fails (one each second, at a tenth of the price) makes the follower ask at once.

--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -1,9 +1,10 @@
 """Following the control store: list once, then ask for changes, which the store waits for.
 
-While nothing changes a question lasts as long as the store may wait. In 45 calm seconds 12 entries
-make 424 calls so, starts included, against 613 when they ask at an interval, and a change was known
-after 13 ms (one, logged). After a change the next question waits for the interval, so that a time
-of many changes, such as a service's release, costs no more than before.
+While nothing changes a question lasts as long as the store may wait. It can get lost meanwhile:
+when its connection dies in silence, of which probes tell, or when the store goes away, of which a
+renewal of the entry's lease tells, a call each second that costs a tenth. A change is known after
+13 ms (one, logged). After a change the next question waits for the interval, so that a time of many
+changes, such as a service's release, costs no more than before.
 """
 
 import random
@@ -40,8 +41,7 @@
     interval
         Least time from an answer with changes to the next question.
     wait
-        How long the store may wait for a change before it answers. A connection that has silently
-        died is noticed only after this, and what changed meanwhile is known as much later.
+        How long the store may wait for a change before it answers.
     """
 
     interval: timedelta
@@ -96,6 +96,7 @@
         self._asked_at = timedelta(0)
         self._stopped = False
         self._running: Deferred[None] | None = None
+        self._question: Deferred[Result[Listing | Changes, StoreFailure]] | None = None
 
     @property
     def away(self) -> bool:
@@ -114,10 +115,21 @@
         if self._running is not None:
             self._running.cancel()
 
+    def doubt(self) -> None:
+        """Ask the store at once, since another call to it has failed.
+
+        The question that waits for a change may have been lost with that, and would go on waiting.
+        """
+        waits = self._question is not None and self._index is not None
+        if waits and not self._failures:
+            self._question.cancel()
+
     async def _follow(self) -> None:
         while not self._stopped:
             self._asked_at = self._clock.monotonic()
-            outcome = await self._ask()
+            self._question = self._ask()
+            outcome = await self._question
+            self._question = None
             match outcome:
                 case Result(tag="error", error=failure):
                     self._failed(failure)
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -59,10 +59,10 @@
 """Part of the drain time from an answer with changes to the next question to the store. A question
 that fails is repeated soon, so that two of them fit into the time."""
 
-WAIT_PART = 0.8
-"""Part of the drain time that the store may wait for a change before it answers. When a connection
-dies in silence, what has changed is known 2.75 s later with a drain time of 2.5 s (worked out: the
-wait, a call's own 0.7 s, a pause of 50 ms), and sooner on a connection that is reset."""
+STORE_WAIT = timedelta(seconds=6)
+"""How long the store may wait for a change before it answers. Each answer is paid for. What is lost
+meanwhile shows sooner: a dead connection after 2 s, by probes, and an absent store after a renewal
+of the lease each second and its timeout."""
 
 FIGURES_INTERVAL = timedelta(seconds=2)
 """How often the counters' growth is logged: a line of up to some 50 counts."""
@@ -157,7 +157,9 @@
         self.app = CallersApp(
             None, self.handle, self._on_fault, may_overlap=self._may_overlap, meter=self.metrics
         )
-        self.presence = Presence(self._control, own, bounds.record_life)
+        self.presence = Presence(
+            self._control, own, bounds.record_life, lambda: self.follower.doubt()
+        )
         self.follower = Follower(
             self._reactor,
             clock,
@@ -453,7 +455,7 @@
 
 
 def _pace(bounds: Bounds) -> Pace:
-    return Pace(bounds.drain_time * FOLLOW_PART, bounds.drain_time * WAIT_PART)
+    return Pace(bounds.drain_time * FOLLOW_PART, STORE_WAIT)
 
 
 def _listed_upstreams(facts: t.Iterable[Fact]) -> set[str]:
--- a/packages/gateway/src/cardamomloft/gateway/presence.py
+++ b/packages/gateway/src/cardamomloft/gateway/presence.py
@@ -1,6 +1,7 @@
 """The entry's own record in the control store, kept under a lease."""
 
 import typing as t
+from collections.abc import Callable
 from datetime import timedelta
 
 from cardamomloft.core.registrations import EntryRecord
@@ -24,12 +25,21 @@
         What the others are to know.
     life
         How long the record stays after the last renewal.
+    on_failed
+        Told when a renewal fails: the store may have gone away.
     """
 
-    def __init__(self, control: Control, record: EntryRecord, life: timedelta) -> None:
+    def __init__(
+        self,
+        control: Control,
+        record: EntryRecord,
+        life: timedelta,
+        on_failed: Callable[[], None] = lambda: None,
+    ) -> None:
         self._control = control
         self._record = record
         self._life = life
+        self._on_failed = on_failed
         self._lease: str | None = None
         self._withdrawn = False
 
@@ -53,6 +63,8 @@
             return
         if self._lease is not None:
             renewed = await self._control.renew(self._lease)
+            if renewed.is_error():
+                self._on_failed()
             if renewed != Result.Ok(False):
                 return
             log("entry-lease-lapsed", entry=self._record.name)
--- a/packages/gateway/tests/test_following.py
+++ b/packages/gateway/tests/test_following.py
@@ -128,6 +128,26 @@
     assert run.control.waits[-1] == WAIT
 
 
+def test_a_question_that_waits_is_asked_anew_when_another_call_has_failed():
+    run = Run(_listed())
+    run.control.pending = Deferred(lambda asked: asked.callback(kit.AWAY))
+    run.time.advance(1500 * MS)
+    run.control.pending = None
+    run.follower.doubt()
+    run.time.advance(600 * MS)
+    assert run.control.waits[:2] == [WAIT, 0 * MS]
+    assert not run.follower.away and run.faults == []
+
+
+def test_a_doubt_changes_nothing_while_the_store_fails_anyway_or_nothing_is_asked():
+    run = Run(_listed())
+    run.control.next = kit.AWAY
+    run.time.advance(3 * INTERVAL)
+    asked = len(run.control.calls)
+    run.follower.doubt()
+    assert len(run.control.calls) == asked and run.follower.away
+
+
 def test_an_end_is_final():
     run = Run(_listed())
     run.follower.stop()
--- a/packages/gateway/tests/test_presence.py
+++ b/packages/gateway/tests/test_presence.py
@@ -41,6 +41,19 @@
     assert control.calls == ["record e-1", "record e-1", "renew 7", "renew 7"]
 
 
+def test_a_failed_renewal_is_told_and_a_lapsed_one_is_not():
+    told = []
+    control = kit.FakeControl()
+    presence = Presence(control, RECORD, 3000 * kit.MS, lambda: told.append("failed"))
+    presence.keep()
+    control.renewed = Ok(False)
+    presence.keep()
+    assert told == []
+    control.renewed = kit.AWAY
+    presence.keep()
+    assert told == ["failed"]
+
+
 def test_after_it_was_withdrawn_it_is_not_recorded_again():
     control, presence = _presence()
     presence.keep()
--- a/packages/store/src/cardamomloft/store/exchange.py
+++ b/packages/store/src/cardamomloft/store/exchange.py
@@ -1,5 +1,6 @@
 """One HTTP exchange with the platform: bounded in time and size, never repeated."""
 
+import socket
 import typing as t
 from collections.abc import Mapping
 from datetime import timedelta
@@ -10,12 +11,16 @@
 from twisted.internet import defer
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
+from twisted.web._newclient import HTTP11ClientProtocol
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.iweb import IAgent, IResponse
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS = 4
 
+# A second without a byte, then one probe and a second for its answer: the least that there is.
+_PROBES = {socket.TCP_KEEPIDLE: 1, socket.TCP_KEEPINTVL: 1, socket.TCP_KEEPCNT: 1}
+
 
 class Answer(t.NamedTuple):
     """A whole HTTP answer; `index` is its X-Consul-Index, None if there is no valid one."""
@@ -25,6 +30,30 @@
     body: bytes
 
 
+class _Connection(HTTP11ClientProtocol):
+    """A connection that ends soon after the other side has gone silent.
+
+    A call may wait for a change for seconds; without probes it would wait on a dead connection.
+    """
+
+    def connectionMade(self) -> None:  # noqa: N802
+        super().connectionMade()
+        handle = getattr(self.transport, "getHandle", lambda: None)()
+        if isinstance(handle, socket.socket):
+            handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            for option, value in _PROBES.items():
+                handle.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+class _ConnectionFactory(HTTPConnectionPool._factory):
+    def buildProtocol(self, addr: object) -> _Connection:  # noqa: N802
+        return _Connection(self._quiescentCallback)
+
+
+class _Pool(HTTPConnectionPool):
+    _factory = _ConnectionFactory
+
+
 class Exchange:
     """Calls one HTTP server of the platform.
 
@@ -46,7 +75,7 @@
         self._reactor = reactor
         self._root = f"http://{address}"
         self._max_answer_bytes = max_answer_bytes
-        self._pool = HTTPConnectionPool(reactor)
+        self._pool = _Pool(reactor)
         self._pool.maxPersistentPerHost = IDLE_CONNECTIONS
         # Twisted would repeat a GET on a connection that has died; the caller is to decide that.
         self._pool.retryAutomatically = False
