--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -15,18 +15,14 @@
 
 from cardamomloft.core.affinity import Candidate, first_ranked, unit_hash
 from cardamomloft.core.budgets import ColdLimit, cold_part, may_send_cold
+from cardamomloft.core.estimates import SMOOTHING, described, expected_load, expected_time
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.registrations import Upstream, UpstreamBook
 from cardamomloft.core.routes import RouteRule, ServicePolicy
+from cardamomloft.core.sizes import Sizes
 from cardamomloft.core.touches import Touch, Touches
 from cardamomloft.core.zones import slot_weights
 
-REPORT_LIFE = timedelta(seconds=1)
-"""How long a load report says more than this entry's own counts; it fades out over this time.
-
-An endpoint's load turns over in about its waiting plus working time, some hundred milliseconds.
-"""
-
 MAX_RESTING = 0.5
 """The part of a service's endpoints that may rest after failures at one time.
 
@@ -41,14 +37,6 @@
 """Part of the first endpoint's expected time below which the second is taken to be sooner; both
 are smoothed figures. Chosen, not measured against others."""
 
-BULKY_BYTES = 16 * 1024
-"""Size of a rule's bodies from which its objects are placed by zone instead of by region.
-
-Placing all by zone spares nearly all bytes between zones, but gives objects that two zones' entries
-ask for two sets of endpoints: worth on Pimento's scale-2 0.566 against 0.684 by region, on Anwani's
-0.579 against 0.630 (one run each). Uploads of 60 KB are 8 % of the requests and 90 % of the bytes.
-"""
-
 FIRST_RANKS = 8
 """Endpoints that are ranked for a key: it is at two, and some of the others rest or are cold.
 
@@ -75,9 +63,6 @@
 of the usual time of work; not measured.
 """
 
-_SMOOTHING = 1 / 8
-"""Weight of the newest value in a smoothed one: the last dozen count."""
-
 _ZERO = timedelta(0)
 
 
@@ -247,7 +232,7 @@
             chosen = self._cold_with_room(cold, now)
         if chosen is not None:
             return Choice(chosen, Reason.REPEAT if tried else Reason.COLD)
-        seen = ", ".join(_described(up, now) for up in left) or f"{len(cold)} cold"
+        seen = ", ".join(described(up, now) for up in left) or f"{len(cold)} cold"
         return Refusal(RefusalReason.OVERLOAD, f"no endpoint has room for {key}: {seen}")
 
     def _with_room(
@@ -377,7 +362,7 @@
         upstream.rest_until = _ZERO
         alone = took / max(1.0, (load + 1) / upstream.registration.slots)
         known = upstream.work
-        upstream.work = alone if known is None else known + (alone - known) * _SMOOTHING
+        upstream.work = alone if known is None else known + (alone - known) * SMOOTHING
 
     def refused(self, upstream: Upstream, now: timedelta, *, had_room: bool) -> None:
         """Note that the endpoint refused a request; `had_room` if it reported a free slot then."""
@@ -400,60 +385,9 @@
     return Reason.MOVED if chosen is first_fit else Reason.OVERFLOW
 
 
-class Sizes:
-    """How large the bodies of each rule's requests are, smoothed."""
-
-    def __init__(self) -> None:
-        self._bytes: dict[str, float] = {}
-
-    def note(self, rule: str, size: int) -> None:
-        """Note the size of one request's body in bytes."""
-        known = self._bytes.get(rule, size)
-        self._bytes[rule] = known + (size - known) * _SMOOTHING
-
-    def is_bulky(self, rule: str) -> bool:
-        """Tell whether the rule's requests are better kept within a zone."""
-        return self._bytes.get(rule, 0.0) >= BULKY_BYTES
-
-
 def _zone_of(upstream: Upstream) -> str:
     return upstream.registration.zone
 
 
 def _region_of(upstream: Upstream) -> str:
     return upstream.region
-
-
-def expected_load(upstream: Upstream, now: timedelta) -> float:
-    """Return how many requests an endpoint probably has, running and waiting.
-
-    The last report holds for all entries together; what this entry has sent since is added, and
-    others' part of it fades with the report's age.
-    """
-    report = upstream.report
-    own = upstream.in_flight
-    if report is None:
-        return own
-    age = now - report.at
-    if age >= REPORT_LIFE:
-        return own
-    others = max(0, report.running + report.waiting - report.own)
-    return own + others * (1 - age / REPORT_LIFE)
-
-
-def expected_time(upstream: Upstream, load: float) -> timedelta:
-    """Return how long an answer will take from an endpoint with `load` requests, if known."""
-    if upstream.work is None:
-        return _ZERO
-    return upstream.work * max(1.0, (load + 1) / upstream.registration.slots)
-
-
-def _described(upstream: Upstream, now: timedelta) -> str:
-    """Return an endpoint's load with the age of the report that it rests on, for a log line."""
-    report = upstream.report
-    known = (
-        "no report" if report is None else f"report {(now - report.at).total_seconds():.3f} s old"
-    )
-    return (
-        f"{upstream.id} {expected_load(upstream, now):.1f}/{upstream.registration.slots} ({known})"
-    )
--- a/packages/core/tests/test_selection.py
+++ b/packages/core/tests/test_selection.py
@@ -6,16 +6,11 @@
 import pytest
 from cardamomloft.core.affinity import Candidate, first_ranked, text_hash, unit_hash
 from cardamomloft.core.budgets import ColdLimit
+from cardamomloft.core.estimates import REPORT_LIFE, expected_load
 from cardamomloft.core.model import Refusal
 from cardamomloft.core.registrations import LoadReport, Registration, UpstreamBook
 from cardamomloft.core.routes import ServicePolicy
-from cardamomloft.core.selection import (
-    REPORT_LIFE,
-    Choice,
-    Preferences,
-    Selector,
-    expected_load,
-)
+from cardamomloft.core.selection import Choice, Preferences, Selector
 from cardamomloft_standins.gateway import RULE
 
 MS = timedelta(milliseconds=1)
--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -24,10 +24,11 @@
 )
 from cardamomloft.core.budgets import RetryBudget
 from cardamomloft.core.clock import Clock
+from cardamomloft.core.estimates import expected_load
 from cardamomloft.core.model import Endpoint, Refusal, RefusalReason
 from cardamomloft.core.registrations import LoadReport, Upstream, UpstreamBook
 from cardamomloft.core.retries import may_retry
-from cardamomloft.core.selection import Choice, Reason, Selector, expected_load
+from cardamomloft.core.selection import Choice, Reason, Selector
 from cardamomloft.core.touches import Touch
 from cardamomloft.entry.metrics import Metrics
 from cardamomloft.gateway.calls import Call
--- a/standins/src/cardamomloft_standins/experiment/policies.py
+++ b/standins/src/cardamomloft_standins/experiment/policies.py
@@ -5,10 +5,11 @@
 from datetime import timedelta
 
 from cardamomloft.core.budgets import ColdLimit
+from cardamomloft.core.estimates import expected_load
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.registrations import Upstream, UpstreamBook
 from cardamomloft.core.routes import RouteRule
-from cardamomloft.core.selection import Choice, Preferences, Reason, Selector, expected_load
+from cardamomloft.core.selection import Choice, Preferences, Reason, Selector
 
 MakeSelector = Callable[[UpstreamBook, str, str, ColdLimit], Selector]
 
