Ask refused callers to return the later, the more are refused

Cause: callers repeat once; of those that came back within 0.15 to 0.6 s in an overload of seconds many were refused for good. Change: the part of a service's requests that an entry refused lately moves the bounds of the waits from 0.15 and 0.6 s towards 0.9 and 2.7 s, never beyond a third of what the caller has left.

--- a/packages/gateway/src/cardamomloft/gateway/calls.py
+++ b/packages/gateway/src/cardamomloft/gateway/calls.py
@@ -32,7 +32,8 @@
     """One request as the decisions see it.
 
     `until` is the monotonic instant at which the caller must have its answer, by its own deadline
-    or the rule's timeout. `target` is the path with its query, as sent.
+    or the rule's timeout. `target` is the path with its query, as sent. `leaves` is when the caller
+    itself gives up.
     """
 
     id: str
@@ -42,6 +43,7 @@
     arrived: timedelta
     until: timedelta
     target: str
+    leaves: timedelta = timedelta(0)
 
 
 class Reader:
@@ -91,9 +93,10 @@
         if head.length is not None and head.length > self.plan.limits.body_bytes:
             detail = f"the body is above {self.plan.limits.body_bytes} bytes"
             return Refusal(RefusalReason.TOO_LARGE, detail)
-        patience = rule.timeout
+        stays = rule.timeout
         if deadline is not None:
-            patience = min(patience, timedelta(milliseconds=min(int(deadline), MAX_DEADLINE_MS)))
+            stays = timedelta(milliseconds=min(int(deadline), MAX_DEADLINE_MS))
+        patience = min(rule.timeout, stays)
         key = headers.get(self._headers.key) if rule.keyed else None
         return Call(
             id=request_id,
@@ -103,6 +106,7 @@
             arrived=now,
             until=now + patience,
             target=f"{head.path}?{head.query}" if head.query else head.path,
+            leaves=now + stays,
         )
 
 
--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -24,6 +24,7 @@
 )
 from cardamomloft.core.budgets import RetryBudget
 from cardamomloft.core.clock import Clock
+from cardamomloft.core.comeback import ComeBack, Waits
 from cardamomloft.core.estimates import expected_load
 from cardamomloft.core.model import Endpoint, Refusal, RefusalReason
 from cardamomloft.core.registrations import LoadReport, Upstream, UpstreamBook
@@ -55,13 +56,8 @@
 LEAST_TIME = timedelta(milliseconds=5)
 """With less time than this left nothing is sent: it would end while its connection is opened."""
 
-MIN_BACK = timedelta(milliseconds=150)
-MAX_BACK = timedelta(milliseconds=600)
-"""Bounds of the time after which refused callers are asked to come back, spread evenly.
-
-Work at an endpoint takes some hundred milliseconds, so slots become free within that time. Chosen
-by that, not measured against other bounds.
-"""
+_UNBOUNDED = timedelta(minutes=1)
+"""Time left of a caller whose deadline was not read, since this entry has not begun or stops."""
 
 
 PROMISES = frozenset(
@@ -158,6 +154,7 @@
         self._budget_for = budget_for
         self._metrics = metrics
         self._records = records
+        self._returns: dict[str, ComeBack] = {}
 
     async def carry(
         self, call: Call, head: RequestHead, body: RequestBody, gone: "Deferred[None]"
@@ -216,14 +213,28 @@
             case Result(error=detail):
                 return Refusal(RefusalReason.BAD_REQUEST, detail)
 
-    def refuse(self, refusal: Refusal) -> Answer:
-        """Return the answer that says "not run", with when to come back unless that is useless."""
+    def refuse(self, refusal: Refusal, wait: timedelta | None = None) -> Answer:
+        """Return the answer that says "not run", with when to come back unless that is useless.
+
+        `wait` is that time; None if no service is concerned.
+        """
         self._metrics.count(f"refused.{refusal.reason}")
         if refusal.retry_after is None and refusal.reason not in _FINAL:
-            spread = MIN_BACK + (MAX_BACK - MIN_BACK) * self._rng.random()
-            refusal = refusal._replace(retry_after=spread)
+            if wait is None:
+                wait = ComeBack(Waits()).wait(self._rng.random(), _UNBOUNDED)
+            refusal = refusal._replace(retry_after=wait)
         return with_fractions(to_answer(refusal))
 
+    def come_back(self, call: Call, now: timedelta) -> timedelta:
+        """Return when the caller of a refused request is to come back."""
+        return self._returns_of(call.service).wait(self._rng.random(), call.leaves - now)
+
+    def _returns_of(self, service: str) -> ComeBack:
+        returns = self._returns.get(service)
+        if returns is None:
+            returns = self._returns[service] = ComeBack(Waits())
+        return returns
+
 
 _FINAL = frozenset({RefusalReason.NO_SERVICE, RefusalReason.BAD_REQUEST, RefusalReason.TOO_LARGE})
 
@@ -426,6 +437,7 @@
 
     def _served(self, outcome: Served) -> Answer:
         owner, now = self._owner, self._now()
+        owner._returns_of(self._call.service).note(False)
         owner._metrics.count("complete")
         owner._metrics.observe(self._call.service, now - self._call.arrived)
         owner._records.served(self._call, outcome.answer.status, self._sends, now)
@@ -433,13 +445,15 @@
 
     def _give_up(self, last: Sent | None, refusal: Refusal | None) -> Answer:
         owner, now = self._owner, self._now()
+        owner._returns_of(self._call.service).note(not self._ran)
         detail = refusal.detail if refusal is not None else getattr(last, "detail", "")
         outcome = "refused"
         if self._ran:
             outcome = "late" if isinstance(last, Failed) and last.late else "failed"
         owner._records.write(self._call, outcome, now, detail=detail, sends=self._sends)
         if not self._ran:
-            return owner.refuse(refusal or Refusal(RefusalReason.SHED, detail))
+            refusal = refusal or Refusal(RefusalReason.SHED, detail)
+            return owner.refuse(refusal, owner.come_back(self._call, now))
         owner._metrics.count(outcome)
         return late(detail) if outcome == "late" else failed(detail)
 
--- a/standins/src/cardamomloft_standins/experiment/world.py
+++ b/standins/src/cardamomloft_standins/experiment/world.py
@@ -197,7 +197,7 @@
         now = self._world.clock.monotonic()
         rule = self._world.rule
         until = now + min(rule.timeout, patience)
-        call = Call(request_id, rule, SERVICE, key, now, until, "/")
+        call = Call(request_id, rule, SERVICE, key, now, until, "/", now + patience)
         head = RequestHead("GET", "/", "", (), "10.0.0.1", 0, False)
         gone: Deferred[None] = Deferred()
         carried = self._forwarder.carry(call, head, RequestBody(0, _Flow()), gone)
--- a/standins/tests/test_experiment.py
+++ b/standins/tests/test_experiment.py
@@ -87,8 +87,8 @@
     assert (tmp_path / "calm.png").stat().st_size > 1000
 
 
-def _played(name: str, policy: str, use: float) -> Summary:
-    played = scenario(name, use)._replace(length=timedelta(seconds=10))
+def _played(name: str, policy: str, use: float, seconds: int = 10) -> Summary:
+    played = scenario(name, use)._replace(length=timedelta(seconds=seconds))
     return summarize(World(played, POLICIES[policy], seed=1).run())
 
 
@@ -106,3 +106,33 @@
 def test_placement_by_object_serves_far_more_than_the_nearest_endpoint():
     product, nearest = _played("calm", "product", 0.4), _played("calm", "nearest", 0.4)
     assert product.credit > nearest.credit + 0.2
+
+
+def test_an_object_at_hand_at_two_endpoints_is_served_better_by_the_sooner_one():
+    """Where demand swings through the regions: credit 0.867 instead of 0.830."""
+    product, first_only = (
+        _played("fleet", policy, 0.6, seconds=24) for policy in ("product", "first-only")
+    )
+    assert product.credit > first_only.credit + 0.02
+
+
+def test_a_zone_that_is_drained_gets_nothing_until_it_is_restored():
+    world = World(scenario("fleet-drain"), POLICIES["product"], seed=1)
+    book, *_ = world._books()
+    usable = {}
+    for second in (1, 3, 12):
+        world.reactor.callLater(
+            second, lambda at=second: usable.update({at: len(book.of_service("modelled"))})
+        )
+    world.reactor.pump([1, 2, 9])
+    assert usable == {1: 12, 3: 10, 12: 12}
+
+
+def test_endpoints_that_are_lost_for_long_lapse_and_come_back_cold():
+    world = World(scenario("fleet-loss"), POLICIES["product"], seed=1)
+    book, *_ = world._books()
+    world.reactor.pump([9, 3, 3])
+    assert len(book) == 7
+    world.reactor.pump([2])
+    assert len(book) == 12
+    assert book.get("c1-0").cold_until > world.clock.monotonic()
