Read no further requests of a caller that does not read its answers; count touches of objects only

Found in reading the change: after an answer, heads that were already received were handled even while the caller's connection was full, so answers could pile up in it; they wait now until it takes bytes again (a test that fails on the code before). Requests whose rule does not place by object no longer push pairs out of the touches. A port of more than five digits is none.

--- a/packages/callers/src/cardamomloft/callers/channel.py
+++ b/packages/callers/src/cardamomloft/callers/channel.py
@@ -74,7 +74,7 @@
     _answered: "CallerRequest | None" = None
     _discard_timer: t.Any = None
     _refusal: list[bytes] | None = None
-    # When bytes came first that were not read at once; of the request that is being read.
+    # When the first of the bytes came that are not read yet, and of those that are just being read.
     _unread_since: float | None = None
     _reading_since: float | None = None
 
@@ -180,9 +180,8 @@
     def _start_waiting(self) -> None:
         """Process the newest request if it waits and may run beside those before it.
 
-        Nothing is done for one whose head has not ended yet.
-
-        No further head is read while one waits, so only the newest can.
+        No further head is read while one waits, so only the newest can. Nothing is done for one
+        whose head has not ended yet.
         """
         request: CallerRequest = self.requests[-1]
         if request.started or request.body is None:
@@ -201,13 +200,15 @@
         """Read the next request if the newest has been read and there is room for one more."""
         if self._dead or not self._handlingRequest or not self.persistent:
             return
+        if self._waitingForTransport:
+            # A caller that does not read its answers gets no further ones.
+            return
         if self.requests and (self.factory.closing or not self.requests[-1].started):
             return
         if not may_read_on([request.place for request in self.requests], self.factory.room):
             return
         self._handlingRequest = False
-        if not self._waitingForTransport:
-            self._networkProducer.resumeProducing()
+        self._networkProducer.resumeProducing()
         data = b"".join(self._dataBuffer)
         self._dataBuffer = []
         self._reading_since, self._unread_since = self._unread_since, None
@@ -274,6 +275,7 @@
         super().resumeProducing()
         if self._body_paused:
             self.transport.pauseProducing()
+        self._read_on()
 
     # The end of an exchange.
 
--- a/packages/callers/tests/test_pipelining.py
+++ b/packages/callers/tests/test_pipelining.py
@@ -268,6 +268,18 @@
     assert not may_read_on([held], room)
 
 
+def test_a_caller_that_does_not_read_gets_no_further_requests_handled():
+    conn = Connection()
+    conn.receive(post(1) + get(2) + get(3) + get(4))
+    conn.channel.pauseProducing()
+    conn.answer(1)
+    assert conn.order == [1, 2]
+    conn.answer(2)
+    assert conn.order == [1, 2]
+    conn.channel.resumeProducing()
+    assert conn.order == [1, 2, 3, 4]
+
+
 def test_a_caller_that_does_not_read_is_not_read_either():
     conn = Connection()
     conn.receive(get(1) + get(2))
--- a/packages/core/src/cardamomloft/core/touches.py
+++ b/packages/core/src/cardamomloft/core/touches.py
@@ -16,13 +16,14 @@
 class Touch(enum.StrEnum):
     """What a request is for its object at its endpoint, as this entry sees it.
 
-    `FIRST`: nothing was done there before. `BESIDE`: the first has not ended yet, so this one is
-    as slow. `KNOWN`: the object was handled there.
+    `FIRST`: nothing was done there before. `BESIDE`: the first has not ended yet, and this one is
+    slow at times. `KNOWN`: the object was handled there. `NONE`: the request is about no object.
     """
 
     FIRST = "first"
     BESIDE = "beside-first"
     KNOWN = "known"
+    NONE = "no-object"
 
 
 class Touches:
--- a/packages/gateway/src/cardamomloft/gateway/entryrecords.py
+++ b/packages/gateway/src/cardamomloft/gateway/entryrecords.py
@@ -1,12 +1,15 @@
 """How an entry's own record is written and read, and what counts as an address."""
 
 import ipaddress
+import re
 
 import msgspec
 from cardamomloft.core.registrations import EntryRecord
 
 MAX_PORT = 65_535
 
+_PORT = re.compile(r"[1-9][0-9]{0,4}\Z")
+
 
 def encode_entry(record: EntryRecord) -> bytes:
     """Return the value under which an entry is recorded."""
@@ -35,6 +38,6 @@
     """
     host, _, port = text.rpartition(":")
     ipaddress.IPv4Address(host)
-    if not (port.isascii() and port.isdigit()) or not 1 <= int(port[:6]) <= MAX_PORT:
-        raise ValueError(f"{port[:6]} is no port")
+    if not _PORT.match(port) or int(port) > MAX_PORT:
+        raise ValueError("the port is none")
     return text
--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -323,8 +323,10 @@
 
     def _begin_touch(self, upstream: Upstream, reason: Reason) -> Touch:
         owner, call = self._owner, self._call
-        touch = owner._selector.touches.look(upstream, call.key)
-        owner._selector.touches.sent(upstream, call.key)
+        touch = Touch.NONE
+        if call.rule.keyed:
+            touch = owner._selector.touches.look(upstream, call.key)
+            owner._selector.touches.sent(upstream, call.key)
         owner._metrics.count(f"sends.{reason}.{call.service}")
         owner._metrics.count(f"touch.{touch}.{call.service}")
         return touch
@@ -332,8 +334,11 @@
     def _end_touch(self, upstream: Upstream, touch: Touch, outcome: Sent, took: timedelta) -> None:
         owner, call = self._owner, self._call
         if isinstance(outcome, Served):
-            owner._selector.touches.answered(upstream, call.key)
             owner._metrics.observe(f"{call.service}.{touch}", took)
+        if touch is Touch.NONE:
+            return
+        if isinstance(outcome, Served):
+            owner._selector.touches.answered(upstream, call.key)
         else:
             owner._selector.touches.failed(upstream, call.key)
 
--- a/scripts/losses.py
+++ b/scripts/losses.py
@@ -56,7 +56,7 @@
         return "waiting here"
     if earlier > last["ms"]:
         return f"an earlier send: {sends[0]['outcome']}"
-    if last["touch"] != "known":
+    if last["touch"] in ("first", "beside-first"):
         return f"touch: {last['touch']}, {last['reason']}"
     load, _, slots = last["load"].partition("/")
     return "waiting there" if float(load) >= float(slots) else "slow there"
