State the measured sizes of what touches and starts keep

Two comments gave sizes that nobody had measured (0.3 and 0.2 KB). tracemalloc: 196 bytes a pair of endpoint and object (20,000), 118 bytes a start (10,000). Comments only; formatter and linter clean, the tests of both modules passed.

--- a/packages/core/src/cardamomloft/core/registrations.py
+++ b/packages/core/src/cardamomloft/core/registrations.py
@@ -34,7 +34,8 @@
 
 
 STARTS_KEPT = 10_000
-"""Endpoints whose latest start is kept, those heard of longest ago forgotten first: 0.2 KB each."""
+"""Endpoints whose latest start is kept, those heard of longest ago forgotten first, at 0.12 KB each
+(tracemalloc, 10,000 of them)."""
 
 
 class Registration(t.NamedTuple):
--- a/packages/core/src/cardamomloft/core/touches.py
+++ b/packages/core/src/cardamomloft/core/touches.py
@@ -10,7 +10,8 @@
 from cardamomloft.core.registrations import Upstream
 
 PAIRS_KEPT = 20_000
-"""Pairs of endpoint and object that are kept, the longest unused forgotten first: 0.3 KB each."""
+"""Pairs of endpoint and object that are kept, the longest unused forgotten first, at 0.2 KB each
+(tracemalloc, 20,000 of them)."""
 
 
 class Touch(enum.StrEnum):
