Log late timers and steps of the time of day, and show how old the store's word is

Sight for an incident: a confirmed change was not in force at one entry for 5 s. Three causes fit: timers that follow the time of day, a lost question to the store, a process that stood still. The entry's own lines could not tell them apart without the store's record. Now irregular-time says how late repeated work came and how far the time of day moved against the steady clock (first cause: late by the width of a step back; third: late alone), and /status how long ago the store answered (second). No decision changes.

--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -94,10 +94,16 @@
         self._failures = 0
         self._was_away = False
         self._asked_at = timedelta(0)
+        self._answered_at = clock.monotonic()
         self._stopped = False
         self._running: Deferred[None] | None = None
         self._question: Deferred[Result[Listing | Changes, StoreFailure]] | None = None
 
+    @property
+    def silence(self) -> timedelta:
+        """Return how long ago the store answered last; since the start if it never did."""
+        return self._clock.monotonic() - self._answered_at
+
     @property
     def away(self) -> bool:
         """Whether the store does not answer this entry."""
@@ -169,6 +175,7 @@
     def _succeeded(self) -> None:
         self._was_away = self._was_away or self.away
         self._failures = 0
+        self._answered_at = self._clock.monotonic()
 
     def _until_next(self, found: Listing | Changes) -> timedelta:
         """Return the pause after an answer."""
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -30,6 +30,7 @@
 )
 from cardamomloft.core.routes import RoutePlan
 from cardamomloft.core.selection import Preferences, Selector
+from cardamomloft.core.timekeeping import Timekeeper
 from cardamomloft.entry.control import ControlApp
 from cardamomloft.entry.lifecycle import make_life_cycle
 from cardamomloft.entry.logs import log
@@ -131,6 +132,7 @@
         self._listed = False
         self._logged_figures: Counter[str] = Counter()
         self._unreadable = Known()
+        self._timekeeper = Timekeeper(clock, _TICK)
         self._build()
 
     def _build(self) -> None:
@@ -430,12 +432,19 @@
     # Timers.
 
     def _tick(self) -> None:
+        self._log_irregularity()
         now = self._clock.monotonic()
         self._log_gone(self.book.tick(now))
         for name in self.entries.tick(now):
             log("entry-gone", name=name)
         self._share_budgets()
 
+    def _log_irregularity(self) -> None:
+        found = self._timekeeper.look()
+        if found is not None:
+            ms = timedelta(milliseconds=1)
+            log("irregular-time", late_ms=found.late // ms, stepped_ms=found.stepped // ms)
+
     def _log_figures(self) -> None:
         """Log what was counted since the last time: the process's own page dies with it."""
         counted = Counter(self.metrics.counters)
--- a/packages/gateway/src/cardamomloft/gateway/status.py
+++ b/packages/gateway/src/cardamomloft/gateway/status.py
@@ -1,6 +1,7 @@
 """What the operators' pages of a gateway show."""
 
 import typing as t
+from datetime import timedelta
 
 from cardamomloft.callers.exchange import RequestHead
 from cardamomloft.core.model import Refusal
@@ -36,6 +37,7 @@
             "state": gateway.life.state(),
             "configuration": gateway.configuration,
             "store_away": gateway.follower.away,
+            "store_silence_ms": gateway.follower.silence // timedelta(milliseconds=1),
             "in_flight": gateway.app.in_flight,
             "entries": sorted(row.name for row in gateway.entries.records(with_own=True)),
             "drained_zones": sorted(gateway.book.drained_zones),
