Count the time of timers by a clock that is never set

Cause: Twisted's loop sets and fires timers by time.time. When a VM's time of day goes back by 6 s, all that an entry has due stands still for 6 s: the next question to the store, the renewal of its lease, timeouts, the end of a stop. Requests, which need no timer, are served on by what was known before. That is how a confirmed change was not in force at one entry for 5 s (its route was answered 404), and why its record lapsed. Class: elapsed time taken from a clock that doesn't count it. Mended for every process (gateways, entries, the operators' command): a loop of our own whose timers use CLOCK_BOOTTIME, and the decisions' clock reads the same. CLOCK_MONOTONIC was ruled out: it stands still while a VM is suspended, so a loop on it would hold timeouts back after a wake (time.time did not), and the decisions' clock, which was on it, took for fresh what was old. Other hypotheses ruled out by the record: a lost question (the renewals stopped too, and the store saw no question) and a process that stood still (it served in each of these seconds).

--- a/packages/core/src/cardamomloft/core/clock.py
+++ b/packages/core/src/cardamomloft/core/clock.py
@@ -2,6 +2,10 @@
 
 Monotonic instants are :class:`~datetime.timedelta` since an origin that differs from process to
 process, so two processes can never compare them; wall-clock instants are aware UTC datetimes.
+
+Elapsed time is read from ``CLOCK_BOOTTIME``: it is never set, as the time of day is, and goes on
+while a VM is suspended, as ``CLOCK_MONOTONIC`` does not. What was known before a suspension is old
+after it, and what was due meanwhile is due at once.
 """
 
 import time
@@ -21,12 +25,17 @@
         ...
 
 
+def elapsed_seconds() -> float:
+    """Return the time since the VM's start, suspensions included, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class SystemClock:
     """The machine's clocks."""
 
     def monotonic(self) -> timedelta:
-        """Return the time since boot or another arbitrary origin."""
-        return timedelta(microseconds=time.monotonic_ns() // 1000)
+        """Return the time since the VM's start."""
+        return timedelta(microseconds=time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000)
 
     def utcnow(self) -> datetime:
         """Return the machine's wall-clock time."""
--- a/packages/entry/src/cardamomloft/entry/main.py
+++ b/packages/entry/src/cardamomloft/entry/main.py
@@ -49,7 +49,11 @@
 
 
 def _run(cfg: EntrySettings) -> int:
-    # Imported here so that --check needs neither reactor nor sockets.
+    # Imported here so that --check needs neither reactor nor sockets; the loop goes first, since
+    # the others import it.
+    from cardamomloft.runtime.eventloop import install_event_loop
+
+    install_event_loop()
     from cardamomloft.entry.logs import start_logs
     from cardamomloft.entry.node import EntryNode
     from cardamomloft.entry.outside import connect
--- a/packages/gateway/src/cardamomloft/gateway/main.py
+++ b/packages/gateway/src/cardamomloft/gateway/main.py
@@ -1,28 +1,10 @@
 """One gateway over the product's own key-value store: ``python -m cardamomloft.gateway.main``."""
 
-import json
 import pathlib
-import random
 import sys
 
 import defopt
-from cardamomloft.core.clock import SystemClock
-from cardamomloft.entry.logs import start_logs
-from cardamomloft.gateway.calls import CallerHeaders
-from cardamomloft.gateway.node import Gateway
-from cardamomloft.gateway.pages import GatewayPages, listen_pages
-from cardamomloft.gateway.reloading import SettingsFile
-from cardamomloft.gateway.running import EXIT_SETTINGS, run
-from cardamomloft.gateway.storecontrol import StoreControl
-from cardamomloft.store.keyvalue import HttpStore
-from cardamomloft.upstreams.client import UpstreamClient
-from cardamomloft.upstreams.dialect import DEADLINE_HEADER, REQUEST_ID_HEADER, Dialect
-from twisted.internet import reactor
-
-CALLER_HEADERS = CallerHeaders(REQUEST_ID_HEADER, DEADLINE_HEADER, "x-placement-key")
-UPSTREAM_DIALECT = Dialect(
-    misdirected=421, expected="x-expected-instance", load="x-load", reuses=True
-)
+from cardamomloft.runtime.eventloop import install_event_loop
 
 
 def gateway(*, settings: pathlib.Path, prefix: str = "gateway/", check: bool = False) -> int:
@@ -37,19 +19,11 @@
     check
         Only check the settings, then exit.
     """
-    start_logs()
-    source = SettingsFile(settings)
-    cfg = source.read()
-    if cfg is None:
-        return EXIT_SETTINGS
-    if check:
-        print(json.dumps({"settings": str(settings), "name": cfg["name"], "ok": True}))
-        return 0
-    control = StoreControl(HttpStore(reactor, cfg["store"]), prefix)
-    client = UpstreamClient(reactor, dialect=UPSTREAM_DIALECT)
-    node = Gateway(reactor, cfg, SystemClock(), random.Random(), control, client, CALLER_HEADERS)
-    listen_pages(reactor, GatewayPages(node).app, cfg["readiness"], cfg["lookups"])
-    return run(reactor, node, source)
+    install_event_loop()
+    # Only now: it imports the loop that is installed.
+    from cardamomloft.gateway.process import run_gateway
+
+    return run_gateway(settings, prefix, check)
 
 
 if __name__ == "__main__":
--- a/packages/gateway/tests/test_storecontrol.py
+++ b/packages/gateway/tests/test_storecontrol.py
@@ -17,9 +17,9 @@
     ZoneDrained,
     ZoneRestored,
 )
-from cardamomloft.gateway.main import CALLER_HEADERS, UPSTREAM_DIALECT
 from cardamomloft.gateway.node import Gateway
 from cardamomloft.gateway.pages import GatewayPages, listen_pages
+from cardamomloft.gateway.process import CALLER_HEADERS, UPSTREAM_DIALECT
 from cardamomloft.gateway.storecontrol import StoreControl
 from cardamomloft.store.keyvalue import HttpStore, Listed, Record
 from cardamomloft.upstreams.client import UpstreamClient
--- a/packages/operators/src/cardamomloft/operators/running.py
+++ b/packages/operators/src/cardamomloft/operators/running.py
@@ -13,6 +13,7 @@
 from cardamomloft.operators.rendering import as_json, wrap
 from cardamomloft.operators.session import Session
 from cardamomloft.operators.settings import Settings, address_of, load_settings
+from cardamomloft.runtime.eventloop import install_event_loop
 from cardamomloft.store.keyvalue import HttpStore
 from cardamomloft.store.vms import HttpVmList
 from expression import Error, Ok, Result
@@ -98,6 +99,7 @@
     async def run(reactor: t.Any) -> None:
         finished.append(await command(_session(reactor, settings, streams)))
 
+    install_event_loop()
     try:
         task.react(lambda reactor: defer.ensureDeferred(run(reactor)))
     except SystemExit as exc:
--- /dev/null
+++ b/packages/runtime/src/cardamomloft/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""What every process needs to run."""
