Move what both kinds of process run on below them

Gateways took logs, metrics, timers, the life cycle and the operators' pages from the package of the other kind of process. They lie in packages/runtime now, with the event loop; entry and gateway know nothing of each other.

--- a/packages/entry/src/cardamomloft/entry/executor.py
+++ b/packages/entry/src/cardamomloft/entry/executor.py
@@ -37,7 +37,7 @@
     parse_operation,
 )
 from cardamomloft.entry.forwarding import OPERATION_ANSWER, OPERATION_BODY, Forwarder
-from cardamomloft.entry.metrics import Metrics
+from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.store.keyvalue import Store
 from cardamomloft.upstreams.client import UpstreamClient, UpstreamRequest
 from expression import Result
--- a/packages/entry/src/cardamomloft/entry/forwarding.py
+++ b/packages/entry/src/cardamomloft/entry/forwarding.py
@@ -25,8 +25,8 @@
 from cardamomloft.core.model import Refusal, RefusalReason, Request, Unknown
 from cardamomloft.core.rates import Pacer
 from cardamomloft.core.router import Dispatch, Dropped, Router, Waiting
-from cardamomloft.entry.metrics import Metrics
 from cardamomloft.entry.pacing import PacedBody, PacedConsumer
+from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.upstreams.client import (
     SendFailure,
     UpstreamAnswer,
--- a/packages/entry/src/cardamomloft/entry/maps.py
+++ b/packages/entry/src/cardamomloft/entry/maps.py
@@ -13,7 +13,7 @@
 from cardamomloft.core.chunks import digest_of
 from cardamomloft.core.document import ClientsRow
 from cardamomloft.core.messages import ChunkReply, ChunkRequest, Outgoing
-from cardamomloft.entry.logs import log
+from cardamomloft.runtime.logs import log
 from expression import Result
 
 ASKED_AT_ONCE = 2
--- a/packages/entry/src/cardamomloft/entry/node.py
+++ b/packages/entry/src/cardamomloft/entry/node.py
@@ -28,17 +28,13 @@
 from cardamomloft.core.shares import Shares
 from cardamomloft.core.steering import Steering
 from cardamomloft.core.stewardship import STANDBYS, Stewardship
-from cardamomloft.entry.control import ControlApp
 from cardamomloft.entry.executor import Executor
 from cardamomloft.entry.forwarding import Forwarder
 from cardamomloft.entry.gossip import INTERVAL, Gossip
-from cardamomloft.entry.lifecycle import LifeActions, make_life_cycle
 from cardamomloft.entry.loads import LoadPoller
-from cardamomloft.entry.logs import log
 from cardamomloft.entry.lookups import VALID, Lookups
 from cardamomloft.entry.mapfetching import CHUNKS, MapFetcher
 from cardamomloft.entry.maps import MapLoader
-from cardamomloft.entry.metrics import Metrics
 from cardamomloft.entry.outside import Outside
 from cardamomloft.entry.receiving import receive
 from cardamomloft.entry.seat import SeatRecord
@@ -46,10 +42,14 @@
 from cardamomloft.entry.status import StatusPage
 from cardamomloft.entry.steward import CONFIGURATION_KEY, StewardRunner, offer_record
 from cardamomloft.entry.stopping import close, cut_off
-from cardamomloft.entry.timers import Timers
 from cardamomloft.entry.vms import VmWatch
 from cardamomloft.peers.curve import CurveKeys
 from cardamomloft.peers.node import PeerNode
+from cardamomloft.runtime.control import ControlApp
+from cardamomloft.runtime.lifecycle import LifeActions, make_life_cycle
+from cardamomloft.runtime.logs import log
+from cardamomloft.runtime.metrics import Metrics
+from cardamomloft.runtime.timers import Timers
 from expression import Result
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.python.failure import Failure
--- a/packages/entry/src/cardamomloft/entry/steward.py
+++ b/packages/entry/src/cardamomloft/entry/steward.py
@@ -10,7 +10,7 @@
 from cardamomloft.core.model import Incarnation
 from cardamomloft.core.replication import Replica, pack
 from cardamomloft.core.stewardship import ReadLease, Renew, Step, Stewardship, TryLease, WatchLease
-from cardamomloft.entry.logs import log
+from cardamomloft.runtime.logs import log
 from cardamomloft.store.keyvalue import Record, Store, Watched
 from expression import Result
 from twisted.internet.defer import ensureDeferred
--- a/packages/entry/src/cardamomloft/entry/stopping.py
+++ b/packages/entry/src/cardamomloft/entry/stopping.py
@@ -4,8 +4,8 @@
 from datetime import timedelta
 
 from cardamomloft.core.clock import Clock
-from cardamomloft.entry.logs import log
-from cardamomloft.entry.timers import Timers
+from cardamomloft.runtime.logs import log
+from cardamomloft.runtime.timers import Timers
 
 if t.TYPE_CHECKING:
     from cardamomloft.entry.node import EntryNode
--- a/packages/entry/src/cardamomloft/entry/vms.py
+++ b/packages/entry/src/cardamomloft/entry/vms.py
@@ -6,7 +6,7 @@
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.membership import VmRow
 from cardamomloft.core.messages import Outgoing, VmNotice
-from cardamomloft.entry.metrics import Metrics
+from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.store.vms import VmList
 from expression import Result
 from twisted.internet.defer import Deferred, ensureDeferred
--- a/packages/entry/tests/test_executor.py
+++ b/packages/entry/tests/test_executor.py
@@ -20,7 +20,7 @@
 )
 from cardamomloft.core.operations import OperationIds
 from cardamomloft.entry.executor import PASSED_ON_HEADER, Executor
-from cardamomloft.entry.metrics import Metrics
+from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.store.failures import StoreFailure
 from cardamomloft.store.keyvalue import Record
 from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer
--- a/packages/entry/tests/test_forwarding.py
+++ b/packages/entry/tests/test_forwarding.py
@@ -16,7 +16,7 @@
 from cardamomloft.core.shares import Shares
 from cardamomloft.core.steering import Steering
 from cardamomloft.entry.forwarding import Forwarder
-from cardamomloft.entry.metrics import Metrics
+from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.upstreams.body import Delivery
 from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer
 from expression import Error, Ok
--- a/packages/entry/tests/test_vms.py
+++ b/packages/entry/tests/test_vms.py
@@ -5,8 +5,8 @@
 from cardamomloft.core.clock import ManualClock
 from cardamomloft.core.membership import VmRow
 from cardamomloft.core.messages import VmNotice
-from cardamomloft.entry.metrics import Metrics
 from cardamomloft.entry.vms import VmWatch
+from cardamomloft.runtime.metrics import Metrics
 from expression import Ok
 from twisted.internet.defer import succeed
 
--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -14,8 +14,8 @@
 
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.registrations import Fact
-from cardamomloft.entry.logs import log
 from cardamomloft.gateway.control import Changes, Control, Listing
+from cardamomloft.runtime.logs import log
 from cardamomloft.store.failures import StoreFailure
 from expression import Result
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -31,9 +31,9 @@
 from cardamomloft.core.retries import may_retry
 from cardamomloft.core.selection import Choice, Reason, Selector
 from cardamomloft.core.touches import Touch
-from cardamomloft.entry.metrics import Metrics
 from cardamomloft.gateway.calls import Call
 from cardamomloft.gateway.records import RequestLog, SendNote
+from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.upstreams.client import (
     SendFailure,
     UpstreamAnswer,
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -31,11 +31,6 @@
 from cardamomloft.core.routes import RoutePlan
 from cardamomloft.core.selection import Preferences, Selector
 from cardamomloft.core.timekeeping import Timekeeper
-from cardamomloft.entry.control import ControlApp
-from cardamomloft.entry.lifecycle import make_life_cycle
-from cardamomloft.entry.logs import log
-from cardamomloft.entry.metrics import Metrics
-from cardamomloft.entry.timers import Timers
 from cardamomloft.gateway.calls import Call, CallerHeaders, Reader
 from cardamomloft.gateway.control import Control, Listing
 from cardamomloft.gateway.following import Follower, Pace
@@ -44,6 +39,11 @@
 from cardamomloft.gateway.records import Known, RequestLog
 from cardamomloft.gateway.settings import FIXED, Bounds, GatewaySettings, bounds_of
 from cardamomloft.gateway.status import GatewayStatus
+from cardamomloft.runtime.control import ControlApp
+from cardamomloft.runtime.lifecycle import make_life_cycle
+from cardamomloft.runtime.logs import log
+from cardamomloft.runtime.metrics import Metrics
+from cardamomloft.runtime.timers import Timers
 from cardamomloft.upstreams.client import UpstreamClient
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.interfaces import IDelayedCall, IListeningPort
--- a/packages/gateway/src/cardamomloft/gateway/presence.py
+++ b/packages/gateway/src/cardamomloft/gateway/presence.py
@@ -5,8 +5,8 @@
 from datetime import timedelta
 
 from cardamomloft.core.registrations import EntryRecord
-from cardamomloft.entry.logs import log
 from cardamomloft.gateway.control import Control
+from cardamomloft.runtime.logs import log
 from expression import Result
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
 
--- a/packages/gateway/src/cardamomloft/gateway/process.py
+++ b/packages/gateway/src/cardamomloft/gateway/process.py
@@ -5,13 +5,13 @@
 import random
 
 from cardamomloft.core.clock import SystemClock
-from cardamomloft.entry.logs import start_logs
 from cardamomloft.gateway.calls import CallerHeaders
 from cardamomloft.gateway.node import Gateway
 from cardamomloft.gateway.pages import GatewayPages, listen_pages
 from cardamomloft.gateway.reloading import SettingsFile
 from cardamomloft.gateway.running import EXIT_SETTINGS, run
 from cardamomloft.gateway.storecontrol import StoreControl
+from cardamomloft.runtime.logs import start_logs
 from cardamomloft.store.keyvalue import HttpStore
 from cardamomloft.upstreams.client import UpstreamClient
 from cardamomloft.upstreams.dialect import DEADLINE_HEADER, REQUEST_ID_HEADER, Dialect
--- a/packages/gateway/src/cardamomloft/gateway/records.py
+++ b/packages/gateway/src/cardamomloft/gateway/records.py
@@ -13,8 +13,8 @@
 from cardamomloft.core.registrations import Upstream
 from cardamomloft.core.selection import Reason
 from cardamomloft.core.touches import Touch
-from cardamomloft.entry.logs import log
 from cardamomloft.gateway.calls import Call
+from cardamomloft.runtime.logs import log
 
 LINES_PER_S = 100
 """Lines a second; one takes 20 us to write (3,000 timed alone), 0.2 % of a core in all."""
--- a/packages/gateway/src/cardamomloft/gateway/reloading.py
+++ b/packages/gateway/src/cardamomloft/gateway/reloading.py
@@ -3,8 +3,8 @@
 import pathlib
 from collections.abc import Callable
 
-from cardamomloft.entry.logs import log
 from cardamomloft.gateway.settings import GatewaySettings, load_settings
+from cardamomloft.runtime.logs import log
 from expression import Result
 
 WAIT_STEP_S = 0.2
--- a/packages/gateway/tests/test_gateway_forwarding.py
+++ b/packages/gateway/tests/test_gateway_forwarding.py
@@ -6,10 +6,10 @@
 from cardamomloft.core.budgets import ColdLimit, RetryBudget
 from cardamomloft.core.registrations import UpstreamBook
 from cardamomloft.core.selection import Preferences, Selector
-from cardamomloft.entry.metrics import Metrics
 from cardamomloft.gateway.calls import Reader
 from cardamomloft.gateway.forwarding import Forwarder
 from cardamomloft.gateway.records import RequestLog
+from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.upstreams.client import SendFailure
 from cardamomloft_standins import gateway as kit
 from expression import Error
--- a/packages/runtime/src/cardamomloft/runtime/__init__.py
+++ b/packages/runtime/src/cardamomloft/runtime/__init__.py
@@ -1,1 +1,1 @@
-"""What every process needs to run."""
+"""What every process needs to run: event loop, timers, life cycle, logs, metrics, pages."""
--- a/packages/entry/src/cardamomloft/entry/logs.py
+++ b/packages/runtime/src/cardamomloft/runtime/logs.py
@@ -3,7 +3,7 @@
 import sys
 
 import eliot
-from cardamomloft.entry.output import LogOutput
+from cardamomloft.runtime.output import LogOutput
 from twisted.logger import ILogObserver, LogEvent, LogLevel, formatEvent, globalLogBeginner
 from zope.interface import implementer
 
--- a/packages/entry/src/cardamomloft/entry/timers.py
+++ b/packages/runtime/src/cardamomloft/runtime/timers.py
@@ -1,4 +1,4 @@
-"""Repeated work of the entry: one fault does not end the repetition."""
+"""Repeated work of a process: one fault does not end the repetition."""
 
 import typing as t
 from collections.abc import Callable
--- a/packages/entry/tests/test_lifecycle.py
+++ b/packages/runtime/tests/test_lifecycle.py
@@ -3,7 +3,7 @@
 import itertools
 
 import pytest
-from cardamomloft.entry.lifecycle import make_life_cycle
+from cardamomloft.runtime.lifecycle import make_life_cycle
 
 INPUTS = ("prepared", "stop", "lingered", "drained")
 ORDER = ("starting", "ready", "leaving", "closing", "stopped")
--- a/packages/entry/tests/test_output.py
+++ b/packages/runtime/tests/test_output.py
@@ -4,7 +4,7 @@
 import os
 
 import pytest
-from cardamomloft.entry.output import LogOutput
+from cardamomloft.runtime.output import LogOutput
 
 
 @pytest.fixture
--- a/standins/src/cardamomloft_standins/experiment/world.py
+++ b/standins/src/cardamomloft_standins/experiment/world.py
@@ -10,10 +10,10 @@
 from cardamomloft.core.model import Endpoint
 from cardamomloft.core.registrations import Registration, UpstreamBook
 from cardamomloft.core.routes import RouteRule, ServicePolicy, ServiceShare
-from cardamomloft.entry.metrics import Metrics
 from cardamomloft.gateway.calls import Call
 from cardamomloft.gateway.forwarding import Forwarder
 from cardamomloft.gateway.records import RequestLog
+from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer, UpstreamRequest
 from expression import Error, Result
 from twisted.internet.defer import Deferred
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -43,7 +43,7 @@
 from cardamomloft.core.shares import Shares
 from cardamomloft.core.steering import Steering
 from cardamomloft.entry.executor import PASSED_ON_HEADER, Executor
-from cardamomloft.entry.metrics import Metrics
+from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.upstreams.client import UpstreamAnswer
 from expression import Ok, Result
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
