Bound the store's wait for a change by the drain time

Cause: a question to the store could wait 6 s. One that is asked while the store forgets its history hears of nothing, and its connection lives, so neither probes nor the lease's renewals tell; a confirmed change was not in force for 6.4 s. Class: trust in signs of a loss where only the end of a wait bounds it. Now the pause after an answer and the wait fill the drain time together (0.4 and 0.6 of it). Ruled out: a cut of the entry (its lease was renewed), a dead connection (probes end it after 2 s), a refused store (no failure logged).

--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -60,10 +60,13 @@
 """Part of the drain time from an answer with changes to the next question to the store. A question
 that fails is repeated soon, so that two of them fit into the time."""
 
-STORE_WAIT = timedelta(seconds=6)
-"""How long the store may wait for a change before it answers. Each answer is paid for. What is lost
-meanwhile shows sooner: a dead connection after 2 s, by probes, and an absent store after a renewal
-of the lease each second and its timeout."""
+WAIT_PART = 1 - FOLLOW_PART
+"""Part of the drain time for which the store may wait for a change before it answers. A question
+may hear nothing though its connection lives, after the store has forgotten its history, so its end
+is what bounds how long a change can be missed: pause and wait fill the drain time, and within 0.5 s
+everything is listed again. Each answer is paid for; 6 s instead spared 0.15 of the calls on the
+heaviest day (687 instead of 822 at 0.8 of the drain time), but there a confirmed change was not in
+force at one of 58 entries for 6.4 s."""
 
 FIGURES_INTERVAL = timedelta(seconds=2)
 """How often the counters' growth is logged: a line of up to some 50 counts."""
@@ -464,7 +467,7 @@
 
 
 def _pace(bounds: Bounds) -> Pace:
-    return Pace(bounds.drain_time * FOLLOW_PART, STORE_WAIT)
+    return Pace(bounds.drain_time * FOLLOW_PART, bounds.drain_time * WAIT_PART)
 
 
 def _listed_upstreams(facts: t.Iterable[Fact]) -> set[str]:
