Pass changes on between gateways: two relays a region ask the store

Change: with eight gateways or more in a region the first two by a hash ask the store; the others ask them, by the store's own revisions, and hear only facts that say something new. Age decides: knowledge that is 0.7 of the drain time old, or a relay that is silent, leads to the store within one question. Fewer gateways ask as before. Ruled out: pushes (silence and calm look alike), a lease for the relays.

--- a/packages/core/src/cardamomloft/core/messages.py
+++ b/packages/core/src/cardamomloft/core/messages.py
@@ -93,6 +93,32 @@
     at: str
 
 
+class ChangesQuestion(t.NamedTuple):
+    """Ask a relay for what has changed in the control store after the revision `after`.
+
+    `number` is unique within the asking process. The relay may wait `wait_ms` for a change.
+    """
+
+    number: int
+    after: int
+    wait_ms: int
+
+
+class ChangesAnswer(t.NamedTuple):
+    """Answer the :class:`ChangesQuestion` with this `number`.
+
+    `facts` are all changes up to the revision `index`, in their wire form; None if the relay does
+    not remember that far back. Its knowledge was complete `age_ms` before it sent this, and it
+    had held the question for `held_ms`.
+    """
+
+    number: int
+    index: int
+    facts: bytes | None
+    age_ms: int
+    held_ms: int
+
+
 Message = (
     LoanRequest
     | LoanGrant
@@ -104,6 +130,8 @@
     | ChunkRequest
     | ChunkReply
     | VmNotice
+    | ChangesQuestion
+    | ChangesAnswer
 )
 
 
--- a/packages/core/src/cardamomloft/core/registrations.py
+++ b/packages/core/src/cardamomloft/core/registrations.py
@@ -57,12 +57,16 @@
 
 
 class EntryRecord(t.NamedTuple):
-    """One running entry, as it records itself in the store; `address` is for callers."""
+    """One running entry, as it records itself in the store.
+
+    `address` is for callers. `peers` is for other entries, empty if it takes nothing from them.
+    """
 
     name: str
     address: str
     zone: str
     region: str
+    peers: str = ""
 
 
 class PlanRead(t.NamedTuple):
--- /dev/null
+++ b/packages/feed/src/cardamomloft/feed/sources.py
@@ -0,0 +1,134 @@
+"""Whom a gateway asks for changes next: a relay of its region, or the control store itself.
+
+A change must be in force within the drain time at a gateway that reaches the store, whatever
+becomes of the relays. So a gateway knows as of when its knowledge is complete. It asks a relay only
+as long as there is time left to hear nothing from it and ask the store instead:
+
+- a relay asks the store again 0.35 of the drain time after an answer with changes, and passes on at
+  once what it hears, so with nothing amiss a change is in force after 0.4;
+- a listener's question to a relay lasts up to 0.3, and 0.1 later the relay counts as silent;
+- knowledge that is 0.7 old is renewed by the store itself, so at the latest 0.8 of the drain time
+  after a change the store is asked, which leaves 0.2 for its answer.
+"""
+
+import typing as t
+from collections.abc import Iterable
+from datetime import timedelta
+
+from cardamomloft.core.registrations import EntryRecord
+from cardamomloft.feed.relays import by_nearness, relays_of
+
+RELAY_PAUSE_PART = 0.35
+"""Part of the drain time from an answer with changes to a relay's next question to the store. Where
+endpoints report all the time each question has an answer at once, so this is what relays cost."""
+
+RELAY_AGE_PART = 0.5
+"""Part of the drain time that a relay's knowledge gets old at the most: the store may wait for a
+change as long as that leaves. A relay that has just heard nothing new asks again at once."""
+
+QUESTION_PART = 0.3
+"""Part of the drain time for which a relay may wait for a change before it answers a listener."""
+
+ANSWER_PART = 0.1
+"""Part of the drain time that a relay's answer may take on top of that."""
+
+OLDEST_PART = 0.7
+"""Part of the drain time after which knowledge is renewed by the store itself."""
+
+LISTENER_PAUSE_PART = 0.05
+"""Part of the drain time from an answer with changes to a listener's next question, so that a
+series of changes takes some 20 messages in a drain time and no more."""
+
+SUSPECT_PARTS = 2.0
+"""Drain times for which a relay that was silent is not asked; a dead one's record is gone by then.
+"""
+
+_NEVER = timedelta(0)
+
+
+class Question(t.NamedTuple):
+    """Whom to ask for changes, and how.
+
+    Attributes
+    ----------
+    relay
+        The relay to ask; None: the store.
+    wait
+        How long it may wait for a change before it answers; None: as long as without relays.
+    pause
+        Least time from an answer with changes to the next question; None: as without relays.
+    """
+
+    relay: EntryRecord | None
+    wait: timedelta | None = None
+    pause: timedelta | None = None
+
+
+class Sources:
+    """Chooses the source of the next question.
+
+    Parameters
+    ----------
+    own
+        This gateway's own record; without an address for peers it asks the store by itself.
+    drain_time
+        How soon a change must be in force.
+
+    Attributes
+    ----------
+    known_at
+        Instant until which all changes are known; None before anything is.
+    """
+
+    def __init__(self, own: EntryRecord, drain_time: timedelta) -> None:
+        self._own = own
+        self.drain_time = drain_time
+        self.known_at: timedelta | None = None
+        self._suspects: dict[str, timedelta] = {}
+
+    @property
+    def patience(self) -> timedelta:
+        """How much longer than it was told to wait a relay may take for its answer."""
+        return self.drain_time * ANSWER_PART
+
+    def next(self, records: Iterable[EntryRecord], now: timedelta) -> Question:
+        """Return the next question, given the gateways that are recorded."""
+        relays = relays_of(self._own.region, records) if self._own.peers else []
+        if self._own.name in [row.name for row in relays]:
+            return self._as_relay(now)
+        heard = [row for row in by_nearness(self._own, relays) if self._trusted(row, now)]
+        if not heard:
+            return Question(None)
+        pause = self.drain_time * LISTENER_PAUSE_PART
+        left = self._time_left(OLDEST_PART, now)
+        if not left:
+            return Question(None, timedelta(0), pause)
+        return Question(heard[0], min(left, self.drain_time * QUESTION_PART), pause)
+
+    def complete(self, at: timedelta) -> None:
+        """Note that everything is known that had changed until the instant `at`."""
+        self.known_at = at if self.known_at is None else max(self.known_at, at)
+
+    def age(self, now: timedelta) -> timedelta | None:
+        """Return how old the knowledge is; None before anything is known."""
+        return None if self.known_at is None else now - self.known_at
+
+    def silent(self, name: str, now: timedelta) -> None:
+        """Note that a relay did not answer."""
+        self._suspects[name] = now + self.drain_time * SUSPECT_PARTS
+
+    def _as_relay(self, now: timedelta) -> Question:
+        wait = self._time_left(RELAY_AGE_PART, now)
+        return Question(None, wait, self.drain_time * RELAY_PAUSE_PART)
+
+    def _time_left(self, part: float, now: timedelta) -> timedelta:
+        """Return the time until the knowledge is as old as this part of the drain time."""
+        if self.known_at is None:
+            return timedelta(0)
+        return max(timedelta(0), self.known_at + self.drain_time * part - now)
+
+    def _trusted(self, row: EntryRecord, now: timedelta) -> bool:
+        if self._suspects.get(row.name, _NEVER) > now:
+            return False
+        self._suspects.pop(row.name, None)
+        return True
--- /dev/null
+++ b/packages/feed/tests/test_sources.py
@@ -0,0 +1,91 @@
+"""Whom a gateway asks, and how long it may go on without the store's own word."""
+
+from datetime import timedelta
+
+from cardamomloft.feed.relays import relays_of
+from cardamomloft.feed.sources import Question, Sources
+from cardamomloft_standins.gateway import entry_records as entries
+
+DRAIN = timedelta(seconds=4)
+KNOWN = entries(20)
+RELAYS = relays_of("east", KNOWN)
+LISTENER = next(row for row in KNOWN if row not in RELAYS)
+START = timedelta(seconds=100)
+
+
+def seconds(value):
+    return timedelta(seconds=value)
+
+
+def listener():
+    sources = Sources(LISTENER, DRAIN)
+    sources.complete(START)
+    return sources
+
+
+def test_a_relay_asks_the_store_and_its_knowledge_gets_half_of_the_drain_time_old():
+    sources = Sources(RELAYS[0], DRAIN)
+    assert sources.next(KNOWN, START).wait == timedelta(0)
+    sources.complete(START)
+    question = sources.next(KNOWN, START)
+    assert question.relay is None and question.wait == DRAIN / 2
+    after_a_pause = sources.next(KNOWN, START + question.pause)
+    assert after_a_pause.wait + question.pause == DRAIN / 2
+
+
+def test_without_relays_it_is_as_if_there_were_none():
+    assert listener().next(entries(5), START) == Question(None)
+
+
+def test_a_gateway_without_an_address_for_peers_asks_the_store():
+    sources = Sources(LISTENER._replace(peers=""), DRAIN)
+    sources.complete(START)
+    assert sources.next(KNOWN, START) == Question(None)
+
+
+def test_a_listener_asks_a_relay():
+    question = listener().next(KNOWN, START)
+    assert question.relay in RELAYS
+    assert question.wait == DRAIN * 0.3
+
+
+def test_nobody_is_asked_before_the_store_was():
+    question = Sources(LISTENER, DRAIN).next(KNOWN, START)
+    assert question.relay is None and question.wait == timedelta(0)
+
+
+def test_a_question_to_a_relay_ends_before_knowledge_is_too_old():
+    sources = listener()
+    question = sources.next(KNOWN, START + seconds(2.5))
+    assert question.relay in RELAYS
+    assert timedelta(0) < question.wait <= seconds(0.3)
+    later = START + seconds(2.5) + question.wait + sources.patience
+    assert later - START <= DRAIN * 0.8
+
+
+def test_old_knowledge_is_renewed_by_the_store_at_once():
+    question = listener().next(KNOWN, START + DRAIN * 0.7)
+    assert question.relay is None and question.wait == timedelta(0)
+
+
+def test_what_a_relay_knew_earlier_makes_nothing_younger():
+    sources = listener()
+    sources.complete(START - seconds(1))
+    assert sources.age(START) == timedelta(0)
+
+
+def test_a_silent_relay_is_left_alone_for_a_while_and_the_other_is_asked():
+    sources = listener()
+    first = sources.next(KNOWN, START).relay
+    sources.silent(first.name, START)
+    second = sources.next(KNOWN, START).relay
+    assert {first, second} == set(RELAYS)
+    sources.silent(second.name, START)
+    assert sources.next(KNOWN, START) == Question(None)
+    later = START + DRAIN * 2
+    sources.complete(later)
+    assert sources.next(KNOWN, later).relay == first
+
+
+def test_a_gateway_that_stood_still_asks_the_store_first():
+    assert listener().next(KNOWN, START + seconds(60)).relay is None
--- a/packages/gateway/src/cardamomloft/gateway/control.py
+++ b/packages/gateway/src/cardamomloft/gateway/control.py
@@ -17,11 +17,20 @@
 
 
 class Changes(t.NamedTuple):
-    """What has changed since the last index; `lost`: the store has forgotten, list again."""
+    """What has changed since the last index.
+
+    Attributes
+    ----------
+    lost
+        The store has forgotten what changed since then: list again.
+    pause
+        Least time until the next question, where its source knows better than who asks.
+    """
 
     facts: tuple[Fact, ...]
     index: int
     lost: bool = False
+    pause: timedelta | None = None
 
 
 class Control(t.Protocol):
--- a/packages/gateway/src/cardamomloft/gateway/entryrecords.py
+++ b/packages/gateway/src/cardamomloft/gateway/entryrecords.py
@@ -13,19 +13,24 @@
 
 def encode_entry(record: EntryRecord) -> bytes:
     """Return the value under which an entry is recorded."""
-    return msgspec.json.encode(record._asdict())
+    fields = record._asdict()
+    if not record.peers:
+        del fields["peers"]
+    return msgspec.json.encode(fields)
 
 
 def read_entry(value: bytes) -> EntryRecord:
-    """Return the record in a value.
+    """Return the record in a value; fields that a newer entry adds are left aside.
 
     Raises
     ------
     msgspec.DecodeError, TypeError, ValueError
         If it is not a record with an address that callers can be sent to.
     """
-    record = EntryRecord(**msgspec.json.decode(value, type=dict[str, str]))
-    return record._replace(address=address_text(record.address))
+    fields = msgspec.json.decode(value, type=dict[str, str])
+    record = EntryRecord(**{name: fields[name] for name in EntryRecord._fields if name in fields})
+    peers = record.peers and address_text(record.peers)
+    return record._replace(address=address_text(record.address), peers=peers)
 
 
 def address_text(text: str) -> str:
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/feed.py
@@ -0,0 +1,116 @@
+"""The feed of changes of one gateway: from relays or the store, and on to other gateways."""
+
+import typing as t
+import uuid
+from datetime import timedelta
+
+from cardamomloft.core.clock import Clock
+from cardamomloft.core.entrybook import EntryBook
+from cardamomloft.core.model import Incarnation
+from cardamomloft.core.registrations import EntryRecord
+from cardamomloft.feed.changetable import ChangeTable
+from cardamomloft.feed.relays import relays_of
+from cardamomloft.feed.sources import Sources
+from cardamomloft.gateway.control import Control
+from cardamomloft.gateway.relayedcontrol import RelayedControl
+from cardamomloft.gateway.relaying import RelayPort
+from cardamomloft.peers.node import OnFault, PeerNode
+from cardamomloft.runtime.metrics import Metrics
+
+MAX_PEER_LINKS = 256
+"""Links to other gateways that are kept open. At 1,500 gateways in 8 regions a relay has 94
+listeners, and all 187 while the other relay is away."""
+
+
+class Feed:
+    """Puts together what a gateway needs to hear of changes and to pass them on.
+
+    Parameters
+    ----------
+    reactor, clock
+        The event loop, and the source of time.
+    control
+        The control store.
+    own
+        This gateway's record. Without an address for peers it asks the store by itself.
+    entries
+        The gateways that are recorded.
+    drain_time
+        How soon a change must be in force.
+    metrics
+        Counts who was asked.
+
+    Attributes
+    ----------
+    control
+        What to ask for changes.
+    port
+        Talks with other gateways.
+    """
+
+    def __init__(
+        self,
+        reactor: t.Any,
+        clock: Clock,
+        control: Control,
+        own: EntryRecord,
+        entries: EntryBook,
+        drain_time: timedelta,
+        metrics: Metrics,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._own = own
+        self._entries = entries
+        self._sources = Sources(own, drain_time)
+        table = ChangeTable()
+        self.port = RelayPort(reactor, clock, table, self._age, self._address_of, metrics)
+        self.control = RelayedControl(
+            control, clock, table, self._sources, self.port, self._records, metrics
+        )
+
+    def start(self, on_fault: OnFault) -> None:
+        """Take messages of other gateways, if there is an address for them.
+
+        Raises
+        ------
+        cardamomloft.peers.node.BindError
+            If the address can't be had.
+        """
+        if self._own.peers:
+            me = Incarnation(self._own.name, uuid.uuid4().hex)
+            self.port.peers = PeerNode(
+                self._reactor,
+                me,
+                self._own.peers,
+                self.port.take,
+                on_fault=on_fault,
+                max_links=MAX_PEER_LINKS,
+            )
+
+    def stop(self) -> None:
+        """Answer what waits here, and end."""
+        self.port.close()
+
+    def use_drain_time(self, drain_time: timedelta) -> None:
+        """Put a changed bound in force."""
+        self._sources.drain_time = drain_time
+
+    def status(self) -> dict[str, t.Any]:
+        """Return who relays, and how old this gateway's knowledge is."""
+        age = self._age()
+        relays = relays_of(self._own.region, self._records())
+        return {
+            "relays": [row.name for row in relays],
+            "knowledge_age_ms": None if age is None else age // timedelta(milliseconds=1),
+            "questions_held": self.port.held,
+        }
+
+    def _age(self) -> timedelta | None:
+        return self._sources.age(self._clock.monotonic())
+
+    def _records(self) -> list[EntryRecord]:
+        return self._entries.records(with_own=True)
+
+    def _address_of(self, name: str) -> str | None:
+        return next((row.peers for row in self._records() if row.name == name), None) or None
--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -182,7 +182,8 @@
         if self._index is None:
             # The history is lost: the list that takes its place is asked for soon.
             return self._until_retry()
-        interval = self.pace.interval * self._rng.uniform(0.9, 1.1)
+        pause = found.pause if isinstance(found, Changes) else None
+        interval = (self.pace.interval if pause is None else pause) * self._rng.uniform(0.9, 1.1)
         if found.facts:
             return interval
         return max(timedelta(0), interval - self._elapsed())
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -33,6 +33,7 @@
 from cardamomloft.core.timekeeping import Timekeeper
 from cardamomloft.gateway.calls import Call, CallerHeaders, Reader
 from cardamomloft.gateway.control import Control, Listing
+from cardamomloft.gateway.feed import Feed
 from cardamomloft.gateway.following import Follower, Pace
 from cardamomloft.gateway.forwarding import Forwarder
 from cardamomloft.gateway.presence import Presence
@@ -141,7 +142,8 @@
 
     def _build(self) -> None:
         cfg, clock, bounds = self._cfg, self._clock, self._bounds
-        own = EntryRecord(cfg["name"], cfg["callers"], cfg["zone"], cfg["region"])
+        peers = cfg.get("peers", "")
+        own = EntryRecord(cfg["name"], cfg["callers"], cfg["zone"], cfg["region"], peers)
         self.book = UpstreamBook(cfg["zones"])
         self.entries = EntryBook(own, bounds.retry_window)
         self.selector = Selector(
@@ -166,10 +168,19 @@
         self.presence = Presence(
             self._control, own, bounds.record_life, lambda: self.follower.doubt()
         )
-        self.follower = Follower(
+        self.feed = Feed(
             self._reactor,
             clock,
             self._control,
+            own,
+            self.entries,
+            bounds.drain_time,
+            self.metrics,
+        )
+        self.follower = Follower(
+            self._reactor,
+            clock,
+            self.feed.control,
             self._rng,
             _pace(bounds),
             self._on_listing,
@@ -189,17 +200,19 @@
 
     def reconfigure(self, cfg: GatewaySettings) -> None:
         """Put changed settings in force; those that need a new start are named in the log."""
-        fixed = [name for name in FIXED if cfg[name] != self._cfg[name]]
+        fixed = [name for name in FIXED if cfg.get(name) != self._cfg.get(name)]
         if fixed:
             log("restart-needed", settings=fixed)
-        kept = {name: self._cfg[name] for name in FIXED}
-        self._cfg = t.cast(GatewaySettings, {**cfg, **kept})
+        kept = {name: self._cfg[name] for name in FIXED if name in self._cfg}
+        free = {name: value for name, value in cfg.items() if name not in FIXED}
+        self._cfg = t.cast(GatewaySettings, {**free, **kept})
         self._bounds = bounds_of(self._cfg)
         self.selector.cold = _cold_limit(self._cfg)
         for budget in self._budgets.values():
             budget.allow(*self._repeats())
         self.entries.memory = self._bounds.retry_window
         self.follower.pace = _pace(self._bounds)
+        self.feed.use_drain_time(self._bounds.drain_time)
         self.book.use_regions(self._cfg["zones"])
         log("reloaded", changed_fixed=bool(fixed))
 
@@ -212,12 +225,15 @@
         ------
         twisted.internet.error.CannotListenError
             If the callers' address can't be had.
+        cardamomloft.peers.node.BindError
+            If the address for other gateways can't be had.
         """
         self._port = listen(self._reactor, self._cfg["callers"], self.app)
         host, _, port = self._cfg["operators"].rpartition(":")
         pages = ControlApp(GatewayStatus(self)).site()
         pages.log = lambda request: None
         self.pages = self._reactor.listenTCP(int(port), pages, interface=host)
+        self.feed.start(self._on_fault)
         self.follower.start(self._on_fault)
         self._timers.every(_TICK, self._tick)
         self._timers.every(FIGURES_INTERVAL, self._log_figures)
@@ -261,6 +277,7 @@
             self._hard_stop.cancel()
         self._timers.stop()
         self.follower.stop()
+        self.feed.stop()
         log("stopped", in_flight=self.app.in_flight)
         if not self.stopped.called:
             self.stopped.callback(None)
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/relayedcontrol.py
@@ -0,0 +1,146 @@
+"""The control store, with changes taken from a relay where that is safe."""
+
+import typing as t
+from collections.abc import Callable
+from datetime import timedelta
+
+from cardamomloft.core.clock import Clock
+from cardamomloft.core.registrations import EntryRecord
+from cardamomloft.feed.changetable import ChangeTable
+from cardamomloft.feed.sources import Question, Sources
+from cardamomloft.gateway.control import Changes, Control, Listing
+from cardamomloft.gateway.relaying import Passed, RelayPort, Silence
+from cardamomloft.runtime.logs import log
+from cardamomloft.runtime.metrics import Metrics
+from cardamomloft.store.failures import StoreFailure
+from expression import Error, Ok, Result
+from twisted.internet.defer import Deferred, ensureDeferred
+
+
+class RelayedControl:
+    """A :class:`~cardamomloft.gateway.control.Control` that asks relays for changes.
+
+    A relay that is silent, or knows no more than this gateway, costs time but never hides a change:
+    then the store itself is asked within the same question. Everything but changes goes to the
+    store.
+
+    Parameters
+    ----------
+    control
+        The store.
+    clock
+        Source of time.
+    table
+        Keeps what is learned, for this gateway's own answers to others.
+    sources
+        Chooses whom to ask.
+    port
+        Asks relays, and is told of changes.
+    records
+        Returns the gateways that are recorded, this one included.
+    metrics
+        Counts who answered.
+    """
+
+    def __init__(
+        self,
+        control: Control,
+        clock: Clock,
+        table: ChangeTable,
+        sources: Sources,
+        port: RelayPort,
+        records: Callable[[], list[EntryRecord]],
+        metrics: Metrics,
+    ) -> None:
+        self._control = control
+        self._clock = clock
+        self._table = table
+        self._sources = sources
+        self._port = port
+        self._records = records
+        self._metrics = metrics
+
+    def read(self) -> "Deferred[Result[Listing, StoreFailure]]":
+        """List everything that the store holds."""
+        return ensureDeferred(self._read())
+
+    def changes(self, after: int, wait: timedelta) -> "Deferred[Result[Changes, StoreFailure]]":
+        """Return what has changed after the revision `after`; without `wait`, as the store says."""
+        return ensureDeferred(self._changes(after, wait))
+
+    def record(self, record: EntryRecord, life: timedelta) -> "Deferred[Result[str, StoreFailure]]":
+        """Record an entry under a new lease."""
+        return self._control.record(record, life)
+
+    def renew(self, lease: str) -> "Deferred[Result[bool, StoreFailure]]":
+        """Renew a lease."""
+        return self._control.renew(lease)
+
+    def withdraw(self, lease: str) -> "Deferred[Result[None, StoreFailure]]":
+        """End a lease."""
+        return self._control.withdraw(lease)
+
+    async def _read(self) -> Result[Listing, StoreFailure]:
+        asked_at = self._clock.monotonic()
+        outcome = await self._control.read()
+        if outcome.is_ok():
+            self._table.listed(outcome.ok.facts, outcome.ok.index)
+            self._sources.complete(asked_at)
+            self._port.publish()
+        return outcome
+
+    async def _changes(self, after: int, wait: timedelta) -> Result[Changes, StoreFailure]:
+        if not wait:
+            return await self._from_store(after, wait, None)
+        question = self._sources.next(self._records(), self._clock.monotonic())
+        if question.relay is None:
+            longest = wait if question.wait is None else question.wait
+            return await self._from_store(after, longest, question.pause)
+        return await self._from_relay(question.relay, question, after)
+
+    async def _from_relay(
+        self, relay: EntryRecord, question: Question, after: int
+    ) -> Result[Changes, StoreFailure]:
+        wait = question.wait or timedelta(0)
+        match await self._port.ask(relay, after, wait, self._sources.patience):
+            case Result(tag="ok", ok=passed) if not self._went_back(passed, after):
+                return Ok(self._passed(passed, after, question.pause))
+            case Result(tag="error", error=Silence(cancelled=True, detail=detail)):
+                return Error(StoreFailure(False, detail))
+            case Result(tag="error", error=silence):
+                self._silent(relay, silence)
+        return await self._from_store(after, timedelta(0), question.pause)
+
+    def _passed(self, passed: Passed, after: int, pause: timedelta | None) -> Changes:
+        self._metrics.count("changes_from_relay")
+        self._sources.complete(passed.complete_at)
+        index = max(after, passed.index)
+        self._learn(passed.facts, index)
+        return Changes(passed.facts, index, pause=pause)
+
+    def _went_back(self, passed: Passed, after: int) -> bool:
+        """Tell whether a relay heard a lower revision later: then the store counts anew."""
+        own = self._sources.known_at
+        return passed.index < after and own is not None and passed.complete_at > own
+
+    def _silent(self, relay: EntryRecord, silence: Silence) -> None:
+        self._metrics.count("relay_silent")
+        log("relay-silent", relay=relay.name, detail=silence.detail)
+        self._sources.silent(relay.name, self._clock.monotonic())
+
+    async def _from_store(
+        self, after: int, wait: timedelta, pause: timedelta | None
+    ) -> Result[Changes, StoreFailure]:
+        self._metrics.count("changes_from_store")
+        asked_at = self._clock.monotonic()
+        outcome = await self._control.changes(after, wait)
+        if outcome.is_error() or outcome.ok.lost:
+            return outcome
+        # Without a wait it may have been true when the question came there, and not much later.
+        self._sources.complete(self._clock.monotonic() if wait else asked_at)
+        self._learn(outcome.ok.facts, outcome.ok.index)
+        return Ok(outcome.ok._replace(pause=pause))
+
+    def _learn(self, facts: t.Iterable[t.Any], index: int) -> None:
+        self._table.changed(facts, index)
+        self._port.publish()
--- a/packages/gateway/src/cardamomloft/gateway/settings.py
+++ b/packages/gateway/src/cardamomloft/gateway/settings.py
@@ -47,7 +47,8 @@
 
     `zones` gives the region of each zone. `stop_time` is how long a stop may take until the
     process is killed, `drain_time` how soon a leaving endpoint must get nothing more, and
-    `lookup_life` how long callers may keep the answer to a look-up. `record_life` is how long the
+    `lookup_life` how long callers may keep the answer to a look-up. `peers` is where it talks
+    with other entries; without it the entry asks the store by itself. `record_life` is how long the
     record of an entry that died stays in the store; stores have a least time for it.
     """
 
@@ -59,6 +60,7 @@
     readiness: Address
     lookups: Address
     operators: Address
+    peers: NotRequired[Address]
     store: Address
     stop_time: DurationText
     drain_time: DurationText
@@ -82,7 +84,17 @@
 """Life of an entry's record unless the settings say another: look-ups go on naming an entry that
 died that long, and a third of it is the time between two renewals."""
 
-FIXED = ("name", "zone", "region", "callers", "readiness", "lookups", "operators", "store")
+FIXED = (
+    "name",
+    "zone",
+    "region",
+    "callers",
+    "readiness",
+    "lookups",
+    "operators",
+    "peers",
+    "store",
+)
 """Settings that need a new start: who the process is, and the addresses that it holds."""
 
 
--- a/packages/gateway/src/cardamomloft/gateway/status.py
+++ b/packages/gateway/src/cardamomloft/gateway/status.py
@@ -38,6 +38,7 @@
             "configuration": gateway.configuration,
             "store_away": gateway.follower.away,
             "store_silence_ms": gateway.follower.silence // timedelta(milliseconds=1),
+            **gateway.feed.status(),
             "in_flight": gateway.app.in_flight,
             "entries": sorted(row.name for row in gateway.entries.records(with_own=True)),
             "drained_zones": sorted(gateway.book.drained_zones),
--- /dev/null
+++ b/packages/gateway/tests/test_relayed_changes.py
@@ -0,0 +1,493 @@
+"""Changes that gateways pass on: in force in time everywhere, never back, whatever relays do.
+
+The gateways here run their own following, asking and answering; the store, the network between
+them and the faults are in memory, on one clock.
+"""
+
+import random
+import typing as t
+from datetime import timedelta
+
+import pytest
+from cardamomloft.core.entrybook import EntryBook
+from cardamomloft.core.messages import ChangesAnswer, ChangesQuestion
+from cardamomloft.core.model import Incarnation
+from cardamomloft.core.registrations import (
+    EntryRecorded,
+    EntryWithdrawn,
+    PlanRead,
+    UpstreamRegistered,
+    ZoneDrained,
+    ZoneRestored,
+)
+from cardamomloft.feed.relays import relays_of
+from cardamomloft.gateway.control import Changes, Listing
+from cardamomloft.gateway.feed import Feed
+from cardamomloft.gateway.following import Follower, Pace
+from cardamomloft.runtime.metrics import Metrics
+from cardamomloft.store.failures import StoreFailure
+from cardamomloft_standins import gateway as kit
+from expression import Error, Ok
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+MS = kit.MS
+DRAIN = 2500 * MS
+ENTRIES = 10
+CALL = 4 * MS
+LINK = 2 * MS
+LOST_AFTER = 700 * MS
+"""When a call to a store that says nothing counts as failed; its wait comes on top."""
+
+IN_TOUCH = 4000 * MS
+"""How long a gateway must have reached the store undisturbed for the bound to count."""
+
+
+class Store:
+    """A store with revisions. Gateways in `cut` hear nothing from it, those in `refused` a no."""
+
+    def __init__(self, time: kit.Time) -> None:
+        self.time = time
+        self.revision = 1
+        self.held: dict[object, object] = {}
+        self.events: list[tuple[int, object]] = []
+        self.first_known = 0
+        self.cut: set[str] = set()
+        self.refused: set[str] = set()
+        self.waiting: list[tuple[int, t.Callable[[], None]]] = []
+        self.calls = 0
+
+    def write(self, key: object, fact: object, *, removes: bool = False) -> None:
+        self.revision += 1
+        self.events.append((self.revision, fact))
+        self.held.pop(key, None)
+        if not removes:
+            self.held[key] = fact
+        waiting, self.waiting = self.waiting, []
+        for _, answer in waiting:
+            answer()
+
+    def forget(self) -> None:
+        self.first_known = self.revision
+
+
+class Client:
+    """One gateway's connection to the store."""
+
+    def __init__(self, store: Store, name: str) -> None:
+        self.store, self.name = store, name
+
+    def read(self):
+        store = self.store
+        return self._call(
+            lambda: Ok(Listing(tuple(store.held.values()), store.revision)), timedelta(0)
+        )
+
+    def changes(self, after, wait):
+        return self._call(lambda: self._news(after), wait, lambda: self.store.revision > after)
+
+    def _news(self, after):
+        store = self.store
+        if after < store.first_known:
+            return Ok(Changes((), after, lost=True))
+        return Ok(Changes(tuple(f for at, f in store.events if at > after), store.revision))
+
+    def _call(self, answer, wait, is_due=lambda: True):
+        store, reactor = self.store, self.store.time.reactor
+        store.calls += 1
+        done = Deferred(lambda _: finish(Error(StoreFailure(False, "cancelled"))))
+
+        def finish(outcome):
+            if not done.called:
+                done.callback(outcome)
+
+        def reply():
+            if self.name not in store.cut:
+                reactor.callLater((CALL / 2).total_seconds(), finish, answer())
+
+        def arrive():
+            if self.name in store.refused:
+                finish(Error(StoreFailure(False, "refused")))
+            elif self.name not in store.cut:
+                if is_due() or not wait:
+                    reply()
+                else:
+                    store.waiting.append((0, reply))
+                    reactor.callLater(wait.total_seconds(), reply)
+
+        lost = Error(StoreFailure(False, "no answer"))
+        reactor.callLater((CALL / 2).total_seconds(), arrive)
+        reactor.callLater((wait + LOST_AFTER).total_seconds(), finish, lost)
+        return done
+
+
+class Network:
+    """Messages between gateways: late, lost, or kept from those in `silenced`."""
+
+    def __init__(self, time: kit.Time, rng: random.Random) -> None:
+        self.time, self.rng = time, rng
+        self.loss = 0.0
+        self.silenced: set[str] = set()
+        self.gateways: dict[str, Gateway] = {}
+
+    def send(self, sender: "Gateway", address: str, message, to) -> bool:
+        receiver = self.gateways[address]
+        lost = self.rng.random() < self.loss
+        if lost or {sender.name, receiver.name} & self.silenced:
+            return True
+        if to not in (None, receiver.me):
+            return True
+        self.time.reactor.callLater(LINK.total_seconds(), receiver.receive, sender.me, message)
+        return True
+
+
+class Gateway:
+    """What a gateway does with the store and its peers, and what it knows by it."""
+
+    def __init__(self, record, store: Store, network: Network, time: kit.Time, seed: int) -> None:
+        self.record, self.name, self.network = record, record.name, network
+        self.me = Incarnation(record.name, str(seed))
+        self.entries = EntryBook(record, timedelta(seconds=10))
+        self.time = time
+        self.plans: list[int] = [0]
+        self.drained: set[str] = set()
+        self.faults = []
+        self.stopped = False
+        network.gateways[record.peers] = self
+        client = Client(store, self.name)
+        metrics = self.metrics = Metrics()
+        self.feed = Feed(time.reactor, time.clock, client, record, self.entries, DRAIN, metrics)
+        self.feed.port.peers = self
+        self.follower = Follower(
+            time.reactor,
+            time.clock,
+            self.feed.control,
+            random.Random(seed),
+            Pace(DRAIN * 0.4, DRAIN * 0.6),
+            self._on_listing,
+            self._on_changes,
+            lambda: None,
+        )
+
+    def start(self) -> None:
+        self.follower.start(self.faults.append)
+
+    def stop(self) -> None:
+        self.stopped = True
+        self.follower.stop()
+        self.feed.stop()
+
+    def send(self, address, message, to=None) -> bool:
+        return self.network.send(self, address, message, to)
+
+    def close(self) -> None:
+        pass
+
+    def receive(self, sender, message) -> None:
+        if not self.stopped:
+            self.feed.port.take(sender, message)
+
+    def _on_listing(self, listing) -> None:
+        self.drained = {fact.zone for fact in listing.facts if isinstance(fact, ZoneDrained)}
+        self._on_changes(listing.facts)
+        names = {fact.record.name for fact in listing.facts if isinstance(fact, EntryRecorded)}
+        self.entries.listed(names, self.time.clock.monotonic())
+
+    def _on_changes(self, facts) -> None:
+        now = self.time.clock.monotonic()
+        for fact in facts:
+            match fact:
+                case PlanRead(plan):
+                    self.plans.append(plan.number)
+                case ZoneDrained(zone):
+                    self.drained.add(zone)
+                case ZoneRestored(zone):
+                    self.drained.discard(zone)
+                case EntryRecorded(record):
+                    self.entries.add(record, now)
+                case EntryWithdrawn(name):
+                    self.entries.withdraw(name, now)
+
+
+class Deployment:
+    """Ten gateways of one region that know each other, and a store with a configuration."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.time = kit.Time(Clock())
+        self.store = Store(self.time)
+        self.network = Network(self.time, random.Random(seed))
+        self.number = 0
+        self.undisturbed: dict[str, timedelta] = {}
+        self.configure()
+        records = kit.entry_records(ENTRIES)
+        self.gateways = [
+            Gateway(record, self.store, self.network, self.time, seed + at)
+            for at, record in enumerate(records)
+        ]
+        for gateway in self.gateways:
+            gateway.start()
+            self.store.write(("entry", gateway.name), EntryRecorded(gateway.record))
+        self.relays = [row.name for row in relays_of("east", records)]
+        self.run(3000 * MS)
+
+    def configure(self) -> None:
+        self.number += 1
+        self.store.write("plan", PlanRead(kit.plan(self.number)))
+
+    def run(self, duration: timedelta) -> None:
+        self.time.advance(duration, 5 * MS)
+
+    def by_name(self, name: str) -> Gateway:
+        return next(gateway for gateway in self.gateways if gateway.name == name)
+
+    def listeners(self) -> list[Gateway]:
+        return [gateway for gateway in self.gateways if gateway.name not in self.relays]
+
+    def late(self) -> list[str]:
+        return [row.name for row in self.gateways if row.plans[-1] != self.number]
+
+
+def counted(gateways, name: str) -> int:
+    return sum(gateway.metrics.counters[name] for gateway in gateways)
+
+
+def test_only_relays_ask_the_store_once_all_know_each_other():
+    run = Deployment()
+    before = counted(run.listeners(), "changes_from_store")
+    run.run(20_000 * MS)
+    assert counted(run.listeners(), "changes_from_store") == before
+    assert counted(run.gateways, "relay_silent") == 0
+    for gateway in run.listeners():
+        assert gateway.feed.status()["relays"] == run.relays
+
+
+def test_a_change_is_passed_on_within_milliseconds_of_the_relay_hearing_it():
+    run = Deployment()
+    run.run(5000 * MS)
+    run.configure()
+    run.run(20 * MS + DRAIN * 0.05)
+    assert run.late() == []
+
+
+def test_changes_in_series_are_in_force_within_half_of_the_drain_time():
+    run = Deployment()
+    for _ in range(20):
+        run.configure()
+        run.run(DRAIN * 0.5)
+        assert run.late() == []
+
+
+@pytest.mark.parametrize("fault", ["cut", "refused", "silenced", "both"])
+def test_relays_that_lose_the_store_or_the_others_delay_no_change_too_long(fault):
+    """The change comes the moment after the relays were cut off: the worst that there is."""
+    run = Deployment()
+    for name in run.relays:
+        if fault in ("cut", "both"):
+            run.store.cut.add(name)
+        if fault == "refused":
+            run.store.refused.add(name)
+        if fault in ("silenced", "both"):
+            run.network.silenced.add(name)
+    run.configure()
+    run.run(DRAIN)
+    others = {gateway.name for gateway in run.listeners()}
+    assert others.isdisjoint(run.late())
+
+
+def test_relays_that_stop_hand_over_at_once():
+    run = Deployment()
+    for name in run.relays:
+        run.by_name(name).stop()
+        run.store.write(("entry", name), EntryWithdrawn(name), removes=True)
+    run.configure()
+    run.run(DRAIN)
+    others = {gateway.name for gateway in run.listeners()}
+    assert others.isdisjoint(run.late())
+    before = counted(run.listeners(), "changes_from_store")
+    run.run(10_000 * MS)
+    asked = counted(run.listeners(), "changes_from_store") - before
+    assert asked < 2 * 10_000 * MS / (DRAIN * 0.35) + 2
+
+
+def test_a_history_that_is_forgotten_hides_nothing():
+    run = Deployment()
+    run.store.write(("zone", "b"), ZoneDrained("b"))
+    run.run(DRAIN)
+    run.store.write(("zone", "b"), ZoneRestored("b"), removes=True)
+    run.configure()
+    run.store.forget()
+    run.run(DRAIN)
+    assert run.late() == []
+    assert [row.name for row in run.gateways if row.drained] == []
+
+
+def test_a_gateway_that_restarts_is_answered_though_it_has_an_old_relay():
+    run = Deployment()
+    old = run.listeners()[0]
+    old.stop()
+    new = Gateway(old.record, run.store, run.network, run.time, 99)
+    run.gateways = [new if row is old else row for row in run.gateways]
+    new.start()
+    run.run(DRAIN)
+    before = new.metrics.counters["changes_from_store"]
+    run.run(3 * DRAIN)
+    assert new.metrics.counters["changes_from_store"] == before
+    run.configure()
+    run.run(DRAIN)
+    assert run.late() == []
+
+
+def test_a_doubted_question_to_a_relay_leads_to_the_store():
+    run = Deployment()
+    listener = run.listeners()[0]
+    before = listener.metrics.counters["changes_from_store"]
+    run.run(DRAIN * 0.2)
+    listener.follower.doubt()
+    run.run(700 * MS)
+    assert listener.metrics.counters["changes_from_store"] == before + 1
+
+
+def test_answers_that_nobody_asked_for_change_nothing():
+    run = Deployment()
+    listener, stranger = run.listeners()[0], Incarnation("stranger", "1")
+    for number in range(200):
+        listener.receive(stranger, ChangesAnswer(number, 10**9, b"", 0, 0))
+        listener.receive(Incarnation(run.relays[0], "9"), ChangesAnswer(number, 10**9, b"x", 0, 0))
+    listener.receive(stranger, ChangesQuestion(1, 0, 10**9))
+    run.configure()
+    run.run(DRAIN)
+    assert run.late() == []
+    assert listener.faults == []
+
+
+FAULTS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["cut", "refused", "silenced", "loss", "forget", "restart", "stop", "zone", "heal"]
+        ),
+        st.integers(0, ENTRIES - 1),
+        st.integers(0, 40),
+    ),
+    max_size=12,
+)
+
+
+class Troubles:
+    """Brings faults about, and notes since when the store is undisturbed for each gateway."""
+
+    def __init__(self, run: Deployment) -> None:
+        self.run = run
+        self.disturbed_at = {gateway.name: -IN_TOUCH for gateway in run.gateways}
+
+    def bring(self, kind: str, at: int) -> None:
+        run = self.run
+        gateway = run.gateways[at]
+        match kind:
+            case "cut" | "refused":
+                getattr(run.store, kind).add(gateway.name)
+            case "silenced":
+                run.network.silenced.add(gateway.name)
+            case "loss":
+                run.network.loss = 0.3
+            case "forget":
+                run.store.forget()
+                for name in self.disturbed_at:
+                    self._disturb(name)
+            case "restart" | "stop":
+                self._end(gateway, restarts=kind == "restart")
+            case "zone":
+                drained = ("zone", "b") in run.store.held
+                fact = ZoneRestored("b") if drained else ZoneDrained("b")
+                run.store.write(("zone", "b"), fact, removes=drained)
+            case "heal":
+                for name in run.store.cut | run.store.refused:
+                    self._disturb(name)
+                run.store.cut.clear()
+                run.store.refused.clear()
+                run.network.silenced.clear()
+                run.network.loss = 0.0
+
+    def in_touch(self, gateway: Gateway) -> bool:
+        if gateway.stopped or gateway.name in self.run.store.cut | self.run.store.refused:
+            return False
+        now = self.run.time.clock.monotonic()
+        return now - self.disturbed_at[gateway.name] >= IN_TOUCH + DRAIN
+
+    def _disturb(self, name: str) -> None:
+        self.disturbed_at[name] = self.run.time.clock.monotonic()
+
+    def _end(self, gateway: Gateway, *, restarts: bool) -> None:
+        run = self.run
+        if not gateway.stopped:
+            gateway.stop()
+        self._disturb(gateway.name)
+        if restarts:
+            new = Gateway(gateway.record, run.store, run.network, run.time, id(gateway) % 1000)
+            run.gateways = [new if row is gateway else row for row in run.gateways]
+            new.start()
+        else:
+            key = ("entry", gateway.name)
+            run.store.write(key, EntryWithdrawn(gateway.name), removes=True)
+
+
+@settings(max_examples=60, deadline=None)
+@given(FAULTS, st.integers(0, 1000))
+def test_under_any_series_of_faults_changes_are_in_time_and_nothing_goes_back(faults, seed):
+    """A gateway that reaches the store has each change within the drain time, whatever else fails.
+
+    Some of the series have a change every second, so that one is always on its way.
+    """
+    run = Deployment(seed)
+    troubles = Troubles(run)
+    for kind, at, pause in faults:
+        troubles.bring(kind, at)
+        run.configure()
+        run.run(pause * 100 * MS)
+        _check(run)
+        run.configure()
+        run.run(DRAIN)
+        held_back = [row.name for row in run.gateways if troubles.in_touch(row)]
+        assert set(held_back).isdisjoint(run.late())
+    troubles.bring("heal", 0)
+    run.run(IN_TOUCH + DRAIN)
+    live = [row for row in run.gateways if not row.stopped]
+    drained = {fact.zone for fact in run.store.held.values() if isinstance(fact, ZoneDrained)}
+    assert {row.name for row in live}.isdisjoint(run.late())
+    assert [row.name for row in live if row.drained != drained] == []
+    _check(run)
+
+
+def _check(run: Deployment) -> None:
+    for gateway in run.gateways:
+        assert gateway.faults == []
+        assert gateway.plans == sorted(gateway.plans)
+
+
+def test_a_relay_tells_only_of_what_has_changed():
+    run = Deployment()
+    same = UpstreamRegistered(kit.registration(1))
+    run.store.write("i-1", same)
+    run.run(DRAIN)
+    answered = counted(run.listeners(), "changes_from_relay")
+    for _ in range(100):
+        run.store.write("i-1", same)
+        run.run(25 * MS)
+    # Without changes a question lasts as long as it may; 40 of 8 listeners would fit otherwise.
+    assert counted(run.listeners(), "changes_from_relay") - answered <= 8 * 6
+
+
+def test_succeeding_calls_are_left_to_the_store():
+    control = kit.FakeControl()
+    record = kit.entry_records(1)[0]
+    book = EntryBook(record, timedelta(seconds=10))
+    time = kit.Time(Clock())
+    feed = Feed(time.reactor, time.clock, control, record, book, DRAIN, Metrics())
+    results = []
+    feed.control.record(record, DRAIN).addCallback(results.append)
+    feed.control.renew("7").addCallback(results.append)
+    feed.control.withdraw("7").addCallback(results.append)
+    assert control.calls == ["record east-1", "renew 7", "withdraw 7"]
+    assert results == [Ok("7"), Ok(True), Ok(None)]
+    assert isinstance(feed.control.changes(1, timedelta(0)), Deferred)
--- a/packages/peers/src/cardamomloft/peers/codec.py
+++ b/packages/peers/src/cardamomloft/peers/codec.py
@@ -28,6 +28,8 @@
     messages.ChunkRequest,
     messages.ChunkReply,
     messages.VmNotice,
+    messages.ChangesQuestion,
+    messages.ChangesAnswer,
 )
 _HEADERS = {kind: MAGIC + bytes([VERSION, at]) for at, kind in enumerate(_KINDS)}
 
--- a/standins/src/cardamomloft_standins/gateway.py
+++ b/standins/src/cardamomloft_standins/gateway.py
@@ -5,7 +5,12 @@
 from datetime import timedelta
 
 from cardamomloft.core.clock import ManualClock
-from cardamomloft.core.registrations import PlanRead, Registration, UpstreamRegistered
+from cardamomloft.core.registrations import (
+    EntryRecord,
+    PlanRead,
+    Registration,
+    UpstreamRegistered,
+)
 from cardamomloft.core.routes import (
     CallerLimits,
     RoutePlan,
@@ -62,6 +67,20 @@
     return Listing(tuple(facts), index)
 
 
+def entry_records(count: int, region: str = "east", zones: str = "abc") -> list[EntryRecord]:
+    """Return the records of `count` entries of a region, its zones in turn."""
+    return [
+        EntryRecord(
+            name=f"{region}-{number}",
+            address=f"10.0.0.{number}:80",
+            zone=zones[number % len(zones)],
+            region=region,
+            peers=f"10.0.0.{number}:90",
+        )
+        for number in range(1, count + 1)
+    ]
+
+
 class FakeBody:
     """An answer's body: bytes that are whole, or a text that says why they are not."""
 
