--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -4,7 +4,6 @@
 import typing as t
 from collections import Counter
 from datetime import timedelta
-from functools import singledispatchmethod
 
 from cardamomloft.callers.app import CallersApp, listen
 from cardamomloft.callers.body import RequestBody
@@ -14,20 +13,7 @@
 from cardamomloft.core.entrybook import EntryBook
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.naming import entries_for
-from cardamomloft.core.registrations import (
-    EntryRecord,
-    EntryRecorded,
-    EntryWithdrawn,
-    Fact,
-    PlanRead,
-    Unreadable,
-    UpstreamBook,
-    UpstreamRegistered,
-    UpstreamUnreadable,
-    UpstreamWithdrawn,
-    ZoneDrained,
-    ZoneRestored,
-)
+from cardamomloft.core.registrations import EntryRecord, UpstreamBook
 from cardamomloft.core.routes import RoutePlan
 from cardamomloft.core.selection import Preferences, Selector
 from cardamomloft.core.timekeeping import Timekeeper
@@ -37,9 +23,10 @@
 from cardamomloft.gateway.following import Follower, Pace
 from cardamomloft.gateway.forwarding import Forwarder
 from cardamomloft.gateway.presence import Presence
-from cardamomloft.gateway.records import Known, RequestLog
+from cardamomloft.gateway.records import RequestLog
 from cardamomloft.gateway.settings import FIXED, Bounds, GatewaySettings, bounds_of
 from cardamomloft.gateway.status import GatewayStatus
+from cardamomloft.gateway.storeview import StoreView
 from cardamomloft.runtime.control import ControlApp
 from cardamomloft.runtime.lifecycle import make_life_cycle
 from cardamomloft.runtime.logs import log
@@ -134,9 +121,7 @@
         self.pages: IListeningPort | None = None
         self._hard_stop: IDelayedCall | None = None
         self._reader: Reader | None = None
-        self._listed = False
         self._logged_figures: Counter[str] = Counter()
-        self._unreadable = Known()
         self._timekeeper = Timekeeper(clock, _TICK)
         self._build()
 
@@ -168,6 +153,9 @@
         self.presence = Presence(
             self._control, own, bounds.record_life, lambda: self.follower.doubt()
         )
+        self.view = StoreView(
+            clock, self.book, self.entries, self.selector, self._client.forget, self._put_in_force
+        )
         self.feed = Feed(
             self._reactor,
             clock,
@@ -184,8 +172,8 @@
             self._rng,
             _pace(bounds),
             self._on_listing,
-            self._on_changes,
-            self._on_returned,
+            self.view.take_changes,
+            self.view.store_returned,
         )
 
     def _budget_for(self, service: str) -> RetryBudget:
@@ -336,99 +324,9 @@
     # The store.
 
     def _on_listing(self, listing: Listing) -> None:
-        now = self._clock.monotonic()
-        self._on_changes(listing.facts)
-        upstreams = _listed_upstreams(listing.facts)
-        entries = {fact.record.name for fact in listing.facts if isinstance(fact, EntryRecorded)}
-        drained = {fact.zone for fact in listing.facts if isinstance(fact, ZoneDrained)}
-        self._log_gone(self.book.listed(upstreams, now))
-        self.entries.listed(entries, now)
-        for zone in self.book.drained_zones - drained:
-            self._take(ZoneRestored(zone))
-        self._listed = True
+        self.view.take_listing(listing)
         self._check_prepared()
 
-    def _on_changes(self, facts: tuple[Fact, ...]) -> None:
-        withdrawn = _withdrawn(facts)
-        if self.book.have_lapsed(withdrawn):
-            log("registrations-lapsed", count=len(withdrawn), of=len(self.book))
-            self.book.expect_returns(self._clock.monotonic())
-        for fact in facts:
-            self._take(fact)
-        self._share_budgets()
-
-    def _share_budgets(self) -> None:
-        self.selector.entries = self.entries.sharing(self._clock.monotonic())
-        self.selector.others = [row.name for row in self.entries.records(with_own=False)]
-
-    def _on_returned(self) -> None:
-        self.entries.expect_returns(self._clock.monotonic())
-
-    @singledispatchmethod
-    def _take(self, fact: Fact) -> None:
-        raise TypeError(f"not a fact: {fact!r}")
-
-    @_take.register
-    def _(self, fact: PlanRead) -> None:
-        self._put_in_force(fact.plan)
-
-    @_take.register
-    def _(self, fact: UpstreamRegistered) -> None:
-        row, before = fact.registration, self.book.get(fact.registration.id)
-        self._unreadable.forget(row.id)
-        if self.book.register(row, self._clock.monotonic()):
-            if before is not None and self.book.get(row.id) is not before:
-                # What was kept open belongs to the life before.
-                self._client.forget(before.registration.address)
-            log(
-                "upstream",
-                id=row.id,
-                service=row.service,
-                address=row.address,
-                zone=row.zone,
-                draining=row.draining,
-                started_ms=row.started_ms,
-                cold_ms=row.cold_left // timedelta(milliseconds=1),
-            )
-
-    @_take.register
-    def _(self, fact: UpstreamWithdrawn) -> None:
-        self._unreadable.forget(fact.id)
-        if self.book.withdraw(fact.id, self._clock.monotonic()):
-            self._log_gone([fact.id])
-
-    @_take.register
-    def _(self, fact: UpstreamUnreadable) -> None:
-        used = self.book.hide(fact.id)
-        if self._unreadable.is_new(fact.id, fact.detail):
-            log("unreadable", upstream=fact.id, detail=fact.detail, was_used=used)
-
-    @_take.register
-    def _(self, fact: ZoneDrained) -> None:
-        if self.book.drain_zone(fact.zone):
-            log("zone-drained", zone=fact.zone)
-
-    @_take.register
-    def _(self, fact: ZoneRestored) -> None:
-        cold_times = {name: row.cold_time for name, row in self.selector.policies.items()}
-        if self.book.restore_zone(fact.zone, self._clock.monotonic(), cold_times):
-            log("zone-restored", zone=fact.zone)
-
-    @_take.register
-    def _(self, fact: EntryRecorded) -> None:
-        if self.entries.add(fact.record, self._clock.monotonic()):
-            log("entry", name=fact.record.name, address=fact.record.address)
-
-    @_take.register
-    def _(self, fact: EntryWithdrawn) -> None:
-        if self.entries.withdraw(fact.name, self._clock.monotonic()):
-            log("entry-gone", name=fact.name)
-
-    @_take.register
-    def _(self, fact: Unreadable) -> None:
-        if self._unreadable.is_new(fact.key, fact.detail):
-            log("unreadable", key=fact.key, detail=fact.detail)
-
     def _put_in_force(self, plan: RoutePlan) -> None:
         held = self.configuration
         if plan.number <= held:
@@ -443,22 +341,14 @@
         self._check_prepared()
 
     def _check_prepared(self) -> None:
-        if self._listed and self._reader is not None:
+        if self.view.listed and self._reader is not None:
             self.life.prepared()
 
-    def _log_gone(self, ids: list[str]) -> None:
-        for upstream_id in ids:
-            log("upstream-gone", id=upstream_id)
-
     # Timers.
 
     def _tick(self) -> None:
         self._log_irregularity()
-        now = self._clock.monotonic()
-        self._log_gone(self.book.tick(now))
-        for name in self.entries.tick(now):
-            log("entry-gone", name=name)
-        self._share_budgets()
+        self.view.tick()
 
     def _log_irregularity(self) -> None:
         found = self._timekeeper.look()
@@ -486,21 +376,3 @@
 
 def _pace(bounds: Bounds) -> Pace:
     return Pace(bounds.drain_time * FOLLOW_PART, bounds.drain_time * WAIT_PART)
-
-
-def _listed_upstreams(facts: t.Iterable[Fact]) -> set[str]:
-    """Return the ids under which something is registered, readable or not."""
-    found = {fact.registration.id for fact in facts if isinstance(fact, UpstreamRegistered)}
-    return found | {fact.id for fact in facts if isinstance(fact, UpstreamUnreadable)}
-
-
-def _withdrawn(facts: t.Iterable[Fact]) -> set[str]:
-    """Return the ids of the endpoints that are withdrawn after all of `facts`."""
-    found: set[str] = set()
-    for fact in facts:
-        match fact:
-            case UpstreamWithdrawn():
-                found.add(fact.id)
-            case UpstreamRegistered():
-                found.discard(fact.registration.id)
-    return found
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/storeview.py
@@ -0,0 +1,194 @@
+"""What a gateway knows of the control store's contents, and what each fact changes in it."""
+
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from functools import singledispatchmethod
+
+from cardamomloft.core.clock import Clock
+from cardamomloft.core.entrybook import EntryBook
+from cardamomloft.core.registrations import (
+    EntryRecorded,
+    EntryWithdrawn,
+    Fact,
+    PlanRead,
+    Unreadable,
+    UpstreamBook,
+    UpstreamRegistered,
+    UpstreamUnreadable,
+    UpstreamWithdrawn,
+    ZoneDrained,
+    ZoneRestored,
+)
+from cardamomloft.core.routes import RoutePlan
+from cardamomloft.core.selection import Selector
+from cardamomloft.gateway.control import Listing
+from cardamomloft.gateway.records import Known
+from cardamomloft.runtime.logs import log
+
+
+class StoreView:
+    """Applies facts to the books of upstreams and entries, and to what is derived from them.
+
+    Parameters
+    ----------
+    clock
+        Source of time.
+    book, entries
+        The upstream endpoints and the entries that are known.
+    selector
+        Divides limits among the entries.
+    forget
+        Closes idle connections to an address, whose endpoint has started anew.
+    on_plan
+        Takes a configuration, which may be older than the one in force.
+
+    Attributes
+    ----------
+    listed
+        Whether a whole list was taken.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        book: UpstreamBook,
+        entries: EntryBook,
+        selector: Selector,
+        forget: Callable[[str], None],
+        on_plan: Callable[[RoutePlan], None],
+    ) -> None:
+        self._clock = clock
+        self._book = book
+        self._entries = entries
+        self._selector = selector
+        self._forget = forget
+        self._on_plan = on_plan
+        self._unreadable = Known()
+        self.listed = False
+
+    def take_listing(self, listing: Listing) -> None:
+        """Take a list of all that the store holds: what is not in it has gone."""
+        now = self._clock.monotonic()
+        self.take_changes(listing.facts)
+        upstreams = _listed_upstreams(listing.facts)
+        entries = {fact.record.name for fact in listing.facts if isinstance(fact, EntryRecorded)}
+        drained = {fact.zone for fact in listing.facts if isinstance(fact, ZoneDrained)}
+        _log_gone(self._book.listed(upstreams, now))
+        self._entries.listed(entries, now)
+        for zone in self._book.drained_zones - drained:
+            self._take(ZoneRestored(zone))
+        self.listed = True
+
+    def take_changes(self, facts: tuple[Fact, ...]) -> None:
+        """Take facts that have changed, in order."""
+        withdrawn = _withdrawn(facts)
+        if self._book.have_lapsed(withdrawn):
+            log("registrations-lapsed", count=len(withdrawn), of=len(self._book))
+            self._book.expect_returns(self._clock.monotonic())
+        for fact in facts:
+            self._take(fact)
+        self._share_budgets()
+
+    def store_returned(self) -> None:
+        """Note that the store answers again: records that lapsed may come back."""
+        self._entries.expect_returns(self._clock.monotonic())
+
+    def tick(self) -> None:
+        """Withdraw what did not come back in time."""
+        now = self._clock.monotonic()
+        _log_gone(self._book.tick(now))
+        for name in self._entries.tick(now):
+            log("entry-gone", name=name)
+        self._share_budgets()
+
+    def _share_budgets(self) -> None:
+        self._selector.entries = self._entries.sharing(self._clock.monotonic())
+        self._selector.others = [row.name for row in self._entries.records(with_own=False)]
+
+    @singledispatchmethod
+    def _take(self, fact: Fact) -> None:
+        raise TypeError(f"not a fact: {fact!r}")
+
+    @_take.register
+    def _(self, fact: PlanRead) -> None:
+        self._on_plan(fact.plan)
+
+    @_take.register
+    def _(self, fact: UpstreamRegistered) -> None:
+        row, before = fact.registration, self._book.get(fact.registration.id)
+        self._unreadable.forget(row.id)
+        if self._book.register(row, self._clock.monotonic()):
+            if before is not None and self._book.get(row.id) is not before:
+                # What was kept open belongs to the life before.
+                self._forget(before.registration.address)
+            log(
+                "upstream",
+                id=row.id,
+                service=row.service,
+                address=row.address,
+                zone=row.zone,
+                draining=row.draining,
+                started_ms=row.started_ms,
+                cold_ms=row.cold_left // timedelta(milliseconds=1),
+            )
+
+    @_take.register
+    def _(self, fact: UpstreamWithdrawn) -> None:
+        self._unreadable.forget(fact.id)
+        if self._book.withdraw(fact.id, self._clock.monotonic()):
+            _log_gone([fact.id])
+
+    @_take.register
+    def _(self, fact: UpstreamUnreadable) -> None:
+        used = self._book.hide(fact.id)
+        if self._unreadable.is_new(fact.id, fact.detail):
+            log("unreadable", upstream=fact.id, detail=fact.detail, was_used=used)
+
+    @_take.register
+    def _(self, fact: ZoneDrained) -> None:
+        if self._book.drain_zone(fact.zone):
+            log("zone-drained", zone=fact.zone)
+
+    @_take.register
+    def _(self, fact: ZoneRestored) -> None:
+        cold_times = {name: row.cold_time for name, row in self._selector.policies.items()}
+        if self._book.restore_zone(fact.zone, self._clock.monotonic(), cold_times):
+            log("zone-restored", zone=fact.zone)
+
+    @_take.register
+    def _(self, fact: EntryRecorded) -> None:
+        if self._entries.add(fact.record, self._clock.monotonic()):
+            log("entry", name=fact.record.name, address=fact.record.address)
+
+    @_take.register
+    def _(self, fact: EntryWithdrawn) -> None:
+        if self._entries.withdraw(fact.name, self._clock.monotonic()):
+            log("entry-gone", name=fact.name)
+
+    @_take.register
+    def _(self, fact: Unreadable) -> None:
+        if self._unreadable.is_new(fact.key, fact.detail):
+            log("unreadable", key=fact.key, detail=fact.detail)
+
+
+def _log_gone(ids: Iterable[str]) -> None:
+    for upstream_id in ids:
+        log("upstream-gone", id=upstream_id)
+
+
+def _listed_upstreams(facts: Iterable[Fact]) -> set[str]:
+    """Return the ids under which something is registered, readable or not."""
+    found = {fact.registration.id for fact in facts if isinstance(fact, UpstreamRegistered)}
+    return found | {fact.id for fact in facts if isinstance(fact, UpstreamUnreadable)}
+
+
+def _withdrawn(facts: Iterable[Fact]) -> set[str]:
+    """Return the ids of the endpoints that are withdrawn after all of `facts`."""
+    found: set[str] = set()
+    for fact in facts:
+        match fact:
+            case UpstreamWithdrawn():
+                found.add(fact.id)
+            case UpstreamRegistered():
+                found.discard(fact.registration.id)
+    return found
--- a/packages/gateway/tests/test_gateway.py
+++ b/packages/gateway/tests/test_gateway.py
@@ -153,7 +153,9 @@
 
 def test_what_is_unreadable_is_logged_once_and_again_when_it_was_mended(monkeypatch):
     lines = []
-    monkeypatch.setattr("cardamomloft.gateway.node.log", lambda name, **row: lines.append(name))
+    monkeypatch.setattr(
+        "cardamomloft.gateway.storeview.log", lambda name, **row: lines.append(name)
+    )
     run = Run()
     for index in (11, 12, 13):
         run.change(UNREADABLE, Unreadable("entries/e-9", "no address"), index=index)
