--- a/packages/gateway/src/cardamomloft/gateway/storecontrol.py
+++ b/packages/gateway/src/cardamomloft/gateway/storecontrol.py
@@ -29,7 +29,7 @@
 from cardamomloft.store.failures import StoreFailure
 from cardamomloft.store.keyvalue import Listed, Record, Store
 from expression import Error, Ok, Result
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred, succeed
 
 DOCUMENT_KEY = "routes/current"
 UPSTREAMS = "upstreams/"
@@ -41,7 +41,8 @@
     """A :class:`~cardamomloft.gateway.control.Control` over a key-value store.
 
     The store has no history of changes, so each question lists all keys, and what differs from
-    the list before is a change.
+    the list before is a change. That is all that has changed only for who has learned nothing
+    elsewhere since that list; others have to take the whole list.
 
     Parameters
     ----------
@@ -55,6 +56,7 @@
         self._store = store
         self._prefix = prefix
         self._known: dict[str, int] = {}
+        self._index: int | None = None
 
     def read(self) -> "Deferred[Result[Listing, StoreFailure]]":
         """List everything."""
@@ -62,7 +64,9 @@
         return ensureDeferred(self._read())
 
     def changes(self, after: int, wait: timedelta) -> "Deferred[Result[Changes, StoreFailure]]":
-        """Return what differs from the last list, at once."""
+        """Return what differs from the last list, at once; `lost` if `after` is not its index."""
+        if self._index not in (None, after):
+            return succeed(Ok(Changes((), after, lost=True)))
         return ensureDeferred(self._changes())
 
     async def _read(self) -> Result[Listing, StoreFailure]:
@@ -80,6 +84,7 @@
             _read(key, row) for key, row in records.items() if self._known.get(key) != row.version
         ]
         self._known = {key: row.version for key, row in records.items()}
+        self._index = listed.index
         return tuple(fact for fact in facts if fact is not None)
 
     def record(self, record: EntryRecord, life: timedelta) -> "Deferred[Result[str, StoreFailure]]":
--- a/packages/gateway/tests/test_storecontrol.py
+++ b/packages/gateway/tests/test_storecontrol.py
@@ -97,17 +97,42 @@
     return set(_result(control.changes(after, timedelta(0))).ok.facts)
 
 
+class Asker:
+    """Lists once, and asks for changes since the last answer."""
+
+    def __init__(self, control) -> None:
+        self.control = control
+        self.listing = _result(control.read()).ok
+        self.index = self.listing.index
+
+    def changes(self):
+        found = _result(self.control.changes(self.index, timedelta(0))).ok
+        self.index = found.index
+        return set(found.facts)
+
+
 def test_a_list_gives_all_facts_and_then_only_what_differs():
     store = ListStore(routes__current=DOCUMENT, upstreams__i_1=REGISTRATION, drained_zones__b=1)
-    control = StoreControl(store, "g/")
-    kinds = {type(fact) for fact in _result(control.read()).ok.facts}
+    asker = Asker(StoreControl(store, "g/"))
+    kinds = {type(fact) for fact in asker.listing.facts}
     assert kinds == {PlanRead, UpstreamRegistered, ZoneDrained}
-    assert _facts(control) == set()
+    assert asker.changes() == set()
     store.put(upstreams__i_1={**REGISTRATION, "draining": True})
-    (fact,) = _facts(control)
+    (fact,) = asker.changes()
     assert fact.registration.draining
     del store.values["g/upstreams/i-1"], store.values["g/drained-zones/b"]
-    assert _facts(control) == {UpstreamWithdrawn("i-1"), ZoneRestored("b")}
+    assert asker.changes() == {UpstreamWithdrawn("i-1"), ZoneRestored("b")}
+
+
+def test_who_has_learned_elsewhere_meanwhile_has_to_list_again():
+    """An endpoint came by a relay and has gone since: no list of this process shows either."""
+    store = ListStore(routes__current=DOCUMENT)
+    asker = Asker(StoreControl(store, "g/"))
+    asker.index += 5
+    found = _result(asker.control.changes(asker.index, timedelta(0))).ok
+    assert found.lost and found.facts == ()
+    relisted = Asker(asker.control)
+    assert relisted.changes() == set()
 
 
 def test_the_configurations_number_is_its_version_in_the_store():
