Renew leases twice in their life, and try a failed renewal again at once

Hypothesis: what bounds a lapse is that two lost calls are borne; a second try at once gives that with two renewals instead of three. Ruled out: a longer life of the record, since look-ups name an entry that died for that long.

--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -2,7 +2,7 @@
 
 While nothing changes a question lasts as long as the store may wait. It can get lost meanwhile:
 when its connection dies in silence, of which probes tell, or when the store goes away, of which a
-renewal of the entry's lease tells, a call each second that costs a tenth. A change is known after
+renewal of the entry's lease tells, a call each 1.5 s that costs a tenth. A change is known after
 13 ms (one, logged). After a change the next question waits for the interval, so that a time of many
 changes, such as a service's release, costs no more than before.
 """
--- a/packages/gateway/src/cardamomloft/gateway/presence.py
+++ b/packages/gateway/src/cardamomloft/gateway/presence.py
@@ -7,11 +7,14 @@
 from cardamomloft.core.registrations import EntryRecord
 from cardamomloft.gateway.control import Control
 from cardamomloft.runtime.logs import log
+from cardamomloft.store.failures import StoreFailure
 from expression import Result
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
 
-RENEWALS = 3
-"""Renewals in the life of a lease, so that two may fail."""
+RENEWALS = 2
+"""Renewals in the life of a lease. One that fails is tried again at once, so that two calls may be
+lost before it lapses. With three renewals and no second try two might be lost as well, for half as
+many calls again: they were 819 of 6,111 with 195 gateways, a calm day, one run, each at a tenth."""
 
 
 class Presence:
@@ -62,9 +65,7 @@
         if self._withdrawn:
             return
         if self._lease is not None:
-            renewed = await self._control.renew(self._lease)
-            if renewed.is_error():
-                self._on_failed()
+            renewed = await self._renew(self._lease)
             if renewed != Result.Ok(False):
                 return
             log("entry-lease-lapsed", entry=self._record.name)
@@ -75,6 +76,13 @@
             case Result(error=failure):
                 log("entry-not-recorded", entry=self._record.name, detail=failure.detail)
 
+    async def _renew(self, lease: str) -> Result[bool, StoreFailure]:
+        renewed = await self._control.renew(lease)
+        if renewed.is_error():
+            self._on_failed()
+            renewed = await self._control.renew(lease)
+        return renewed
+
     async def _recorded(self, lease: str) -> None:
         log("entry-recorded", entry=self._record.name)
         if self._withdrawn:
--- a/packages/gateway/src/cardamomloft/gateway/settings.py
+++ b/packages/gateway/src/cardamomloft/gateway/settings.py
@@ -82,7 +82,7 @@
 
 RECORD_LIFE = "3s"
 """Life of an entry's record unless the settings say another: look-ups go on naming an entry that
-died that long, and a third of it is the time between two renewals."""
+died that long, and half of it is the time between two renewals."""
 
 FIXED = (
     "name",
