Let a gateway that leaves or has just started ask the store, not a relay

Cause, found by reading: a relay answers only gateways that are recorded. Change: a gateway counts itself among those that are known only while it is ready. Test: a leaving one has each change in time and is left without an answer once at most.

--- a/packages/feed/src/cardamomloft/feed/sources.py
+++ b/packages/feed/src/cardamomloft/feed/sources.py
@@ -92,8 +92,13 @@
         return self.drain_time * ANSWER_PART
 
     def next(self, records: Iterable[EntryRecord], now: timedelta) -> Question:
-        """Return the next question, given the gateways that are recorded."""
-        relays = relays_of(self._own.region, records) if self._own.peers else []
+        """Return the next question, given the gateways that are recorded.
+
+        A relay answers only whom it knows, so a gateway that starts or leaves asks the store.
+        """
+        known = {row.name: row for row in records}
+        answered = self._own.peers and self._own.name in known
+        relays = relays_of(self._own.region, known.values()) if answered else []
         if self._own.name in [row.name for row in relays]:
             return self._as_relay(now)
         heard = [row for row in by_nearness(self._own, relays) if self._trusted(row, now)]
--- a/packages/feed/tests/test_sources.py
+++ b/packages/feed/tests/test_sources.py
@@ -43,6 +43,11 @@
     assert sources.next(KNOWN, START) == Question(None)
 
 
+def test_a_gateway_that_the_others_do_not_know_asks_the_store():
+    others = [row for row in KNOWN if row != LISTENER]
+    assert listener().next(others, START) == Question(None)
+
+
 def test_a_listener_asks_a_relay():
     question = listener().next(KNOWN, START)
     assert question.relay in RELAYS
--- a/packages/gateway/src/cardamomloft/gateway/feed.py
+++ b/packages/gateway/src/cardamomloft/gateway/feed.py
@@ -2,6 +2,7 @@
 
 import typing as t
 import uuid
+from collections.abc import Callable
 from datetime import timedelta
 
 from cardamomloft.core.clock import Clock
@@ -35,6 +36,8 @@
         This gateway's record. Without an address for peers it asks the store by itself.
     entries
         The gateways that are recorded.
+    present
+        Tells whether the others are to know of this gateway.
     drain_time
         How soon a change must be in force.
     metrics
@@ -55,6 +58,7 @@
         control: Control,
         own: EntryRecord,
         entries: EntryBook,
+        present: Callable[[], bool],
         drain_time: timedelta,
         metrics: Metrics,
     ) -> None:
@@ -62,6 +66,7 @@
         self._clock = clock
         self._own = own
         self._entries = entries
+        self._present = present
         self._sources = Sources(own, drain_time)
         table = ChangeTable()
         self.port = RelayPort(reactor, clock, table, self._age, self._address_of, metrics)
@@ -110,7 +115,7 @@
         return self._sources.age(self._clock.monotonic())
 
     def _records(self) -> list[EntryRecord]:
-        return self._entries.records(with_own=True)
+        return self._entries.records(with_own=self._present())
 
     def _address_of(self, name: str) -> str | None:
         return next((row.peers for row in self._records() if row.name == name), None) or None
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -162,6 +162,7 @@
             self._control,
             own,
             self.entries,
+            self.ready,
             bounds.drain_time,
             self.metrics,
         )
--- a/packages/gateway/src/cardamomloft/gateway/relayedcontrol.py
+++ b/packages/gateway/src/cardamomloft/gateway/relayedcontrol.py
@@ -37,7 +37,7 @@
     port
         Asks relays, and is told of changes.
     records
-        Returns the gateways that are recorded, this one included.
+        Returns the gateways that are recorded, this one too if the others know of it.
     metrics
         Counts who answered.
     """
--- a/packages/gateway/tests/test_relayed_changes.py
+++ b/packages/gateway/tests/test_relayed_changes.py
@@ -158,7 +158,17 @@
         network.gateways[record.peers] = self
         client = Client(store, self.name)
         metrics = self.metrics = Metrics()
-        self.feed = Feed(time.reactor, time.clock, client, record, self.entries, DRAIN, metrics)
+        self.present = True
+        self.feed = Feed(
+            time.reactor,
+            time.clock,
+            client,
+            record,
+            self.entries,
+            lambda: self.present,
+            DRAIN,
+            metrics,
+        )
         self.feed.port.peers = self
         self.follower = Follower(
             time.reactor,
@@ -311,6 +321,20 @@
     assert asked < 2 * 10_000 * MS / (DRAIN * 0.35) + 2
 
 
+def test_a_gateway_that_leaves_hears_of_changes_from_the_store():
+    """Its record is gone, so no relay answers it; it still serves those who asked before."""
+    run = Deployment()
+    leaving = run.listeners()[0]
+    run.store.write(("entry", leaving.name), EntryWithdrawn(leaving.name), removes=True)
+    leaving.present = False
+    run.run(DRAIN)
+    for _ in range(3):
+        run.configure()
+        run.run(DRAIN)
+        assert run.late() == []
+    assert leaving.metrics.counters["relay_silent"] <= 1
+
+
 def test_a_history_that_is_forgotten_hides_nothing():
     run = Deployment()
     run.store.write(("zone", "b"), ZoneDrained("b"))
@@ -483,7 +507,7 @@
     record = kit.entry_records(1)[0]
     book = EntryBook(record, timedelta(seconds=10))
     time = kit.Time(Clock())
-    feed = Feed(time.reactor, time.clock, control, record, book, DRAIN, Metrics())
+    feed = Feed(time.reactor, time.clock, control, record, book, lambda: True, DRAIN, Metrics())
     results = []
     feed.control.record(record, DRAIN).addCallback(results.append)
     feed.control.renew("7").addCallback(results.append)
