Bound the numbers in messages between gateways before time is made of them

Cause, found by reading: an age or wait beyond a timedelta's range raised in the handler, and an answer that claimed to have been held for longer than it was asked for made knowledge younger than it can be, so that the store would not have been asked. Four of the six new checks fail without the change.

--- a/packages/gateway/src/cardamomloft/gateway/relaying.py
+++ b/packages/gateway/src/cardamomloft/gateway/relaying.py
@@ -26,8 +26,11 @@
 """Questions that wait here for a change at the most; more are answered at once. A region of 1,500
 gateways in 8 has 190, half of them at each of two relays."""
 
-MAX_HOLD = timedelta(seconds=30)
-"""Longest time that a question is held, whatever it asks for."""
+MAX_HOLD_MS = 30_000
+"""Longest time that a question is held, whatever it asks for, in milliseconds."""
+
+MAX_AGE_MS = 3_600_000
+"""An answer's age counts as no more than this, in milliseconds; any drain time is shorter."""
 
 _MS = timedelta(milliseconds=1)
 
@@ -184,7 +187,7 @@
             self._metrics.count("changes_questions_of_unknown")
             return
         self._metrics.count("changes_questions")
-        wait = min(message.wait_ms * _MS, MAX_HOLD)
+        wait = min(message.wait_ms, MAX_HOLD_MS) * _MS
         timer = self._reactor.callLater(wait.total_seconds(), self._time_is_over, message, sender)
         held = _Held(sender, address, message, self._clock.monotonic(), timer)
         self._held.append(held)
@@ -208,8 +211,11 @@
             case Result(ok=facts):
                 pass
         now = self._clock.monotonic()
-        on_the_way = now - asked.asked_at - message.held_ms * _MS
-        return Ok(Passed(facts, message.index, now - message.age_ms * _MS - on_the_way))
+        elapsed = now - asked.asked_at
+        # A relay that claims to have held it for longer than it was asked makes nothing younger.
+        on_the_way = elapsed - min(elapsed, min(message.held_ms, MAX_HOLD_MS) * _MS)
+        age = min(message.age_ms, MAX_AGE_MS) * _MS
+        return Ok(Passed(facts, message.index, now - age - on_the_way))
 
     def _end(self, number: int, outcome: Outcome) -> None:
         asked = self._asked.pop(number, None)
--- a/packages/gateway/tests/test_relayed_changes.py
+++ b/packages/gateway/tests/test_relayed_changes.py
@@ -7,6 +7,7 @@
 import random
 import typing as t
 from datetime import timedelta
+from types import SimpleNamespace
 
 import pytest
 from cardamomloft.core.entrybook import EntryBook
@@ -20,10 +21,13 @@
     ZoneDrained,
     ZoneRestored,
 )
+from cardamomloft.feed.changetable import ChangeTable
+from cardamomloft.feed.factcodec import encode_facts
 from cardamomloft.feed.relays import relays_of
 from cardamomloft.gateway.control import Changes, Listing
 from cardamomloft.gateway.feed import Feed
 from cardamomloft.gateway.following import Follower, Pace
+from cardamomloft.gateway.relaying import RelayPort
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.store.failures import StoreFailure
 from cardamomloft_standins import gateway as kit
@@ -373,6 +377,37 @@
     assert listener.metrics.counters["changes_from_store"] == before + 1
 
 
+def test_numbers_beyond_all_bounds_raise_nothing():
+    run = Deployment()
+    listener, relay = run.listeners()[0], run.by_name(run.relays[0])
+    relay.receive(listener.me, ChangesQuestion(10**6, run.store.revision, 2**61))
+    assert relay.feed.port.held > 0
+    run.run(31_000 * MS)
+    assert all(gateway.faults == [] for gateway in run.gateways)
+    assert run.late() == []
+
+
+@pytest.mark.parametrize(("age_ms", "held_ms"), [(0, 2**61), (2**61, 0), (2**61, 2**61)])
+def test_an_answer_makes_knowledge_no_younger_than_it_can_be(age_ms, held_ms):
+    """A relay that is cut off from the store says whatever it likes of its age."""
+    time = kit.Time(Clock())
+    sent = []
+    port = RelayPort(
+        time.reactor, time.clock, ChangeTable(), lambda: None, lambda name: None, Metrics()
+    )
+    port.peers = SimpleNamespace(send=lambda *message: sent.append(message) or True)
+    relay = kit.entry_records(1)[0]
+    outcomes = []
+    port.ask(relay, 5, DRAIN, DRAIN).addCallback(outcomes.append)
+    time.advance(40 * MS)
+    asked = sent[0][1]
+    port.take(
+        Incarnation(relay.name, "1"),
+        ChangesAnswer(asked.number, 5, encode_facts([]), age_ms, held_ms),
+    )
+    assert outcomes[0].ok.complete_at <= time.clock.monotonic()
+
+
 def test_answers_that_nobody_asked_for_change_nothing():
     run = Deployment()
     listener, stranger = run.listeners()[0], Incarnation("stranger", "1")
