Let a gateway that the store does not answer hear of changes from a relay

Cause, found by reading: each failed renewal makes a gateway doubt its question and ask the store at once, and a question without a wait never went to a relay. So a gateway that the store turned away, or was cut off from it alone, stayed with its old configuration beside relays that had the new one. Change: where the store fails, a relay is asked in the same question. What it passes on is put in force; the store still counts as away, so that its return and the records that lapse meanwhile are noticed as before (a test of its own). Both cases of the test fail without the change.

--- a/packages/feed/src/cardamomloft/feed/sources.py
+++ b/packages/feed/src/cardamomloft/feed/sources.py
@@ -96,19 +96,24 @@
 
         A relay answers only whom it knows, so a gateway that starts or leaves asks the store.
         """
-        known = {row.name: row for row in records}
-        answered = self._own.peers and self._own.name in known
-        relays = relays_of(self._own.region, known.values()) if answered else []
+        relays = self._relays(records)
         if self._own.name in [row.name for row in relays]:
             return self._as_relay(now)
-        heard = [row for row in by_nearness(self._own, relays) if self._trusted(row, now)]
-        if not heard:
+        relay = self._nearest(relays, now)
+        if relay is None:
             return Question(None)
         pause = self.drain_time * LISTENER_PAUSE_PART
         left = self._time_left(OLDEST_PART, now)
         if not left:
             return Question(None, timedelta(0), pause)
-        return Question(heard[0], min(left, self.drain_time * QUESTION_PART), pause)
+        return Question(relay, min(left, self.drain_time * QUESTION_PART), pause)
+
+    def relay(self, records: Iterable[EntryRecord], now: timedelta) -> EntryRecord | None:
+        """Return the relay that may know what the store does not tell this gateway, or None.
+
+        A relay may ask the other one.
+        """
+        return self._nearest(self._relays(records), now)
 
     def complete(self, at: timedelta) -> None:
         """Note that everything is known that had changed until the instant `at`."""
@@ -122,6 +127,17 @@
         """Note that a relay did not answer."""
         self._suspects[name] = now + self.drain_time * SUSPECT_PARTS
 
+    def _relays(self, records: Iterable[EntryRecord]) -> list[EntryRecord]:
+        known = {row.name: row for row in records}
+        if not self._own.peers or self._own.name not in known:
+            return []
+        return relays_of(self._own.region, known.values())
+
+    def _nearest(self, relays: list[EntryRecord], now: timedelta) -> EntryRecord | None:
+        others = [row for row in relays if row.name != self._own.name]
+        heard = (row for row in by_nearness(self._own, others) if self._trusted(row, now))
+        return next(heard, None)
+
     def _as_relay(self, now: timedelta) -> Question:
         wait = self._time_left(RELAY_AGE_PART, now)
         return Question(None, wait, self.drain_time * RELAY_PAUSE_PART)
--- a/packages/gateway/src/cardamomloft/gateway/control.py
+++ b/packages/gateway/src/cardamomloft/gateway/control.py
@@ -25,12 +25,15 @@
         The store has forgotten what changed since then: list again.
     pause
         Least time until the next question, where its source knows better than who asks.
+    failure
+        Why the store itself did not answer, where another source did.
     """
 
     facts: tuple[Fact, ...]
     index: int
     lost: bool = False
     pause: timedelta | None = None
+    failure: StoreFailure | None = None
 
 
 class Control(t.Protocol):
--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -140,6 +140,10 @@
                 case Result(tag="error", error=failure):
                     self._failed(failure)
                     await self._pause(self._until_retry())
+                case Result(ok=Changes(failure=StoreFailure() as failure) as found):
+                    self._failed(failure)
+                    self._learn(found)
+                    await self._pause(self._until_retry())
                 case Result(ok=found):
                     self._succeeded()
                     self._take(found)
@@ -157,11 +161,14 @@
             log("store-history-lost", index=self._index)
             self._index = None
             return
-        self._index = found.index
         if self._was_away:
             self._was_away = False
             log("store-back", index=found.index)
             self._on_returned()
+        self._learn(found)
+
+    def _learn(self, found: Listing | Changes) -> None:
+        self._index = found.index
         if isinstance(found, Listing):
             self._on_listing(found)
         else:
--- a/packages/gateway/src/cardamomloft/gateway/relayedcontrol.py
+++ b/packages/gateway/src/cardamomloft/gateway/relayedcontrol.py
@@ -91,13 +91,26 @@
 
     async def _changes(self, after: int, wait: timedelta) -> Result[Changes, StoreFailure]:
         if not wait:
-            return await self._from_store(after, wait, None)
+            return await self._from_store_at_once(after)
         question = self._sources.next(self._records(), self._clock.monotonic())
         if question.relay is None:
             longest = wait if question.wait is None else question.wait
             return await self._from_store(after, longest, question.pause)
         return await self._from_relay(question.relay, question, after)
 
+    async def _from_store_at_once(self, after: int) -> Result[Changes, StoreFailure]:
+        """Ask the store, which has failed; a relay may know what it does not tell this gateway."""
+        outcome = await self._from_store(after, timedelta(0), None)
+        relay = self._sources.relay(self._records(), self._clock.monotonic())
+        if outcome.is_ok() or relay is None:
+            return outcome
+        match await self._port.ask(relay, after, timedelta(0), self._sources.patience):
+            case Result(tag="ok", ok=passed) if not self._went_back(passed, after):
+                return Ok(self._passed(passed, after, None)._replace(failure=outcome.error))
+            case Result(tag="error", error=silence) if not silence.cancelled:
+                self._silent(relay, silence)
+        return outcome
+
     async def _from_relay(
         self, relay: EntryRecord, question: Question, after: int
     ) -> Result[Changes, StoreFailure]:
--- a/packages/gateway/tests/test_relayed_changes.py
+++ b/packages/gateway/tests/test_relayed_changes.py
@@ -339,6 +339,38 @@
     assert leaving.metrics.counters["relay_silent"] <= 1
 
 
+@pytest.mark.parametrize("fault", ["cut", "refused"])
+def test_a_gateway_that_the_store_alone_does_not_answer_hears_of_changes_all_the_same(fault):
+    """Callers got 404 from one gateway for rules that all the others had.
+
+    The store turned that gateway away. Each renewal of its lease failed, so it doubted whatever it
+    was asking, and asked the store, in vain; its relay would have answered.
+    """
+    run = Deployment()
+    alone = run.listeners()[0]
+    getattr(run.store, fault).add(alone.name)
+    for _ in range(6):
+        run.configure()
+        for _ in range(2):
+            alone.follower.doubt()
+            run.run(1500 * MS)
+        assert run.late() == []
+    assert alone.follower.away
+    getattr(run.store, fault).clear()
+    run.run(2000 * MS)
+    assert not alone.follower.away
+
+
+def test_a_store_that_is_away_for_all_is_noticed_as_soon_as_without_relays():
+    run = Deployment()
+    names = {gateway.name for gateway in run.gateways}
+    run.store.refused |= names
+    for gateway in run.gateways:
+        gateway.follower.doubt()
+    run.run(1200 * MS)
+    assert {gateway.name for gateway in run.gateways if gateway.follower.away} == names
+
+
 def test_a_history_that_is_forgotten_hides_nothing():
     run = Deployment()
     run.store.write(("zone", "b"), ZoneDrained("b"))
