--- a/packages/gateway/src/cardamomloft/gateway/feed.py
+++ b/packages/gateway/src/cardamomloft/gateway/changefeed.py
@@ -23,7 +23,7 @@
 listeners, and all 187 while the other relay is away."""
 
 
-class Feed:
+class ChangeFeed:
     """Puts together what a gateway needs to hear of changes and to pass them on.
 
     Parameters
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -18,8 +18,8 @@
 from cardamomloft.core.selection import Preferences, Selector
 from cardamomloft.core.timekeeping import Timekeeper
 from cardamomloft.gateway.calls import Call, CallerHeaders, Reader
+from cardamomloft.gateway.changefeed import ChangeFeed
 from cardamomloft.gateway.control import Control, Listing
-from cardamomloft.gateway.feed import Feed
 from cardamomloft.gateway.following import Follower, Pace
 from cardamomloft.gateway.forwarding import Forwarder
 from cardamomloft.gateway.presence import Presence
@@ -156,7 +156,7 @@
         self.view = StoreView(
             clock, self.book, self.entries, self.selector, self._client.forget, self._put_in_force
         )
-        self.feed = Feed(
+        self.feed = ChangeFeed(
             self._reactor,
             clock,
             self._control,
--- a/packages/gateway/tests/test_relayed_changes.py
+++ b/packages/gateway/tests/test_relayed_changes.py
@@ -24,8 +24,8 @@
 from cardamomloft.feed.changetable import ChangeTable
 from cardamomloft.feed.factcodec import encode_facts
 from cardamomloft.feed.relays import relays_of
+from cardamomloft.gateway.changefeed import ChangeFeed
 from cardamomloft.gateway.control import Changes, Listing
-from cardamomloft.gateway.feed import Feed
 from cardamomloft.gateway.following import Follower, Pace
 from cardamomloft.gateway.relaying import RelayPort
 from cardamomloft.runtime.metrics import Metrics
@@ -163,7 +163,7 @@
         client = Client(store, self.name)
         metrics = self.metrics = Metrics()
         self.present = True
-        self.feed = Feed(
+        self.feed = ChangeFeed(
             time.reactor,
             time.clock,
             client,
@@ -574,7 +574,9 @@
     record = kit.entry_records(1)[0]
     book = EntryBook(record, timedelta(seconds=10))
     time = kit.Time(Clock())
-    feed = Feed(time.reactor, time.clock, control, record, book, lambda: True, DRAIN, Metrics())
+    feed = ChangeFeed(
+        time.reactor, time.clock, control, record, book, lambda: True, DRAIN, Metrics()
+    )
     results = []
     feed.control.record(record, DRAIN).addCallback(results.append)
     feed.control.renew("7").addCallback(results.append)
