--- a/packages/gateway/tests/test_gateway.py
+++ b/packages/gateway/tests/test_gateway.py
@@ -476,3 +476,20 @@
     control.listing = Ok(kit.listing(kit.registration(1), number=7))
     run.time.advance(3000 * MS)
     assert run.gateway.configuration == 7
+
+
+def test_a_stop_while_the_store_is_away_asks_nothing_more():
+    """Gateways logged a fault as they ended: the question that the stop cut short went on.
+
+    The store did not answer, so a relay was to be asked, in the middle of the last step of the
+    stop, where the state of the life cycle can't be read.
+    """
+    run = Run()
+    run.control.next = kit.AWAY
+    run.time.advance(3000 * MS)
+    run.control.pending = Deferred(lambda asked: asked.callback(kit.AWAY))
+    run.time.advance(600 * MS)
+    run.gateway.stop()
+    run.time.advance(6000 * MS)
+    assert run.gateway.stopped.called
+    assert run.gateway.metrics.counters["faults"] == 0
