Hold the ports of test processes until they are in use

Ports were chosen by binding and letting go. The failed run is not repeated until it passes: the cause is in its log, "Address already in use", and is mended.

--- a/packages/gateway/tests/test_relay_processes.py
+++ b/packages/gateway/tests/test_relay_processes.py
@@ -24,7 +24,8 @@
         self.settings = {}
         self.processes = {}
         for number in range(GATEWAYS):
-            cfg = processes.settings(self.store, f"e-{number}", "ab"[number % 2])
+            owned = processes.settings(self.store, f"e-{number}", "ab"[number % 2])
+            cfg = stack.enter_context(owned)
             self.settings[cfg["name"]] = cfg
             running = processes.gateway(folder, cfg, LAUNCH)
             self.processes[cfg["name"]] = stack.enter_context(running)
--- a/packages/gateway/tests/test_time_of_day.py
+++ b/packages/gateway/tests/test_time_of_day.py
@@ -47,9 +47,8 @@
 
 @pytest.fixture
 def running(tmp_path):
-    with processes.store() as address:
+    with processes.store() as address, processes.settings(address) as cfg:
         processes.configure(address)
-        cfg = processes.settings(address)
         log = processes.log_of(tmp_path, cfg)
         with processes.gateway(tmp_path, cfg, LAUNCH) as proc:
             assert processes.eventually(
--- a/standins/src/cardamomloft_standins/processes.py
+++ b/standins/src/cardamomloft_standins/processes.py
@@ -56,27 +56,41 @@
     return folder / f"{cfg['name']}.log"
 
 
-def settings(store_address: str, name: str = "e-1", zone: str = "a") -> dict[str, t.Any]:
-    """Return settings of a gateway on free ports."""
+@contextlib.contextmanager
+def held_ports(count: int) -> Iterator[list[int]]:
+    """Own free ports that nobody else is given, but on which a process may listen.
+
+    A socket that is bound and does not listen keeps the system from giving its port to another
+    connection, and with SO_REUSEADDR on both a listener may bind it all the same. Without it one of
+    45 ports was taken on a busy machine before its gateway had started.
+    """
     with contextlib.ExitStack() as stack:
         ports = []
-        for _ in _ADDRESSES:
+        for _ in range(count):
             held = stack.enter_context(contextlib.closing(socket.socket()))
+            held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             held.bind(("127.0.0.1", 0))
             ports.append(held.getsockname()[1])
-    return {
-        "name": name,
-        "zone": zone,
-        "region": "east",
-        "zones": {"a": "east", "b": "east"},
-        **{key: f"127.0.0.1:{port}" for key, port in zip(_ADDRESSES, ports, strict=True)},
-        "store": store_address,
-        "stop_time": "6s",
-        "drain_time": "2500ms",
-        "lookup_life": "2s",
-        "retries": {"ratio": 0.2, "slack": 60.0, "window": "10s"},
-        "cold": {"overage": 1.5, "slack": 5.0},
-    }
+        yield ports
+
+
+@contextlib.contextmanager
+def settings(store_address: str, name: str = "e-1", zone: str = "a") -> Iterator[dict[str, t.Any]]:
+    """Own the settings of a gateway: its ports are held as long as they are in use."""
+    with held_ports(len(_ADDRESSES)) as ports:
+        yield {
+            "name": name,
+            "zone": zone,
+            "region": "east",
+            "zones": {"a": "east", "b": "east"},
+            **{key: f"127.0.0.1:{port}" for key, port in zip(_ADDRESSES, ports, strict=True)},
+            "store": store_address,
+            "stop_time": "6s",
+            "drain_time": "2500ms",
+            "lookup_life": "2s",
+            "retries": {"ratio": 0.2, "slack": 60.0, "window": "10s"},
+            "cold": {"overage": 1.5, "slack": 5.0},
+        }
 
 
 def configure(store_address: str, **limits: t.Any) -> None:
