--- a/packages/feed/src/cardamomloft/feed/sources.py
+++ b/packages/feed/src/cardamomloft/feed/sources.py
@@ -40,8 +40,7 @@
 series of changes takes some 20 messages in a drain time and no more."""
 
 SUSPECT_PARTS = 2.0
-"""Drain times for which a relay that was silent is not asked; a dead one's record is gone by then.
-"""
+"""Drain times for which a silent relay is not asked; a dead one's record is gone by then."""
 
 _NEVER = timedelta(0)
 
--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -101,7 +101,7 @@
 
     @property
     def silence(self) -> timedelta:
-        """Return how long ago the store answered last; since the start if it never did."""
+        """Return how long ago the store, or a relay instead, answered; since the start if never."""
         return self._clock.monotonic() - self._answered_at
 
     @property
--- a/packages/gateway/src/cardamomloft/gateway/relayedcontrol.py
+++ b/packages/gateway/src/cardamomloft/gateway/relayedcontrol.py
@@ -104,7 +104,7 @@
         return await self._from_relay(question.relay, question, after)
 
     async def _from_store_at_once(self, after: int) -> Result[Changes, StoreFailure]:
-        """Ask the store, which has failed; a relay may know what it does not tell this gateway."""
+        """Ask the store, which has failed before; if it does so again, hear what a relay knows."""
         outcome = await self._from_store(after, timedelta(0), None)
         if outcome.is_ok() or self._stopped:
             return outcome
@@ -156,7 +156,7 @@
         outcome = await self._control.changes(after, wait)
         if outcome.is_error() or outcome.ok.lost:
             return outcome
-        # Without a wait it may have been true when the question came there, and not much later.
+        # After a wait the answer is of now; without one it is of when the question came there.
         self._sources.complete(self._clock.monotonic() if wait else asked_at)
         self._learn(outcome.ok.facts, outcome.ok.index)
         return Ok(outcome.ok._replace(pause=pause))
