--- a/packages/gateway/tests/test_relayed_changes.py
+++ b/packages/gateway/tests/test_relayed_changes.py
@@ -4,8 +4,6 @@
 them and the faults are in memory, on one clock.
 """
 
-import random
-import typing as t
 from datetime import timedelta
 from types import SimpleNamespace
 
@@ -14,259 +12,29 @@
 from cardamomloft.core.messages import ChangesAnswer, ChangesQuestion
 from cardamomloft.core.model import Incarnation
 from cardamomloft.core.registrations import (
-    EntryRecorded,
     EntryWithdrawn,
-    PlanRead,
     UpstreamRegistered,
     ZoneDrained,
     ZoneRestored,
 )
 from cardamomloft.feed.changetable import ChangeTable
 from cardamomloft.feed.factcodec import encode_facts
-from cardamomloft.feed.relays import relays_of
 from cardamomloft.gateway.changefeed import ChangeFeed
-from cardamomloft.gateway.control import Changes, Listing
-from cardamomloft.gateway.following import Follower, Pace
 from cardamomloft.gateway.relaying import RelayPort
 from cardamomloft.runtime.metrics import Metrics
-from cardamomloft.store.failures import StoreFailure
 from cardamomloft_standins import gateway as kit
-from expression import Error, Ok
+from cardamomloft_standins.relayed import DRAIN, ENTRIES, Deployment, Gateway, counted
+from expression import Ok
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 MS = kit.MS
-DRAIN = 2500 * MS
-ENTRIES = 10
-CALL = 4 * MS
-LINK = 2 * MS
-LOST_AFTER = 700 * MS
-"""When a call to a store that says nothing counts as failed; its wait comes on top."""
 
 IN_TOUCH = 4000 * MS
 """How long a gateway must have reached the store undisturbed for the bound to count."""
 
 
-class Store:
-    """A store with revisions. Gateways in `cut` hear nothing from it, those in `refused` a no."""
-
-    def __init__(self, time: kit.Time) -> None:
-        self.time = time
-        self.revision = 1
-        self.held: dict[object, object] = {}
-        self.events: list[tuple[int, object]] = []
-        self.first_known = 0
-        self.cut: set[str] = set()
-        self.refused: set[str] = set()
-        self.waiting: list[tuple[int, t.Callable[[], None]]] = []
-        self.calls = 0
-
-    def write(self, key: object, fact: object, *, removes: bool = False) -> None:
-        self.revision += 1
-        self.events.append((self.revision, fact))
-        self.held.pop(key, None)
-        if not removes:
-            self.held[key] = fact
-        waiting, self.waiting = self.waiting, []
-        for _, answer in waiting:
-            answer()
-
-    def forget(self) -> None:
-        self.first_known = self.revision
-
-
-class Client:
-    """One gateway's connection to the store."""
-
-    def __init__(self, store: Store, name: str) -> None:
-        self.store, self.name = store, name
-
-    def read(self):
-        store = self.store
-        return self._call(
-            lambda: Ok(Listing(tuple(store.held.values()), store.revision)), timedelta(0)
-        )
-
-    def changes(self, after, wait):
-        return self._call(lambda: self._news(after), wait, lambda: self.store.revision > after)
-
-    def _news(self, after):
-        store = self.store
-        if after < store.first_known:
-            return Ok(Changes((), after, lost=True))
-        return Ok(Changes(tuple(f for at, f in store.events if at > after), store.revision))
-
-    def _call(self, answer, wait, is_due=lambda: True):
-        store, reactor = self.store, self.store.time.reactor
-        store.calls += 1
-        done = Deferred(lambda _: finish(Error(StoreFailure(False, "cancelled"))))
-
-        def finish(outcome):
-            if not done.called:
-                done.callback(outcome)
-
-        def reply():
-            if self.name not in store.cut:
-                reactor.callLater((CALL / 2).total_seconds(), finish, answer())
-
-        def arrive():
-            if self.name in store.refused:
-                finish(Error(StoreFailure(False, "refused")))
-            elif self.name not in store.cut:
-                if is_due() or not wait:
-                    reply()
-                else:
-                    store.waiting.append((0, reply))
-                    reactor.callLater(wait.total_seconds(), reply)
-
-        lost = Error(StoreFailure(False, "no answer"))
-        reactor.callLater((CALL / 2).total_seconds(), arrive)
-        reactor.callLater((wait + LOST_AFTER).total_seconds(), finish, lost)
-        return done
-
-
-class Network:
-    """Messages between gateways: late, lost, or kept from those in `silenced`."""
-
-    def __init__(self, time: kit.Time, rng: random.Random) -> None:
-        self.time, self.rng = time, rng
-        self.loss = 0.0
-        self.silenced: set[str] = set()
-        self.gateways: dict[str, Gateway] = {}
-
-    def send(self, sender: "Gateway", address: str, message, to) -> bool:
-        receiver = self.gateways[address]
-        lost = self.rng.random() < self.loss
-        if lost or {sender.name, receiver.name} & self.silenced:
-            return True
-        if to not in (None, receiver.me):
-            return True
-        self.time.reactor.callLater(LINK.total_seconds(), receiver.receive, sender.me, message)
-        return True
-
-
-class Gateway:
-    """What a gateway does with the store and its peers, and what it knows by it."""
-
-    def __init__(self, record, store: Store, network: Network, time: kit.Time, seed: int) -> None:
-        self.record, self.name, self.network = record, record.name, network
-        self.me = Incarnation(record.name, str(seed))
-        self.entries = EntryBook(record, timedelta(seconds=10))
-        self.time = time
-        self.plans: list[int] = [0]
-        self.drained: set[str] = set()
-        self.faults = []
-        self.stopped = False
-        network.gateways[record.peers] = self
-        client = Client(store, self.name)
-        metrics = self.metrics = Metrics()
-        self.present = True
-        self.feed = ChangeFeed(
-            time.reactor,
-            time.clock,
-            client,
-            record,
-            self.entries,
-            lambda: self.present,
-            DRAIN,
-            metrics,
-        )
-        self.feed.port.peers = self
-        self.follower = Follower(
-            time.reactor,
-            time.clock,
-            self.feed.control,
-            random.Random(seed),
-            Pace(DRAIN * 0.4, DRAIN * 0.6),
-            self._on_listing,
-            self._on_changes,
-            lambda: None,
-        )
-
-    def start(self) -> None:
-        self.follower.start(self.faults.append)
-
-    def stop(self) -> None:
-        self.stopped = True
-        self.feed.stop()
-        self.follower.stop()
-
-    def send(self, address, message, to=None) -> bool:
-        return self.network.send(self, address, message, to)
-
-    def close(self) -> None:
-        pass
-
-    def receive(self, sender, message) -> None:
-        if not self.stopped:
-            self.feed.port.take(sender, message)
-
-    def _on_listing(self, listing) -> None:
-        self.drained = {fact.zone for fact in listing.facts if isinstance(fact, ZoneDrained)}
-        self._on_changes(listing.facts)
-        names = {fact.record.name for fact in listing.facts if isinstance(fact, EntryRecorded)}
-        self.entries.listed(names, self.time.clock.monotonic())
-
-    def _on_changes(self, facts) -> None:
-        now = self.time.clock.monotonic()
-        for fact in facts:
-            match fact:
-                case PlanRead(plan):
-                    self.plans.append(plan.number)
-                case ZoneDrained(zone):
-                    self.drained.add(zone)
-                case ZoneRestored(zone):
-                    self.drained.discard(zone)
-                case EntryRecorded(record):
-                    self.entries.add(record, now)
-                case EntryWithdrawn(name):
-                    self.entries.withdraw(name, now)
-
-
-class Deployment:
-    """Ten gateways of one region that know each other, and a store with a configuration."""
-
-    def __init__(self, seed: int = 1) -> None:
-        self.time = kit.Time(Clock())
-        self.store = Store(self.time)
-        self.network = Network(self.time, random.Random(seed))
-        self.number = 0
-        self.undisturbed: dict[str, timedelta] = {}
-        self.configure()
-        records = kit.entry_records(ENTRIES)
-        self.gateways = [
-            Gateway(record, self.store, self.network, self.time, seed + at)
-            for at, record in enumerate(records)
-        ]
-        for gateway in self.gateways:
-            gateway.start()
-            self.store.write(("entry", gateway.name), EntryRecorded(gateway.record))
-        self.relays = [row.name for row in relays_of("east", records)]
-        self.run(3000 * MS)
-
-    def configure(self) -> None:
-        self.number += 1
-        self.store.write("plan", PlanRead(kit.plan(self.number)))
-
-    def run(self, duration: timedelta) -> None:
-        self.time.advance(duration, 5 * MS)
-
-    def by_name(self, name: str) -> Gateway:
-        return next(gateway for gateway in self.gateways if gateway.name == name)
-
-    def listeners(self) -> list[Gateway]:
-        return [gateway for gateway in self.gateways if gateway.name not in self.relays]
-
-    def late(self) -> list[str]:
-        return [row.name for row in self.gateways if row.plans[-1] != self.number]
-
-
-def counted(gateways, name: str) -> int:
-    return sum(gateway.metrics.counters[name] for gateway in gateways)
-
-
 def test_only_relays_ask_the_store_once_all_know_each_other():
     run = Deployment()
     before = counted(run.listeners(), "changes_from_store")
