--- a/tests/adapter/test_client.py
+++ b/tests/adapter/test_client.py
@@ -125,18 +125,33 @@
 
 
 def test_a_replica_from_before_the_known_history_is_not_used():
-    store = _store(
-        range=[_page(), _page(), _page(at=70)],
-        range_servers=[_page(_item("servers/i-1", SERVER)), _page(_item("servers/i-2", SERVER))],
-        watch=[_status(410)],
-    )
-    store._exchange.answers["range_servers"] = [
-        _page(_item("servers/i-1", SERVER), at=10),
-        _page(_item("servers/i-2", SERVER), at=70),
-    ]
+    """The store's own pages are of different instants too: what changed between them is asked for.
+
+    A list that held a change from after its own revision would be passed on as if it were older,
+    and who had asked the store between the two would never have heard of it.
+    """
+    store = _store(range=[_page(at=10), _page(at=70)], range_servers=[], watch=[])
+    store._exchange.answers |= {
+        "range_servers": [
+            _page(_item("servers/i-1", SERVER), at=10),
+            _page(_item("servers/i-2", SERVER), at=70),
+        ],
+        "range_op": [_page(at=10), _page(at=68)],
+        "watch": [
+            _status(410),
+            _ok({"events": [_item("servers/i-3", SERVER)], "asOf": 75}),
+        ],
+    }
     listing = _result(store.read()).ok
-    assert _ids(listing) == ["i-2"]
-    assert "serializable" not in store._exchange.calls[-1][2]
+    assert _ids(listing) == ["i-2", "i-3"]
+    assert listing.index == 75
+    own_pages, question = store._exchange.calls[-4:-1], store._exchange.calls[-1]
+    assert all("serializable" not in call[2] for call in own_pages)
+    assert question[2]["after"] == "68"
+
+
+def test_a_history_that_is_forgotten_again_and_again_gives_no_list():
+    assert _result(_store(range=[_page()], watch=[_status(410)]).read()).is_error()
 
 
 @pytest.mark.parametrize("bad", [LOST, _status(503), _ok({"events": [{}], "asOf": 60})])
