Close a test's socket before the clean-up that would wait for it

Cause: the stranger of the key check dropped its socket at once. ZeroMQ then waits for the message to leave, and the end of the context waits for that on the thread that was to judge the key.

The socket is kept until the clean-up and closed without a wait; frames that no node would send go the same way. The nodes' own sockets always had a bound: a new test shows that one ends in time though its server judges no key.

--- a/packages/peers/tests/test_node.py
+++ b/packages/peers/tests/test_node.py
@@ -1,14 +1,15 @@
 """Nodes on real sockets: delivery, admission, and what must be dropped."""
 
 import socket
+import time
 from datetime import timedelta
 
 import zmq
 from cardamomloft.core.messages import DocumentReply, DocumentRequest
 from cardamomloft.core.model import Incarnation
 from cardamomloft.peers.codec import MAX_FRAME_BYTES, Envelope, encode
-from cardamomloft.peers.curve import new_keys
-from cardamomloft.peers.node import BindError, PeerNode
+from cardamomloft.peers.curve import ZAP_ADDRESS, ZAP_DOMAIN, new_keys
+from cardamomloft.peers.node import FLUSH, BindError, PeerNode
 from twisted.internet import defer, reactor, task
 from twisted.python.failure import Failure
 from twisted.trial import unittest
@@ -35,11 +36,21 @@
 
     def raw(self, address, *frames, kind=zmq.DEALER):
         """Send frames that no node would send."""
-        context = zmq.Context()
-        sock = context.socket(kind)
+        sock = self.raw_socket(kind)
         sock.connect(f"tcp://{address}")
         sock.send_multipart(frames)
-        self.addCleanup(context.destroy, linger=0)
+
+    def raw_socket(self, kind):
+        """Open a socket that the clean-up closes without waiting for what it has not sent.
+
+        One that is dropped earlier waits for its messages to leave: for ever, if the server that
+        judges its key waits on the same thread for the end of the socket's context.
+        """
+        context = zmq.Context()
+        sock = context.socket(kind)
+        self.addCleanup(context.term)
+        self.addCleanup(sock.close, linger=0)
+        return sock
 
     @defer.inlineCallbacks
     def until(self, condition):
@@ -162,10 +173,27 @@
         assert (yield b.inbox.get()) == (A, DocumentRequest(2))
         assert b.counters["received"] == 1
 
+    @defer.inlineCallbacks
+    def test_closing_waits_no_longer_than_it_may_for_a_server_that_judges_no_key(self):
+        keys = new_keys()
+        silent = self.raw_socket(zmq.ROUTER)
+        silent.curve_server, silent.curve_secretkey = True, keys.secret
+        silent.zap_domain = ZAP_DOMAIN
+        judge = silent.context.socket(zmq.REP)
+        self.addCleanup(judge.close, linger=0)
+        judge.bind(ZAP_ADDRESS)
+        silent.bind("tcp://127.0.0.1:0")
+        address = silent.last_endpoint.decode().removeprefix("tcp://")
+        a = self.node(A, keys=keys)
+        assert a.send(address, DocumentRequest(1))
+        yield self.until(lambda: judge.poll(0))
+        started = time.monotonic()
+        a.close()
+        assert time.monotonic() - started < 5 * FLUSH.total_seconds()
+
     def stranger(self, address, server_key):
         """Know the public key of the server, and come with a key pair of one's own."""
-        context = zmq.Context()
-        sock = context.socket(zmq.DEALER)
+        sock = self.raw_socket(zmq.DEALER)
         public, secret = zmq.curve_keypair()
         sock.curve_serverkey, sock.curve_publickey, sock.curve_secretkey = (
             server_key,
@@ -174,4 +202,3 @@
         )
         sock.connect(f"tcp://{address}")
         sock.send(encode(Envelope(A, None, DocumentRequest(1))))
-        self.addCleanup(context.destroy, linger=0)
