End the following at once when it is stopped, whatever its last question brings

A question that a stop cuts short may end with a failure instead of a cancellation, and the following then paused until the next question. Its test now looks for calls that are left, and failed before.

--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -136,6 +136,9 @@
             self._question = self._ask()
             outcome = await self._question
             self._question = None
+            if self._stopped:
+                # A question that was cut short may have an answer all the same.
+                return
             match outcome:
                 case Result(tag="error", error=failure):
                     self._failed(failure)
--- a/packages/gateway/tests/test_following.py
+++ b/packages/gateway/tests/test_following.py
@@ -151,6 +151,7 @@
 def test_an_end_is_final():
     run = Run(_listed())
     run.follower.stop()
+    assert run.time.reactor.getDelayedCalls() == []
     asked = len(run.control.calls)
     run.time.advance(5 * INTERVAL)
     assert len(run.control.calls) == asked
@@ -162,6 +163,7 @@
     run.control.pending = Deferred(lambda asked: asked.callback(kit.AWAY))
     run.time.advance(1500 * MS)
     run.follower.stop()
+    assert run.time.reactor.getDelayedCalls() == []
     asked = len(run.control.calls)
     run.time.advance(5 * INTERVAL)
     assert len(run.control.calls) == asked
