Leave it to relays to ask whether a store that is away is back

Change: after two failures a listener asks its relay with a wait of 0.2 of the drain time. Knowledge of the relay that is younger than the own last failure shows that the store answers again: then the store itself is asked, so that what lapsed is learned after its return is known. Relays that are cut off alone hide it for less than the drain time, since each gateway asks the store itself 0.7 of it after its last failure. Ruled out: counting a relay's news as the store's own answer, after which a gateway cut off alone would have taken itself for well with each answer and noticed each return anew.

Tests: the number of questions, red on the code before; the return noticed in time and before lapsed records, red without the look at the relay's knowledge, and without the own question.

--- a/packages/feed/src/cardamomloft/feed/sources.py
+++ b/packages/feed/src/cardamomloft/feed/sources.py
@@ -9,6 +9,10 @@
 - a listener's question to a relay lasts up to 0.3, and 0.1 later the relay counts as silent;
 - knowledge that is 0.7 old is renewed by the store itself, so at the latest 0.8 of the drain time
   after a change the store is asked, which leaves 0.2 for its answer.
+
+While the store does not answer, the relays ask for it all the time, and the others ask them. A
+relay that has heard from the store since shows that it is back; and since a relay may be cut off
+from the store alone, each gateway asks the store itself 0.7 of the drain time after it last failed.
 """
 
 import typing as t
@@ -42,6 +46,13 @@
 """Part of the drain time from an answer with changes to a listener's next question, so that a
 series of changes takes some 20 messages in a drain time and no more."""
 
+AWAY_QUESTION_PART = 0.2
+"""Part of the drain time for which a relay may wait for a change while the store does not answer:
+0.5 s of 2.5 s, as often as a relay asks the store."""
+
+FAILURES_UNTIL_AWAY = 2
+"""Failed calls in a row after which the store counts as away; one may be a lost packet."""
+
 SUSPECT_PARTS = 2.0
 """Drain times for which a silent relay is not asked; a dead one's record is gone by then."""
 
@@ -87,6 +98,8 @@
         self.drain_time = drain_time
         self.known_at: timedelta | None = None
         self._suspects: dict[str, timedelta] = {}
+        self._failures = 0
+        self._failed_at = timedelta(0)
 
     @property
     def patience(self) -> timedelta:
@@ -117,6 +130,34 @@
         """
         return self._nearest(self._relays(records), now)
 
+    def next_while_failing(self, records: Iterable[EntryRecord], now: timedelta) -> Question:
+        """Return the next question after the store has failed to answer one."""
+        relays = self._relays(records)
+        relay = self._nearest(relays, now)
+        left = self._failed_at + self.drain_time * OLDEST_PART - now
+        relaying = self._own.name in [row.name for row in relays]
+        if (
+            relay is None
+            or relaying
+            or self._failures < FAILURES_UNTIL_AWAY
+            or left <= timedelta(0)
+        ):
+            return Question(None, timedelta(0))
+        return Question(relay, min(left, self.drain_time * AWAY_QUESTION_PART))
+
+    def store_failed(self, asked_at: timedelta) -> None:
+        """Note that a question of that instant got no answer from the store."""
+        self._failures += 1
+        self._failed_at = asked_at
+
+    def store_answered(self) -> None:
+        """Note that the store answers this gateway."""
+        self._failures = 0
+
+    def is_back(self, complete_at: timedelta) -> bool:
+        """Tell whether knowledge complete then shows that the store has answered another since."""
+        return complete_at > self._failed_at
+
     def complete(self, at: timedelta) -> None:
         """Note that everything is known that had changed until the instant `at`."""
         self.known_at = at if self.known_at is None else max(self.known_at, at)
--- a/packages/feed/tests/test_sources.py
+++ b/packages/feed/tests/test_sources.py
@@ -94,3 +94,59 @@
 
 def test_a_gateway_that_stood_still_asks_the_store_first():
     assert listener().next(KNOWN, START + seconds(60)).relay is None
+
+
+AT_ONCE = Question(None, timedelta(0))
+
+
+def failing(times, at=START, own=LISTENER):
+    sources = Sources(own, DRAIN)
+    sources.complete(START)
+    for _ in range(times):
+        sources.store_failed(at)
+    return sources
+
+
+def test_after_one_failure_the_store_is_asked_once_more():
+    assert failing(1).next_while_failing(KNOWN, START) == AT_ONCE
+
+
+def test_a_store_that_is_away_is_left_to_the_relays():
+    question = failing(2).next_while_failing(KNOWN, START)
+    assert question.relay in RELAYS
+    assert question.wait == DRAIN * 0.2
+
+
+def test_relays_ask_for_a_store_that_is_away_all_the_time():
+    sources = failing(9, own=RELAYS[0])
+    assert sources.next_while_failing(KNOWN, START) == AT_ONCE
+
+
+def test_where_no_relay_is_to_be_had_each_asks_for_the_store():
+    sources = failing(9)
+    assert sources.next_while_failing(entries(5), START) == AT_ONCE
+    for relay in RELAYS:
+        sources.silent(relay.name, START)
+    assert sources.next_while_failing(KNOWN, START) == AT_ONCE
+
+
+def test_relays_that_are_cut_off_alone_hide_the_stores_return_for_less_than_the_drain_time():
+    sources = failing(2)
+    question = sources.next_while_failing(KNOWN, START + DRAIN * 0.65)
+    assert question.relay in RELAYS
+    asked_at_the_latest = DRAIN * 0.65 + question.wait + sources.patience
+    assert asked_at_the_latest <= DRAIN * 0.8
+    assert sources.next_while_failing(KNOWN, START + DRAIN * 0.7) == AT_ONCE
+
+
+def test_what_a_relay_heard_before_the_failure_does_not_show_that_the_store_is_back():
+    sources = failing(2)
+    assert not sources.is_back(START)
+    assert sources.is_back(START + seconds(0.1))
+
+
+def test_an_answer_of_the_store_ends_the_row_of_failures():
+    sources = failing(5)
+    sources.store_answered()
+    sources.store_failed(START)
+    assert sources.next_while_failing(KNOWN, START) == AT_ONCE
--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -14,15 +14,13 @@
 
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.registrations import Fact
+from cardamomloft.feed.sources import FAILURES_UNTIL_AWAY
 from cardamomloft.gateway.control import Changes, Control, Listing
 from cardamomloft.runtime.logs import log
 from cardamomloft.store.failures import StoreFailure
 from expression import Result
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 
-FAILURES_UNTIL_AWAY = 2
-"""Failed calls in a row after which the store counts as away; one may be a lost packet."""
-
 _RETRY_INTERVAL = timedelta(milliseconds=500)
 """From the start of a failed question to the next one, unless it takes longer by itself.
 
--- a/packages/gateway/src/cardamomloft/gateway/relayedcontrol.py
+++ b/packages/gateway/src/cardamomloft/gateway/relayedcontrol.py
@@ -96,13 +96,29 @@
 
     async def _changes(self, after: int, wait: timedelta) -> Result[Changes, StoreFailure]:
         if not wait:
-            return await self._from_store_at_once(after)
+            return await self._while_failing(after)
         question = self._sources.next(self._records(), self._clock.monotonic())
         if question.relay is None:
             longest = wait if question.wait is None else question.wait
             return await self._from_store(after, longest, question.pause)
         return await self._from_relay(question.relay, question, after)
 
+    async def _while_failing(self, after: int) -> Result[Changes, StoreFailure]:
+        """Leave it to a relay to ask whether the store is back; ask it if that may be so."""
+        question = self._sources.next_while_failing(self._records(), self._clock.monotonic())
+        if question.relay is None:
+            return await self._from_store_at_once(after)
+        wait = question.wait or timedelta(0)
+        match await self._port.ask(question.relay, after, wait, self._sources.patience):
+            case Result(tag="ok", ok=passed) if self._is_no_news_of_store(passed, after):
+                left = StoreFailure(False, f"left to {question.relay.name} to ask")
+                return Ok(self._passed(passed, after, None)._replace(failure=left))
+            case Result(tag="error", error=Silence(cancelled=True, detail=detail)):
+                return Error(StoreFailure(False, detail))
+            case Result(tag="error", error=silence):
+                self._silent(question.relay, silence)
+        return await self._from_store_at_once(after)
+
     async def _from_store_at_once(self, after: int) -> Result[Changes, StoreFailure]:
         """Ask the store, which has failed before; if it does so again, hear what a relay knows."""
         outcome = await self._from_store(after, timedelta(0), None)
@@ -138,6 +154,10 @@
         self._learn(passed.facts, index)
         return Changes(passed.facts, index, pause=pause)
 
+    def _is_no_news_of_store(self, passed: Passed, after: int) -> bool:
+        back = self._sources.is_back(passed.complete_at)
+        return not back and not self._went_back(passed, after)
+
     def _went_back(self, passed: Passed, after: int) -> bool:
         """Tell whether a relay heard a lower revision later: then the store counts anew."""
         own = self._sources.known_at
@@ -154,7 +174,11 @@
         self._metrics.count("changes_from_store")
         asked_at = self._clock.monotonic()
         outcome = await self._control.changes(after, wait)
-        if outcome.is_error() or outcome.ok.lost:
+        if outcome.is_error():
+            self._sources.store_failed(asked_at)
+            return outcome
+        self._sources.store_answered()
+        if outcome.ok.lost:
             return outcome
         # After a wait the answer is of now; without one it is of when the question came there.
         self._sources.complete(self._clock.monotonic() if wait else asked_at)
--- a/packages/gateway/tests/test_relayed_changes.py
+++ b/packages/gateway/tests/test_relayed_changes.py
@@ -139,6 +139,45 @@
     assert {gateway.name for gateway in run.gateways if gateway.follower.away} == names
 
 
+def test_while_the_store_is_away_listeners_leave_it_to_relays_to_ask():
+    """Each gateway asked twice a second: most of a day's calls fell into outages of 8 s."""
+    run = Deployment()
+    before = counted(run.listeners(), "changes_from_store")
+    _away(run, 8000 * MS)
+    asked = counted(run.listeners(), "changes_from_store") - before
+    # Two until it counts as away, one each 0.7 of the drain time, and one when it is back.
+    assert asked <= len(run.listeners()) * (2 + 8000 * MS / (DRAIN * 0.7) + 1)
+
+
+@pytest.mark.parametrize("relays", ["well", "cut", "silenced"])
+def test_the_return_of_a_store_is_noticed_in_time_and_before_what_lapsed(relays):
+    """Records that lapsed are kept for those who may record themselves again."""
+    run = Deployment()
+    back_at = _away(run, 8000 * MS, lapses=True)
+    if relays == "cut":
+        run.store.cut |= set(run.relays)
+    if relays == "silenced":
+        run.network.silenced |= set(run.relays)
+    run.run(DRAIN)
+    for gateway in run.listeners():
+        (noticed,) = gateway.returns
+        assert noticed - back_at <= (600 * MS if relays == "well" else DRAIN * 0.9)
+        assert gateway.entries_gone and gateway.entries_gone[0] >= noticed
+    run.configure()
+    run.run(DRAIN)
+    assert {row.name for row in run.listeners()}.isdisjoint(run.late())
+
+
+def _away(run: Deployment, duration: timedelta, *, lapses: bool = False) -> timedelta:
+    """Let the store be away for all, and return when it is back."""
+    run.store.refused |= {row.name for row in run.gateways}
+    run.run(duration)
+    run.store.refused.clear()
+    if lapses:
+        run.store.write(("entry", "gone"), EntryWithdrawn("gone"), removes=True)
+    return run.time.clock.monotonic()
+
+
 def test_a_history_that_is_forgotten_hides_nothing():
     run = Deployment()
     run.store.write(("zone", "b"), ZoneDrained("b"))
--- a/standins/src/cardamomloft_standins/relayed.py
+++ b/standins/src/cardamomloft_standins/relayed.py
@@ -157,6 +157,8 @@
         self.plans: list[int] = [0]
         self.drained: set[str] = set()
         self.faults = []
+        self.returns: list[timedelta] = []
+        self.entries_gone: list[timedelta] = []
         self.stopped = False
         network.gateways[record.peers] = self
         client = Client(store, self.name)
@@ -181,7 +183,7 @@
             Pace(DRAIN * 0.4, DRAIN * 0.6),
             self._on_listing,
             self._on_changes,
-            lambda: None,
+            lambda: self.returns.append(time.clock.monotonic()),
         )
 
     def start(self) -> None:
@@ -225,6 +227,7 @@
                 case EntryRecorded(record):
                     self.entries.add(record, now)
                 case EntryWithdrawn(name):
+                    self.entries_gone.append(now)
                     self.entries.withdraw(name, now)
 
 
