Work out an entry's place for an endpoint once, not with each request while everything is cold

Cause, found by reading and timed: while all of a service's endpoints are cold, each request asked for this entry's place among all entries at each endpoint, two hashes of text for each other entry. Places are kept until the entries that are known change.

--- a/packages/core/src/cardamomloft/core/affinity.py
+++ b/packages/core/src/cardamomloft/core/affinity.py
@@ -35,7 +35,7 @@
 
 def unit_hash(key: str, name: str) -> float:
     """Return a number between 0 and 1 (both excluded) that depends on `key` and `name` only."""
-    return _unit(text_hash(key), text_hash(name))
+    return unit_of(text_hash(key), text_hash(name))
 
 
 def first_ranked(key: str, candidates: Sequence[Candidate[T]], count: int) -> list[T]:
@@ -47,13 +47,14 @@
     """
     hashed, log = text_hash(key), math.log
     scored = [
-        (-log(_unit(hashed, seed)) / weight, seed, place)
+        (-log(unit_of(hashed, seed)) / weight, seed, place)
         for place, (_, seed, weight) in enumerate(candidates)
     ]
     return [candidates[place].item for _, _, place in heapq.nsmallest(count, scored)]
 
 
-def _unit(first: int, second: int) -> float:
+def unit_of(first: int, second: int) -> float:
+    """Return the number of :func:`unit_hash` for two texts whose hashes are known."""
     mixed = first ^ (second * _MIX_1 & _MASK)
     mixed = (mixed ^ mixed >> 30) * _MIX_1 & _MASK
     mixed = (mixed ^ mixed >> 27) * _MIX_2 & _MASK
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -13,7 +13,7 @@
 from collections.abc import Collection, Mapping
 from datetime import timedelta
 
-from cardamomloft.core.affinity import Candidate, first_ranked, unit_hash
+from cardamomloft.core.affinity import Candidate, first_ranked
 from cardamomloft.core.budgets import ColdLimit, cold_part, may_send_cold
 from cardamomloft.core.estimates import (
     SMOOTHING,
@@ -23,6 +23,7 @@
     others_load,
 )
 from cardamomloft.core.model import Refusal, RefusalReason
+from cardamomloft.core.ranks import OwnRanks
 from cardamomloft.core.registrations import LoadReport, Upstream, UpstreamBook
 from cardamomloft.core.routes import RouteRule, ServicePolicy
 from cardamomloft.core.sizes import Sizes
@@ -178,8 +179,6 @@
         What the endpoints of each service bear.
     entries
         Among how many entries budgets are divided.
-    others
-        Names of the other entries.
     sizes
         How large the requests of each rule are.
     touches
@@ -195,7 +194,6 @@
         preferences: Preferences,
     ) -> None:
         self._book = book
-        self._name = name
         self._zone = zone
         self.cold = cold
         self._preferences = preferences
@@ -205,7 +203,16 @@
         self.policies: Mapping[str, ServicePolicy] = {}
         self.entries = 1
         self._usual: dict[str, float] = {}
-        self.others: Collection[str] = ()
+        self._ranks = OwnRanks(name)
+
+    @property
+    def others(self) -> Collection[str]:
+        """Names of the other entries."""
+        return self._ranks.others
+
+    @others.setter
+    def others(self, names: Collection[str]) -> None:
+        self._ranks.use(names)
 
     def choose(
         self,
@@ -327,16 +334,12 @@
         for upstream in cold:
             policy = self.policies.get(upstream.registration.service)
             rate = policy.cold_per_s if policy else 0.0
-            part = cold_part(rate, self.cold, self.entries, self._place_for(upstream))
+            place = self._ranks.of(upstream.id, upstream.seed)
+            part = cold_part(rate, self.cold, self.entries, place)
             if may_send_cold(upstream.cold_sends, part, now):
                 return upstream
         return None
 
-    def _place_for(self, upstream: Upstream) -> int:
-        """Return this entry's place among all entries in an order that the endpoint draws."""
-        own = unit_hash(upstream.id, self._name)
-        return sum(1 for other in self.others if unit_hash(upstream.id, other) < own)
-
     def _order(self, rule: RouteRule, service: str, key: str) -> list[Upstream]:
         """Return the endpoints that the key prefers, in that order: the first few, or else all."""
         ranking = self._ranking(rule, service)
--- a/packages/core/tests/test_selection.py
+++ b/packages/core/tests/test_selection.py
@@ -315,9 +315,11 @@
     """With only cold endpoints, in any second of a rush."""
     limit = 7.0 * 1.5 + 5
     minute, names = timedelta(seconds=60), {f"e-{number}" for number in range(entries)}
-    selectors = [_selector(near=1, far=0, cold_left=minute, name=name) for name in names]
-    for selector in selectors:
-        selector.others = names - {selector._name}
+    selectors = []
+    for name in names:
+        selector = _selector(near=1, far=0, cold_left=minute, name=name)
+        selector.others = names - {name}
+        selectors.append(selector)
     sent = []
     for step in range(400):
         now = NOW + step * 10 * MS
