--- a/scripts/slopes_gateway.py
+++ b/scripts/slopes_gateway.py
@@ -11,7 +11,8 @@
 from datetime import timedelta
 
 from cardamomloft.core.budgets import ColdLimit
-from cardamomloft.core.registrations import Registration, UpstreamBook
+from cardamomloft.core.naming import entries_for
+from cardamomloft.core.registrations import EntryRecord, Registration, UpstreamBook
 from cardamomloft.core.selection import Preferences, Selector
 from cardamomloft.gateway.documents import load_registration
 from cardamomloft_standins.gateway import RULE
@@ -60,6 +61,30 @@
     return new, known
 
 
+def division(endpoints: int) -> float:
+    """Return the time to divide the endpoints by service after a change, in microseconds."""
+    book = UpstreamBook({f"z-{zone}": f"r-{zone % REGIONS}" for zone in range(ZONES)})
+    for number in range(endpoints):
+        book.register(registration(number), NOW)
+
+    def change() -> None:
+        row = registration(0)
+        book.register(row._replace(slots=3 - book.all()[0].registration.slots % 2), NOW)
+        book.of_service("menus")
+
+    return micros(change, ROUNDS)
+
+
+def lookup(entries: int) -> float:
+    """Return the time to name the entries for a client among as many, in microseconds."""
+    regions = {f"z-{zone}": f"r-{zone % REGIONS}" for zone in range(ZONES)}
+    rows = [
+        EntryRecord(f"e-{n}", f"10.0.0.1:{n}", f"z-{n % ZONES}", f"r-{n % ZONES % REGIONS}", "")
+        for n in range(entries)
+    ]
+    return micros(lambda: entries_for(rows, "z-0", "r-0", frozenset(), regions), ROUNDS)
+
+
 def memory(endpoints: int) -> tuple[float, float]:
     """Return bytes for each endpoint, and for each known key over all its endpoints."""
     tracemalloc.start()
@@ -100,6 +125,8 @@
         result[str(size)] = {
             "new_key_us": round(new, 1),
             "known_key_us": round(known, 1),
+            "division_us": round(division(size)),
+            "lookup_us": round(lookup(size)),
             "bytes_per_endpoint": round(per_endpoint),
             "bytes_per_key": round(per_key),
         }
