--- a/packages/core/src/cardamomloft/core/ranks.py
+++ b/packages/core/src/cardamomloft/core/ranks.py
@@ -5,7 +5,8 @@
 from cardamomloft.core.affinity import text_hash, unit_of
 
 PLACES_KEPT = 20_000
-"""Endpoints whose places are kept; those that have gone stay among them until then."""
+"""Endpoints whose places are kept. Those that have gone are kept too, until so many are and all are
+dropped, or until the entries change."""
 
 
 class OwnRanks:
--- a/standins/src/cardamomloft_standins/experiment/loop.py
+++ b/standins/src/cardamomloft_standins/experiment/loop.py
@@ -10,7 +10,7 @@
 
 
 class Loop(Clock):
-    """Time that moves from call to call. 22,000 requests with their timers take a fifth as long."""
+    """Time that moves from call to call; thousands of timers of requests wait at any time."""
 
     def __init__(self) -> None:
         super().__init__()
