--- a/standins/src/cardamomloft_standins/experiment/report.py
+++ b/standins/src/cardamomloft_standins/experiment/report.py
@@ -1,5 +1,6 @@
 """What callers got under each policy, as a table and as a plot."""
 
+import statistics
 import typing as t
 from collections import Counter
 from collections.abc import Mapping, Sequence
@@ -59,6 +60,29 @@
     )
 
 
+class Spread(t.NamedTuple):
+    """Figures of several plays with different seeds.
+
+    Attributes
+    ----------
+    median
+        Each figure's median.
+    least, most
+        The least and the greatest credit of a play.
+    """
+
+    median: Summary
+    least: float
+    most: float
+
+
+def spread(summaries: Sequence[Summary]) -> Spread:
+    """Return the medians of one or more plays, and between what their credit lies."""
+    medians = (statistics.median_low(column) for column in zip(*summaries, strict=True))
+    credits = [summary.credit for summary in summaries]
+    return Spread(Summary(*medians), min(credits), max(credits))
+
+
 def by_window(outcomes: Sequence[Outcome]) -> dict[float, float]:
     """Return the mean credit of the requests of each window, by its begin in seconds."""
     credits: dict[float, list[float]] = {}
@@ -67,10 +91,13 @@
     return {begin: sum(found) / len(found) for begin, found in sorted(credits.items())}
 
 
-def table(summaries: Mapping[str, Summary]) -> str:
-    """Return one line for each policy."""
-    heads = ["policy", *Summary._fields]
-    rows = [[name, *map(_text, summary)] for name, summary in summaries.items()]
+def table(spreads: Mapping[str, Spread]) -> str:
+    """Return one line for each policy: medians, and the least and greatest credit."""
+    heads = ["policy", *Summary._fields, "least", "most"]
+    rows = [
+        [name, *map(_text, found.median), _text(found.least), _text(found.most)]
+        for name, found in spreads.items()
+    ]
     widths = [max(map(len, column)) for column in zip(heads, *rows, strict=True)]
     lines = (
         "  ".join(cell.rjust(width) for cell, width in zip(row, widths, strict=True))
--- a/standins/tests/test_experiment.py
+++ b/standins/tests/test_experiment.py
@@ -9,11 +9,19 @@
 from cardamomloft_standins.experiment.endpoints import Job, ModelEndpoint
 from cardamomloft_standins.experiment.loop import Loop
 from cardamomloft_standins.experiment.policies import POLICIES
-from cardamomloft_standins.experiment.report import Summary, by_window, plot, summarize, table
+from cardamomloft_standins.experiment.report import (
+    Summary,
+    by_window,
+    plot,
+    spread,
+    summarize,
+    table,
+)
 from cardamomloft_standins.experiment.scenarios import Traits, scenario
 from cardamomloft_standins.experiment.world import World
 from twisted.internet.task import Clock
 
+CREDITS = (0.9, 0.4, 0.5)
 TRAITS = Traits(2, 1, 2, timedelta(milliseconds=400), 0.25, 0.0)
 ROW = Registration("i-1", "modelled", "i-1", "a1", 2, False, timedelta(0))
 
@@ -79,7 +87,17 @@
     assert (summary.served, summary.late, summary.refused) == pytest.approx((1 / 3,) * 3)
     assert (summary.worst, summary.warm) == (0.0, 0.5)
     assert by_window(rows) == {0.0: pytest.approx(0.6), 2.0: 0.0}
-    assert len(table({"product": summary}).splitlines()) == 2
+    assert len(table({"product": spread([summary])}).splitlines()) == 2
+
+
+def test_several_plays_give_medians_and_between_what_the_credit_lies():
+    plays = [Summary(10, credit, 0.1, 0.5, 0.2, 0.1, 0.2, 0.9, 100.0, 900.0) for credit in CREDITS]
+    found = spread(plays)
+    assert (found.median.credit, found.least, found.most) == (0.5, 0.4, 0.9)
+    assert found.median.requests == 10
+    assert spread(plays[:1]).median == plays[0]
+    row = table({"product": found}).splitlines()[1].split()
+    assert row[0] == "product" and row[-2:] == ["0.400", "0.900"]
 
 
 def test_a_plot_is_drawn(tmp_path):
