--- /dev/null
+++ b/packages/gateway/tests/test_gateway_settings.py
@@ -0,0 +1,90 @@
+"""Settings of a gateway: checked, read again, and put in force."""
+
+import json
+
+import pytest
+from cardamomloft.gateway.reloading import SettingsFile
+from cardamomloft.gateway.settings import load_settings
+from cardamomloft_standins import gateway as kit
+from cardamomloft_standins.assembled import MS, SETTINGS, Run
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("stop_time", "6"),
+        ("stop_time", "6m"),
+        ("zones", []),
+        ("callers", "localhost:80"),
+        ("retries", {"ratio": 0.2, "slack": 60}),
+        ("unheard_of", 1),
+    ],
+)
+def test_wrong_settings_are_named(path, value):
+    outcome = load_settings(json.dumps({**SETTINGS, path: value}))
+    assert any(str(mistake).startswith(path) for mistake in outcome.error)
+
+
+@pytest.mark.parametrize("text", ["", "{", '{"name": "e-1"', "[]"])
+def test_a_settings_file_half_written_is_an_error(text):
+    assert load_settings(text).is_error()
+
+
+def test_settings():
+    assert load_settings(json.dumps(SETTINGS)).ok == SETTINGS
+
+
+def test_changed_settings_are_in_force_and_fixed_ones_wait_for_a_new_start():
+    run = Run()
+    run.ask()
+    retries = {"ratio": 0.0, "slack": 0.0, "window": "10s"}
+    changed = {**SETTINGS, "retries": retries, "lookup_life": "500ms", "callers": "127.0.0.1:1"}
+    run.gateway.reconfigure(changed)
+    assert run.lookup().life == 500 * MS
+    assert run.lookup().addresses == ["127.0.0.1:7101"]
+    run.client.outcomes.clear()
+    run.client.outcomes.extend([kit.answer(503, b"", not_run=True), kit.answer()])
+    assert run.ask().status == 503
+
+
+def test_a_zone_that_changes_its_region_is_placed_anew():
+    run = Run()
+    run.gateway.reconfigure({**SETTINGS, "zones": {"a": "west", "b": "west"}})
+    (upstream,) = run.gateway.book.of_service("menus")
+    assert upstream.region == "west"
+
+
+def test_a_settings_file_is_read_again_when_it_changes(tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(SETTINGS))
+    settings = SettingsFile(path)
+    assert settings.read() == SETTINGS
+    assert settings.changed() is None
+    path.write_text(json.dumps(SETTINGS)[:40])
+    assert settings.changed() is None
+    changed = {**SETTINGS, "lookup_life": "1s"}
+    path.write_text(json.dumps(changed))
+    assert settings.changed() == changed
+    path.unlink()
+    assert settings.changed() is None
+    assert settings.read() is None
+
+
+def test_a_start_waits_for_settings_that_are_being_written(tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(SETTINGS)[:40])
+    slept = []
+
+    def sleep(seconds):
+        slept.append(seconds)
+        if len(slept) == 3:
+            path.write_text(json.dumps(SETTINGS))
+
+    assert SettingsFile(path).wait(30, sleep) == SETTINGS
+    assert len(slept) == 3
+
+
+def test_a_start_gives_up_settings_that_stay_wrong(tmp_path):
+    slept = []
+    assert SettingsFile(tmp_path / "none.json").wait(2, slept.append) is None
+    assert sum(slept) == pytest.approx(2)
