--- a/packages/gateway/src/cardamomloft/gateway/records.py
+++ b/packages/gateway/src/cardamomloft/gateway/records.py
@@ -14,6 +14,7 @@
 from cardamomloft.core.selection import Reason
 from cardamomloft.core.touches import Touch
 from cardamomloft.gateway.calls import Call
+from cardamomloft.gateway.outcomes import Told
 from cardamomloft.runtime.logs import log
 
 LINES_PER_S = 100
@@ -33,7 +34,7 @@
 
     `reason` is why the endpoint was chosen, and `touch` whether it had the object at hand. `load`
     is the load that was expected there, of `slots`, from a report of the age `report_age` (None: no
-    report).
+    report). `told` is what the endpoint told of itself with its answer.
     """
 
     endpoint: str
@@ -44,6 +45,7 @@
     report_age: timedelta | None
     took: timedelta
     outcome: t.NamedTuple
+    told: Told
 
     def fields(self) -> dict[str, t.Any]:
         """Return the note for a log line."""
@@ -56,6 +58,8 @@
             "ms": _ms(self.took),
             "outcome": type(self.outcome).__name__.lower(),
             "detail": getattr(self.outcome, "detail", ""),
+            **({"cut": True} if getattr(self.outcome, "cut", False) else {}),
+            **self.told.fields(),
         }
 
 
@@ -75,12 +79,14 @@
         self._left_out = 0
         self._well = 0
 
-    def served(self, call: Call, status: int, sends: Sequence[SendNote], now: timedelta) -> None:
+    def served(
+        self, call: Call, status: int, sends: Sequence[SendNote], now: timedelta, **fields: t.Any
+    ) -> None:
         """Log a request that has its answer if it is of interest or in the sample."""
         self._well += 1
         slow = now - call.arrived > call.rule.target
         if slow or len(sends) > 1 or status >= 500 or self._well % SAMPLE == 0:
-            self.write(call, "served", now, status=status, sends=sends)
+            self.write(call, "served", now, status=status, sends=sends, **fields)
 
     def write(self, call: Call, outcome: str, now: timedelta, **fields: t.Any) -> None:
         """Log what became of a request."""
--- a/packages/gateway/tests/test_gateway_forwarding.py
+++ b/packages/gateway/tests/test_gateway_forwarding.py
@@ -242,7 +242,7 @@
 def test_log_lines_of_a_request_say_where_it_went_and_by_what_knowledge():
     bench = Bench(SHED, RESET)
     lines = []
-    bench.forwarder._records.write = lambda call, outcome, now, **fields: lines.append(fields)
+    bench.forwarder.records.write = lambda call, outcome, now, **fields: lines.append(fields)
     bench.answer("/orders/1")
     first, second = [note.fields() for note in lines[-1]["sends"]]
     assert (first["outcome"], first["detail"]) == ("refused", "status 503")
--- a/packages/upstreams/src/cardamomloft/upstreams/client.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/client.py
@@ -13,6 +13,7 @@
 from expression import Error, Ok, Result
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred, maybeDeferred, succeed
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure
 from twisted.web._newclient import RequestNotSent
 from twisted.web.client import Agent
@@ -78,10 +79,15 @@
 
 
 class SendFailure(t.NamedTuple):
-    """No answer; `not_run` only if no byte of the request can have left."""
+    """No answer; `not_run` only if no byte of the request can have left.
+
+    `cut` if the connection ended after that and before an answer began, as when the upstream
+    crashes.
+    """
 
     not_run: bool
     detail: str
+    cut: bool = False
 
 
 class UpstreamClient:
@@ -217,9 +223,10 @@
     def _failed(self, failure: Failure) -> None:
         not_run = self._attempt.connection is None or bool(failure.check(RequestNotSent))
         detail = self._stop_detail or _describe(failure)
+        cut = not (not_run or self._stop_detail) and _is_loss(failure)
         self._attempt.abort()
         self._end()
-        self._settle(Error(SendFailure(not_run, detail)))
+        self._settle(Error(SendFailure(not_run, detail, cut)))
 
     def _ended_in_order(self) -> bool:
         conn = self._attempt.connection
@@ -285,11 +292,19 @@
 
 
 def _describe(failure: Failure) -> str:
-    reasons = getattr(failure.value, "reasons", None)
-    inner = reasons[0] if reasons else failure
+    inner = _innermost(failure)
     return f"{inner.type.__name__}: {inner.getErrorMessage()}"
 
 
+def _is_loss(failure: Failure) -> bool:
+    return bool(_innermost(failure).check(ConnectionDone, ConnectionLost))
+
+
+def _innermost(failure: Failure) -> Failure:
+    reasons = getattr(failure.value, "reasons", None)
+    return reasons[0] if reasons else failure
+
+
 def _control_failure(failure: Failure, attempt: Attempt) -> Result[bytes, str]:
     attempt.abort()
     return Error(_describe(failure))
--- a/packages/upstreams/tests/test_dialect.py
+++ b/packages/upstreams/tests/test_dialect.py
@@ -13,7 +13,7 @@
     UpstreamConnection,
     usable_idle_s,
 )
-from cardamomloft.upstreams.dialect import Dialect, parse_header_load
+from cardamomloft.upstreams.dialect import Dialect, parse_header_load, parse_retry_after
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
@@ -160,3 +160,17 @@
     assert parse_header_load("3,0,8") == (3, 0, 8)
     assert parse_header_load(None) is None
     assert parse_header_load("3, 0, 8") is None
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"), [("2", 2), ("0.25", 0.25), ("0", 0), ("999999999", 3600)]
+)
+def test_the_time_for_which_an_endpoint_wants_nothing(text, seconds):
+    assert parse_retry_after(text) == timedelta(seconds=seconds)
+
+
+@pytest.mark.parametrize(
+    "text", [None, "", "-1", "1e9", "nan", "1 s", "Wed, 21 Oct 2026 07:28:00 GMT", "\u0663"]
+)
+def test_an_odd_time_is_none(text):
+    assert parse_retry_after(text) is None
--- a/packages/upstreams/tests/test_upstreams_client.py
+++ b/packages/upstreams/tests/test_upstreams_client.py
@@ -7,7 +7,12 @@
 from cardamomloft.upstreams.client import SendFailure, UpstreamClient, UpstreamRequest
 from cardamomloft.upstreams.connections import IDLE_TIMEOUT_S
 from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectionDone, ConnectionRefusedError, TimeoutError
+from twisted.internet.error import (
+    ConnectionDone,
+    ConnectionLost,
+    ConnectionRefusedError,
+    TimeoutError,
+)
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
@@ -94,6 +99,31 @@
     assert not result.result.error.not_run and not harness.client.in_flight
 
 
+@pytest.mark.parametrize("reason", [ConnectionDone(), ConnectionLost()])
+@pytest.mark.parametrize(("answer", "cut"), [(b"", True), (b"HTTP/1.1 20", True), (OK[:-1], False)])
+def test_a_connection_that_ends_before_an_answer_is_told_from_one_that_ends_within_it(
+    reason, answer, cut
+):
+    harness = Harness()
+    result = harness.send()
+    wire = harness.connect()
+    wire.say(answer)
+    wire.protocol.connectionLost(Failure(reason))
+    assert (result.result.is_error() and result.result.error.cut) == cut
+
+
+def test_what_ends_for_another_reason_is_not_cut():
+    harness = Harness()
+    late, cancelled, malformed = harness.send(), harness.send(), harness.send()
+    wires = [Wire(factory) for _, _, factory, *_ in harness.reactor.tcpClients]
+    wires[2].say(b"x\r\n\r\n")
+    cancelled.cancel()
+    harness.reactor.advance(1)
+    for result in (late, cancelled, malformed):
+        assert not result.result.error.not_run
+        assert not result.result.error.cut
+
+
 def test_a_timeout_after_sending_may_have_run_and_its_late_answer_reaches_nobody():
     harness = Harness()
     result = harness.send()
