Refuse a request under which endpoints crash, at every gateway

Callers saw: one request ended 31 endpoints within 12 s, and most look-ups of all callers were late or refused meanwhile. Cause: each attempt was carried as if it were the first; nobody recognised the request, and no gateway told the others what it had seen. The class: what is decided by each entry alone though only all of them together see enough of it.

Change: a connection that ends before an answer begins is a crash under its request. Gateways pass such notices on by gossip (push to four, compare twice a second), with no part for the store or relays. Three crashes without an answer between them, and the request is refused as not run for five minutes; an answer excuses it. A request is known by method, host, path, query, body and the headers that say who asks.

Ruled out: by the caller's address. Waiting for two crashes only: a harmless repeat goes the way of the deadly request.

--- a/packages/core/src/cardamomloft/core/messages.py
+++ b/packages/core/src/cardamomloft/core/messages.py
@@ -119,6 +119,23 @@
     held_ms: int
 
 
+class NoticesTold(t.NamedTuple):
+    """Tell another entry of notices, in their wire form."""
+
+    notices: bytes
+
+
+class NoticesCompared(t.NamedTuple):
+    """Compare what two entries hold: the sums of each part of it.
+
+    The other one sends what it holds in the parts that differ and, unless this `answers` such a
+    message, its own sums.
+    """
+
+    sums: tuple[int, ...]
+    answers: bool
+
+
 Message = (
     LoanRequest
     | LoanGrant
@@ -132,6 +149,8 @@
     | VmNotice
     | ChangesQuestion
     | ChangesAnswer
+    | NoticesTold
+    | NoticesCompared
 )
 
 
--- a/packages/core/src/cardamomloft/core/model.py
+++ b/packages/core/src/cardamomloft/core/model.py
@@ -79,6 +79,7 @@
     CLAIM_BUDGET = "claim-budget-spent"
     UNREACHABLE = "upstream-unreachable"
     SHED = "upstream-shed"
+    QUARANTINED = "upstreams-crash-under-it"
     TOO_LARGE = "body-too-large"
     BAD_REQUEST = "bad-request"
 
--- a/packages/gateway/src/cardamomloft/gateway/changefeed.py
+++ b/packages/gateway/src/cardamomloft/gateway/changefeed.py
@@ -1,5 +1,6 @@
 """The feed of changes of one gateway: from relays or the store, and on to other gateways."""
 
+import random
 import typing as t
 import uuid
 from collections.abc import Callable
@@ -7,12 +8,15 @@
 
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.entrybook import EntryBook
+from cardamomloft.core.messages import Message, NoticesCompared, NoticesTold
 from cardamomloft.core.model import Incarnation
+from cardamomloft.core.notices import Dated
 from cardamomloft.core.registrations import EntryRecord
 from cardamomloft.feed.changetable import ChangeTable
 from cardamomloft.feed.relays import relays_of
 from cardamomloft.feed.sources import Sources
 from cardamomloft.gateway.control import Control
+from cardamomloft.gateway.gossip import Gossip
 from cardamomloft.gateway.relayedcontrol import RelayedControl
 from cardamomloft.gateway.relaying import RelayPort
 from cardamomloft.peers.node import OnFault, PeerNode
@@ -40,6 +44,10 @@
         Tells whether the others are to know of this gateway.
     drain_time
         How soon a change must be in force.
+    on_notice
+        Told of each notice, this gateway's own ones too.
+    rng
+        Source of chance.
     metrics
         Counts who was asked.
 
@@ -48,7 +56,9 @@
     control
         What to ask for changes.
     port
-        Talks with other gateways.
+        Asks other gateways for changes and answers them.
+    gossip
+        Passes notices on.
     """
 
     def __init__(
@@ -60,6 +70,8 @@
         entries: EntryBook,
         present: Callable[[], bool],
         drain_time: timedelta,
+        on_notice: Callable[[Dated], None],
+        rng: random.Random,
         metrics: Metrics,
     ) -> None:
         self._reactor = reactor
@@ -73,6 +85,7 @@
         self.control = RelayedControl(
             control, clock, table, self._sources, self.port, self._records, metrics
         )
+        self.gossip = Gossip(reactor, clock, rng, self._others, self._send, on_notice, metrics)
 
     def start(self, on_fault: OnFault) -> None:
         """Take messages of other gateways, if there is an address for them.
@@ -88,13 +101,21 @@
                 self._reactor,
                 me,
                 self._own.peers,
-                self.port.take,
+                self.take,
                 on_fault=on_fault,
                 max_links=MAX_PEER_LINKS,
             )
 
+    def take(self, sender: Incarnation, message: Message) -> None:
+        """Take a message of another gateway."""
+        if isinstance(message, NoticesTold | NoticesCompared):
+            self.gossip.take(sender, message)
+        else:
+            self.port.take(sender, message)
+
     def stop(self) -> None:
         """Answer what waits here, and end; call it before the end of the following."""
+        self.gossip.stop()
         self.control.stop()
         self.port.close()
 
@@ -110,6 +131,7 @@
             "relays": [row.name for row in relays],
             "knowledge_age_ms": None if age is None else age // timedelta(milliseconds=1),
             "questions_held": self.port.held,
+            "notices": len(self.gossip),
         }
 
     def _age(self) -> timedelta | None:
@@ -120,3 +142,9 @@
 
     def _address_of(self, name: str) -> str | None:
         return next((row.peers for row in self._records() if row.name == name), None) or None
+
+    def _others(self) -> dict[str, str]:
+        return {row.name: row.peers for row in self._entries.records(with_own=False) if row.peers}
+
+    def _send(self, address: str, message: Message) -> bool:
+        return self.port.peers is not None and self.port.peers.send(address, message)
--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -14,6 +14,7 @@
 from cardamomloft.core.registrations import UpstreamBook
 from cardamomloft.core.selection import Selector
 from cardamomloft.gateway.calls import Call
+from cardamomloft.gateway.noticing import Noticing
 from cardamomloft.gateway.passage import Caller, Passage
 from cardamomloft.gateway.records import RequestLog, SendNote
 from cardamomloft.runtime.metrics import Metrics
@@ -49,6 +50,8 @@
         Where counts and latencies go.
     records
         Writes the log lines of requests.
+    noticing
+        Knows which requests are sent to no upstream.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         budget_for: Callable[[str], RetryBudget],
         metrics: Metrics,
         records: RequestLog,
+        noticing: Noticing,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -72,6 +76,7 @@
         self.budget_for = budget_for
         self.metrics = metrics
         self.records = records
+        self.noticing = noticing
         self._returns: dict[str, ComeBack] = {}
 
     async def carry(
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/gossip.py
@@ -0,0 +1,167 @@
+"""Passing notices on between gateways, without the store and without relays.
+
+What is new is pushed to a few gateways drawn at random, who do the same; now and then two of them
+compare what they hold, which mends what got lost. It works alike among ten and among a thousand,
+and no gateway matters more than another.
+"""
+
+import random
+import typing as t
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from functools import singledispatchmethod
+
+from cardamomloft.core.clock import Clock
+from cardamomloft.core.messages import Message, NoticesCompared, NoticesTold
+from cardamomloft.core.model import Incarnation
+from cardamomloft.core.notices import Dated, Notice, NoticeBoard
+from cardamomloft.feed.noticecodec import decode_notices, encode_notices
+from cardamomloft.runtime.logs import log
+from cardamomloft.runtime.metrics import Metrics
+from expression import Result
+from twisted.internet.interfaces import IDelayedCall
+
+FANOUT = 4
+"""Gateways to which each pushes what is new to it. All but 2 % of them are reached so, in a number
+of steps that grows with the logarithm of theirs (Demers and others, 1987); comparing reaches the
+rest."""
+
+GATHER_TIME = timedelta(milliseconds=50)
+"""How long news is gathered into one message: a crash concerns several requests."""
+
+COMPARE_INTERVAL = timedelta(milliseconds=500)
+"""How often a gateway that holds notices compares them with another's."""
+
+CATCH_UP_TIME = timedelta(seconds=10)
+"""How long a gateway that has started asks others for what it missed, though it holds nothing: its
+record must have reached them before they can answer."""
+
+NOTICES_A_MESSAGE = 500
+"""Notices in one message at most, some 60 KB; more are left to the next comparison."""
+
+
+class Send(t.Protocol):
+    """Sends a message to a gateway's address; it may be lost."""
+
+    def __call__(self, address: str, message: Message) -> bool:
+        """Return False if it was dropped here."""
+        ...
+
+
+class Gossip:
+    """One gateway's part in it.
+
+    Parameters
+    ----------
+    reactor
+        For the time in which news is gathered.
+    clock, rng
+        Sources of time and chance.
+    others
+        Returns the addresses of the other gateways, by name.
+    send
+        Sends to them.
+    on_news
+        Told of each notice that is new here, its own ones too.
+    metrics
+        Counts notices and messages.
+    """
+
+    def __init__(
+        self,
+        reactor: t.Any,
+        clock: Clock,
+        rng: random.Random,
+        others: Callable[[], dict[str, str]],
+        send: Send,
+        on_news: Callable[[Dated], None],
+        metrics: Metrics,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._rng = rng
+        self._others = others
+        self._send = send
+        self._on_news = on_news
+        self._metrics = metrics
+        self._board = NoticeBoard()
+        self._news: list[Dated] = []
+        self._pushing: IDelayedCall | None = None
+        self._started_at = clock.monotonic()
+
+    def __len__(self) -> int:
+        return len(self._board)
+
+    def tell(self, notices: Iterable[Notice]) -> None:
+        """Let all gateways know, this one first."""
+        now = self._clock.monotonic()
+        self._learn((Dated(notice, now) for notice in notices), now)
+
+    def compare(self) -> None:
+        """Compare with another gateway; to be called at each `COMPARE_INTERVAL`."""
+        now = self._clock.monotonic()
+        if len(self._board) or now - self._started_at < CATCH_UP_TIME:
+            question = NoticesCompared(self._board.sums(now), answers=False)
+            self._to_some(1, question)
+
+    def take(self, sender: Incarnation, message: Message) -> None:
+        """Take a message of another gateway."""
+        self._take(message, sender)
+
+    def stop(self) -> None:
+        """Push what is left, and no more after that."""
+        if self._pushing is not None:
+            self._pushing.cancel()
+            self._push()
+
+    @singledispatchmethod
+    def _take(self, message: Message, sender: Incarnation) -> None:
+        self._metrics.count("peer_messages_of_another_kind")
+
+    @_take.register
+    def _(self, message: NoticesTold, sender: Incarnation) -> None:
+        now = self._clock.monotonic()
+        match decode_notices(message.notices, now):
+            case Result(tag="ok", ok=notices):
+                self._metrics.count("notices_heard", len(notices))
+                self._learn(notices, now)
+            case Result(error=detail):
+                self._metrics.count("notices_unreadable")
+                log("notices-unreadable", entry=sender.seat, detail=detail)
+
+    @_take.register
+    def _(self, message: NoticesCompared, sender: Incarnation) -> None:
+        address = self._others().get(sender.seat)
+        now = self._clock.monotonic()
+        sums = self._board.sums(now)
+        if address is None or message.sums == sums:
+            return
+        missing = self._board.differing(message.sums, now)
+        if missing:
+            self._tell(address, missing, now)
+        if not message.answers:
+            self._send(address, NoticesCompared(sums, answers=True))
+
+    def _learn(self, told: Iterable[Dated], now: timedelta) -> None:
+        news = self._board.take(told, now)
+        for dated in news:
+            self._on_news(dated)
+        self._news.extend(news)
+        if self._news and self._pushing is None:
+            self._pushing = self._reactor.callLater(GATHER_TIME.total_seconds(), self._push)
+
+    def _push(self) -> None:
+        self._pushing = None
+        news, self._news = self._news, []
+        now = self._clock.monotonic()
+        self._metrics.count("notices_new", len(news))
+        self._to_some(FANOUT, NoticesTold(encode_notices(news[:NOTICES_A_MESSAGE], now)))
+
+    def _tell(self, address: str, notices: list[Dated], now: timedelta) -> None:
+        told = NoticesTold(encode_notices(notices[:NOTICES_A_MESSAGE], now))
+        self._send(address, told)
+
+    def _to_some(self, count: int, message: Message) -> None:
+        addresses = sorted(self._others().values())
+        for address in self._rng.sample(addresses, min(count, len(addresses))):
+            self._send(address, message)
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -22,6 +22,8 @@
 from cardamomloft.gateway.control import Control, Listing
 from cardamomloft.gateway.following import Follower, Pace
 from cardamomloft.gateway.forwarding import Forwarder
+from cardamomloft.gateway.gossip import COMPARE_INTERVAL
+from cardamomloft.gateway.noticing import Noticing
 from cardamomloft.gateway.presence import Presence
 from cardamomloft.gateway.records import RequestLog
 from cardamomloft.gateway.settings import FIXED, Bounds, GatewaySettings, bounds_of
@@ -136,6 +138,7 @@
         )
         self._budgets: dict[str, RetryBudget] = {}
         self.records = RequestLog(lambda: self.configuration)
+        self.noticing = Noticing(clock, self.metrics)
         self.forwarder = Forwarder(
             self._reactor,
             clock,
@@ -146,6 +149,7 @@
             self._budget_for,
             self.metrics,
             self.records,
+            self.noticing,
         )
         self.app = CallersApp(
             None, self.handle, self._on_fault, may_overlap=self._may_overlap, meter=self.metrics
@@ -164,8 +168,11 @@
             self.entries,
             self.ready,
             bounds.drain_time,
+            self.noticing.apply,
+            self._rng,
             self.metrics,
         )
+        self.noticing.tell = self.feed.gossip.tell
         self.follower = Follower(
             self._reactor,
             clock,
@@ -225,6 +232,7 @@
         self.feed.start(self._on_fault)
         self.follower.start(self._on_fault)
         self._timers.every(_TICK, self._tick)
+        self._timers.every(COMPARE_INTERVAL, self.feed.gossip.compare)
         self._timers.every(FIGURES_INTERVAL, self._log_figures)
         log("started", entry=self._cfg["name"], zone=self._cfg["zone"])
 
@@ -350,6 +358,7 @@
     def _tick(self) -> None:
         self._log_irregularity()
         self.view.tick()
+        self.noticing.tick()
 
     def _log_irregularity(self) -> None:
         found = self._timekeeper.look()
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/noticing.py
@@ -0,0 +1,75 @@
+"""What a gateway notices about requests and upstreams, and what it does with others' notices."""
+
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+from cardamomloft.core.clock import Clock
+from cardamomloft.core.notices import CrashUnderRequest, Dated, Notice
+from cardamomloft.core.quarantine import Quarantine
+from cardamomloft.core.registrations import Upstream
+from cardamomloft.core.suspicion import Life
+from cardamomloft.runtime.logs import log
+from cardamomloft.runtime.metrics import Metrics
+
+
+class Noticing:
+    """The notices of one gateway.
+
+    Parameters
+    ----------
+    clock
+        Source of time.
+    metrics
+        Counts what is noticed.
+
+    Attributes
+    ----------
+    tell
+        Lets all gateways know of notices, and applies them here.
+    """
+
+    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+        self._clock = clock
+        self._metrics = metrics
+        self._quarantine = Quarantine()
+        self.tell: Callable[[Iterable[Notice]], None] = self._apply_own
+
+    def refused_until(self, fingerprint: Callable[[], str]) -> timedelta | None:
+        """Return until when a request is sent to no upstream; its fingerprint only if needed."""
+        if not self._quarantine:
+            return None
+        return self._quarantine.refused_until(fingerprint(), self._clock.monotonic())
+
+    def crashed(self, fingerprint: str, upstream: Upstream) -> None:
+        """Note that an upstream ended the connection of a request without an answer."""
+        life = Life(upstream.id, upstream.registration.started_ms)
+        self._metrics.count("crashes_under_requests")
+        self.tell([self._quarantine.crashed(fingerprint, life, self._clock.monotonic())])
+
+    def answered(self, fingerprint: Callable[[], str]) -> None:
+        """Note that a request was answered; its fingerprint only if needed."""
+        if self._quarantine:
+            self.tell(self._quarantine.answered(fingerprint()))
+
+    def apply(self, dated: Dated) -> None:
+        """Do what a notice asks for."""
+        notice, at = dated
+        if isinstance(notice, CrashUnderRequest):
+            self._apply_crash(notice, at)
+
+    def refused(self) -> list[str]:
+        """Return the fingerprints of the requests that are sent to no upstream."""
+        return self._quarantine.refused(self._clock.monotonic())
+
+    def tick(self) -> None:
+        """Forget what is too old; to be called now and then."""
+        self._quarantine.forget(self._clock.monotonic())
+
+    def _apply_own(self, notices: Iterable[Notice]) -> None:
+        for notice in notices:
+            self.apply(Dated(notice, self._clock.monotonic()))
+
+    def _apply_crash(self, notice: CrashUnderRequest, at: timedelta) -> None:
+        if self._quarantine.apply(notice, at):
+            self._metrics.count("requests_quarantined")
+            log("request-quarantined", fingerprint=notice.fingerprint, upstream=notice.upstream)
--- a/packages/gateway/src/cardamomloft/gateway/passage.py
+++ b/packages/gateway/src/cardamomloft/gateway/passage.py
@@ -102,6 +102,10 @@
         call, now = self._call, self._now()
         if call.until - now < LEAST_TIME:
             return Refusal(RefusalReason.DEADLINE, "no time is left")
+        refused_until = self._owner.noticing.refused_until(self._get_fingerprint)
+        if refused_until is not None:
+            detail = "upstreams crash under this request"
+            return Refusal(RefusalReason.QUARANTINED, detail, refused_until - now)
         return self._selector.choose(
             call.rule, call.service, call.key, self._tried, call.until, now
         )
@@ -196,7 +200,9 @@
             case Served(faulty=True):
                 self._ran = True
                 self._selector.failed(upstream, now)
+                self._owner.noticing.answered(self._get_fingerprint)
             case Served():
+                self._owner.noticing.answered(self._get_fingerprint)
                 self._selector.answered(upstream, now - sent_at, load)
             case Refused(misdirected=True):
                 self._owner.book.mark_leaving(upstream)
@@ -212,6 +218,8 @@
                 self._arrivals -= outcome.not_run
                 self._ran = self._ran or not outcome.not_run
                 self._selector.failed(upstream, now)
+                if outcome.cut:
+                    self._owner.noticing.crashed(self._fingerprint, upstream)
 
     def _may_repeat(self, outcome: Outcome) -> bool:
         not_run = isinstance(outcome, Refused) or (isinstance(outcome, Failed) and outcome.not_run)
@@ -242,7 +250,8 @@
 
     def _give_up(self, last: Outcome | None, refusal: Refusal | None) -> Answer:
         owner, now = self._owner, self._now()
-        owner.returns_of(self._call.service).note(not self._ran)
+        if refusal is None or refusal.reason is not RefusalReason.QUARANTINED:
+            owner.returns_of(self._call.service).note(not self._ran)
         detail = refusal.detail if refusal is not None else getattr(last, "detail", "")
         outcome = "refused"
         if self._ran:
@@ -261,9 +270,11 @@
             return {}
         return {"fingerprint": self._fingerprint, "caller": self._head.client}
 
+    def _get_fingerprint(self) -> str:
+        return self._fingerprint
+
     @cached_property
     def _fingerprint(self) -> str:
         head, payload = self._head, self._payload
-        host = dict(head.headers).get("host", "")
         body = payload if isinstance(payload, bytes) else t.cast(int, payload.length)
-        return fingerprint(head.client, head.method, host, self._call.target, body)
+        return fingerprint(head.method, self._call.target, head.headers, body)
--- a/packages/gateway/src/cardamomloft/gateway/status.py
+++ b/packages/gateway/src/cardamomloft/gateway/status.py
@@ -43,6 +43,7 @@
             "entries": sorted(row.name for row in gateway.entries.records(with_own=True)),
             "drained_zones": sorted(gateway.book.drained_zones),
             "upstreams": len(gateway.book),
+            "quarantined": gateway.noticing.refused(),
         }
         if limits:
             page["endpoints"] = [
--- a/packages/peers/src/cardamomloft/peers/codec.py
+++ b/packages/peers/src/cardamomloft/peers/codec.py
@@ -30,6 +30,8 @@
     messages.VmNotice,
     messages.ChangesQuestion,
     messages.ChangesAnswer,
+    messages.NoticesTold,
+    messages.NoticesCompared,
 )
 _HEADERS = {kind: MAGIC + bytes([VERSION, at]) for at, kind in enumerate(_KINDS)}
 
--- a/standins/src/cardamomloft_standins/experiment/world.py
+++ b/standins/src/cardamomloft_standins/experiment/world.py
@@ -11,6 +11,7 @@
 from cardamomloft.core.routes import RouteRule, ServicePolicy, ServiceShare
 from cardamomloft.gateway.calls import Call
 from cardamomloft.gateway.forwarding import Forwarder
+from cardamomloft.gateway.noticing import Noticing
 from cardamomloft.gateway.records import RequestLog
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer, UpstreamRequest
@@ -199,6 +200,7 @@
             lambda service: budget,
             Metrics(),
             _NoLog(lambda: 1),
+            Noticing(world.clock, Metrics()),
         )
 
     def ask(self, request_id: str, key: str, patience: timedelta) -> "Deferred[Answer]":
--- a/standins/src/cardamomloft_standins/relayed.py
+++ b/standins/src/cardamomloft_standins/relayed.py
@@ -6,6 +6,7 @@
 
 from cardamomloft.core.entrybook import EntryBook
 from cardamomloft.core.model import Incarnation
+from cardamomloft.core.notices import Dated
 from cardamomloft.core.registrations import (
     EntryRecorded,
     EntryWithdrawn,
@@ -160,6 +161,7 @@
         self.returns: list[timedelta] = []
         self.entries_gone: list[timedelta] = []
         self.stopped = False
+        self.notices: list[Dated] = []
         network.gateways[record.peers] = self
         client = Client(store, self.name)
         metrics = self.metrics = Metrics()
@@ -172,6 +174,8 @@
             self.entries,
             lambda: self.present,
             DRAIN,
+            self.notices.append,
+            random.Random(seed),
             metrics,
         )
         self.feed.port.peers = self
@@ -206,7 +210,7 @@
     def receive(self, sender, message) -> None:
         """Take a message of another gateway."""
         if not self.stopped:
-            self.feed.port.take(sender, message)
+            self.feed.take(sender, message)
 
     def _on_listing(self, listing) -> None:
         self.drained = {fact.zone for fact in listing.facts if isinstance(fact, ZoneDrained)}
