Show by failing tests that what endpoints tell in their answers is not heeded

Callers' requests went on to an endpoint that had said in its answers that it leaves, until the store was back and said so too. An endpoint that refuses with Retry-After gets requests again after 60 ms.

--- a/packages/gateway/tests/test_gateway_forwarding.py
+++ b/packages/gateway/tests/test_gateway_forwarding.py
@@ -352,3 +352,63 @@
         bench.answer()
         bench.time.advance(RESTART_TIME)
     assert bench.forwarder.noticing.refused() == []
+
+
+@pytest.mark.parametrize("status", [200, 404, 500])
+def test_an_endpoint_whose_answer_says_that_it_leaves_gets_nothing_more(status):
+    bench = Bench(kit.answer(status, b"last", x_leaving="1"), kit.answer(), endpoints=2)
+    bench.answer()
+    leaving = bench.client.sent[0].endpoint.name
+    for _ in range(5):
+        assert bench.answer().status == 200
+    assert leaving not in [req.endpoint.name for req in bench.client.sent[1:]]
+
+
+def test_a_refusal_that_says_that_its_endpoint_leaves_counts_as_well():
+    shed = kit.answer(503, b"", not_run=True, x_leaving="1")
+    bench = Bench(shed, kit.answer(), endpoints=2)
+    assert bench.answer().status == 200
+    leaving = bench.client.sent[0].endpoint.name
+    assert leaving not in [up.id for up in bench.book.of_service("menus")]
+
+
+def test_what_another_endpoint_at_the_address_says_of_its_leaving_does_not_count():
+    bench = Bench(kit.answer(421, b"", not_run=True, x_leaving="1"), kit.answer())
+    told = []
+    bench.forwarder.noticing.tell = told.extend
+    bench.answer()
+    assert told == []
+
+
+@pytest.mark.parametrize("marked", [True, False])
+def test_an_endpoint_that_wants_nothing_for_a_time_gets_nothing_for_so_long(marked):
+    shed = kit.answer(503, b"", not_run=marked, retry_after="2.5")
+    bench = Bench(shed, kit.answer(), endpoints=2)
+    bench.answer()
+    full = bench.client.sent[0].endpoint.name
+    bench.client.sent.clear()
+    for _ in range(24):
+        bench.time.advance(100 * MS)
+        assert bench.answer().status == 200
+    assert full not in [req.endpoint.name for req in bench.client.sent]
+    bench.time.advance(200 * MS)
+    bench.answer()
+    assert bench.client.sent[-1].endpoint.name == full
+
+
+def test_when_all_want_nothing_callers_are_told_when_the_first_wants_something_again():
+    shed = kit.answer(503, b"", not_run=True, retry_after="2.5")
+    bench = Bench(shed, endpoints=2)
+    assert bench.answer().status == 503
+    assert len(bench.client.sent) == 2
+    bench.time.advance(500 * MS)
+    answer = bench.answer()
+    assert answer.status == 503
+    assert float(_header(answer, "retry-after")) == pytest.approx(2.0, abs=0.02)
+    assert len(bench.client.sent) == 2
+
+
+def test_a_time_in_any_other_answer_is_the_callers_matter():
+    bench = Bench(kit.answer(200, retry_after="2.5"), endpoints=1)
+    for _ in range(2):
+        assert bench.answer().status == 200
--- a/standins/src/cardamomloft_standins/endpoints.py
+++ b/standins/src/cardamomloft_standins/endpoints.py
@@ -127,6 +127,15 @@
     handler.answer()
 
 
+def refuse(retry_after: str) -> Behaviour:
+    """Return the behaviour of an endpoint that runs nothing, and wants nothing for some seconds."""
+
+    def behave(endpoint: Endpoint, handler: _Handler) -> None:
+        handler.answer(503, **{"X-Not-Run": "1", "Retry-After": retry_after})
+
+    return behave
+
+
 def crash_on(path: str) -> Behaviour:
     """Return the behaviour of an endpoint that ends without an answer at one path."""
 
