--- a/packages/core/src/cardamomloft/core/entrybook.py
+++ b/packages/core/src/cardamomloft/core/entrybook.py
@@ -3,8 +3,12 @@
 from collections import deque
 from datetime import timedelta
 
+from cardamomloft.core.recent import Recent
 from cardamomloft.core.registrations import RETURN_TIME, EntryRecord
 
+GONE_KEPT = 5_000
+"""Names of entries that have gone and are remembered: several times the largest fleet."""
+
 
 class EntryBook:
     """Which entries are there, and among how many a budget is to be divided.
@@ -29,6 +33,7 @@
         self.version = 0
         self._records: dict[str, EntryRecord] = {}
         self._missing: set[str] = set()
+        self._gone = Recent[str](GONE_KEPT)
         self._patience_until = timedelta(0)
         self._counts: deque[tuple[timedelta, int]] = deque()
 
@@ -48,9 +53,14 @@
         self._records[record.name] = record
         self.version += changed
         self._missing.discard(record.name)
+        self._gone.discard(record.name)
         self._count(now)
         return changed
 
+    def has_gone(self, name: str) -> bool:
+        """Tell whether an entry was there and is not any more."""
+        return name in self._gone
+
     def withdraw(self, name: str, now: timedelta) -> bool:
         """Forget an entry; soon after the store's return only if it stays away."""
         if name not in self._records:
@@ -59,6 +69,7 @@
             self._missing.add(name)
             return False
         del self._records[name]
+        self._gone.add(name)
         self.version += 1
         self._count(now)
         return True
--- a/packages/core/src/cardamomloft/core/messages.py
+++ b/packages/core/src/cardamomloft/core/messages.py
@@ -94,12 +94,13 @@
 
 
 class ChangesQuestion(t.NamedTuple):
-    """Ask a relay for what has changed in the control store after the revision `after`.
+    """Ask a relay for what has changed in the control store after the revision `after` of `era`.
 
     `number` is unique within the asking process. The relay may wait `wait_ms` for a change.
     """
 
     number: int
+    era: int
     after: int
     wait_ms: int
 
@@ -107,14 +108,16 @@
 class ChangesAnswer(t.NamedTuple):
     """Answer the :class:`ChangesQuestion` with this `number`.
 
-    `facts` are all changes up to the revision `index`, in their wire form; None if the relay does
-    not remember that far back. Its knowledge was complete `age_ms` before it sent this, and it
-    had held the question for `held_ms`.
+    `facts` are all changes up to the revision `index` of `era`, in their wire form, or all that the
+    store holds then if they are the `whole`; None if the relay knows nothing yet. Its knowledge was
+    complete `age_ms` before it sent this, and it had held the question for `held_ms`.
     """
 
     number: int
+    era: int
     index: int
     facts: bytes | None
+    whole: bool
     age_ms: int
     held_ms: int
 
@@ -129,11 +132,21 @@
     """Compare what two entries hold: the sums of each part of it.
 
     The other one sends what it holds in the parts that differ and, unless this `answers` such a
-    message, its own sums.
+    message, its own sums. One that has just started says so, with the number of the `configuration`
+    that it has and the `address` to answer to, since it may not be known yet.
     """
 
     sums: tuple[int, ...]
     answers: bool
+    starting: bool
+    configuration: int
+    address: str
+
+
+class ConfigurationTold(t.NamedTuple):
+    """Tell an entry that has just started of a newer configuration, as a fact in its wire form."""
+
+    fact: bytes
 
 
 Message = (
@@ -151,6 +164,7 @@
     | ChangesAnswer
     | NoticesTold
     | NoticesCompared
+    | ConfigurationTold
 )
 
 
--- a/packages/core/src/cardamomloft/core/registrations.py
+++ b/packages/core/src/cardamomloft/core/registrations.py
@@ -5,11 +5,12 @@
 """
 
 import typing as t
-from collections import Counter, OrderedDict
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
 
 from cardamomloft.core.affinity import text_hash
+from cardamomloft.core.recent import Recent
 from cardamomloft.core.routes import RoutePlan
 
 RETURN_TIME = timedelta(milliseconds=2100)
@@ -39,8 +40,8 @@
 
 
 LEAVERS_KEPT = 10_000
-"""Lives that have said they leave and are kept, also without a registration; a life that leaves
-never stays, so only a very old one is let go."""
+"""Lives that have said they leave, or are gone, and are remembered without a registration; none of
+them comes back, so only a very old one is let go."""
 
 
 class Life(t.NamedTuple):
@@ -67,6 +68,11 @@
     cold_left: timedelta
     started_ms: int = 0
 
+    @property
+    def life(self) -> Life:
+        """What tells this life from others under the same id."""
+        return Life(self.id, self.started_ms)
+
 
 class EntryRecord(t.NamedTuple):
     """One running entry, as it records itself in the store.
@@ -234,7 +240,7 @@
     @property
     def life(self) -> Life:
         """What tells this life from others under the same id."""
-        return Life(self.registration.id, self.registration.started_ms)
+        return self.registration.life
 
     def __repr__(self) -> str:
         return f"Upstream({self.registration.service}/{self.id}@{self.registration.address})"
@@ -259,7 +265,8 @@
         self._stale = False
         self._versions: Counter[str] = Counter()
         self._starts = _Starts()
-        self._leavers: OrderedDict[Life, None] = OrderedDict()
+        self._leavers = Recent[Life](LEAVERS_KEPT)
+        self._gone = Recent[Life](LEAVERS_KEPT)
         self._patience_until = timedelta(0)
         self._started = False
 
@@ -300,6 +307,7 @@
         """
         if not self._starts.note(registration):
             return False
+        self._gone.discard(registration.life)
         known = self._by_id.get(registration.id)
         region = self.regions.get(registration.zone, "")
         if known is None or known.registration.started_ms != registration.started_ms:
@@ -341,9 +349,17 @@
             upstream.missing = True
             return False
         del self._by_id[upstream_id]
+        self._gone.add(upstream.life)
         self._stale = True
         return True
 
+    def is_outdated(self, registration: Registration) -> bool:
+        """Tell whether a registration from an older copy of the store is known to be overtaken."""
+        known = self._by_id.get(registration.id)
+        if known is not None and known.life == registration.life:
+            return known.registration.draining and not registration.draining
+        return registration.life in self._gone
+
     def listed(self, ids: Iterable[str], now: timedelta) -> list[str]:
         """Withdraw all that are not among `ids`, the whole of a list; return the ids withdrawn."""
         present = set(ids)
@@ -396,9 +412,7 @@
         """Give a life no new work, though it is not registered yet; return whether that is new."""
         if life in self._leavers:
             return False
-        self._leavers[life] = None
-        if len(self._leavers) > LEAVERS_KEPT:
-            self._leavers.popitem(last=False)
+        self._leavers.add(life)
         upstream = self._by_id.get(life.upstream_id)
         if upstream is not None and upstream.life == life:
             self.mark_leaving(upstream)
--- /dev/null
+++ b/packages/core/src/cardamomloft/core/restoration.py
@@ -0,0 +1,67 @@
+"""What to believe of a control store that has come back from an older copy of itself.
+
+What was written since the copy is missing or stands there in an older form until those who wrote it
+write it again. What is known here may be later than the copy or earlier, so each kind of fact is
+taken in the way that breaks no promise if it is wrong:
+
+- a configuration never goes back, restored or not;
+- an endpoint that had said it leaves, or was gone, gets nothing on the word of the copy;
+- an endpoint or entry that is missing is kept for the time in which it writes itself again;
+- an entry that was gone is not named on the word of the copy;
+- a zone that is drained in the copy is drained, and one that was drained before stays so for a
+  while: the operators' later word, either way, is written again.
+"""
+
+import typing as t
+from collections.abc import Iterable
+from datetime import timedelta
+from functools import singledispatch
+
+from cardamomloft.core.entrybook import EntryBook
+from cardamomloft.core.registrations import (
+    EntryRecorded,
+    Fact,
+    UpstreamBook,
+    UpstreamRegistered,
+    ZoneDrained,
+)
+
+DRAIN_DOUBT = timedelta(seconds=10)
+"""How long a drained zone that is missing in the copy gets nothing. Too long costs its room for so
+long; too short sends work to where operators have just announced that none may go."""
+
+
+class Sifted(t.NamedTuple):
+    """The facts of a restored store: those to take, and those that are known to be out of date."""
+
+    taken: tuple[Fact, ...]
+    doubted: tuple[Fact, ...]
+
+
+def sift(facts: Iterable[Fact], book: UpstreamBook, entries: EntryBook) -> Sifted:
+    """Divide the list of a restored store by what is known here."""
+    taken: list[Fact] = []
+    doubted: list[Fact] = []
+    for fact in facts:
+        (doubted if _is_outdated(fact, book, entries) else taken).append(fact)
+    return Sifted(tuple(taken), tuple(doubted))
+
+
+def missing_drains(facts: Iterable[Fact], book: UpstreamBook) -> set[str]:
+    """Return the zones that are drained here and not in the list."""
+    return book.drained_zones - {fact.zone for fact in facts if isinstance(fact, ZoneDrained)}
+
+
+@singledispatch
+def _is_outdated(fact: Fact, book: UpstreamBook, entries: EntryBook) -> bool:
+    return False
+
+
+@_is_outdated.register
+def _(fact: UpstreamRegistered, book: UpstreamBook, entries: EntryBook) -> bool:
+    return book.is_outdated(fact.registration)
+
+
+@_is_outdated.register
+def _(fact: EntryRecorded, book: UpstreamBook, entries: EntryBook) -> bool:
+    return entries.has_gone(fact.record.name)
--- a/packages/feed/src/cardamomloft/feed/changetable.py
+++ b/packages/feed/src/cardamomloft/feed/changetable.py
@@ -1,7 +1,7 @@
 """What the control store holds as far as this process knows, and what has changed since when.
 
-The table keeps the last fact of each key with the store's revision by which it was known. Whoever
-has everything up to an earlier revision gets the facts of all keys that have changed since, so a
+The table keeps the last fact of each key with the store's position by which it was known. Whoever
+has everything up to an earlier position gets the facts of all keys that have changed since, so a
 key that changed often costs one fact, and configurations that have been replaced are not kept.
 """
 
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from functools import singledispatch
 
+from cardamomloft.core.positions import BEGINNING, Position
 from cardamomloft.core.registrations import (
     EntryRecorded,
     EntryWithdrawn,
@@ -36,9 +37,9 @@
 
 
 class _Row(t.NamedTuple):
-    """The last fact of a key, and the revision by which it was known."""
+    """The last fact of a key, and the position by which it was known."""
 
-    index: int
+    index: Position
     fact: Fact
 
 
@@ -55,12 +56,12 @@
     Attributes
     ----------
     index
-        The store's revision up to which everything is known, 0 before the first list.
+        The store's position up to which everything is known.
     """
 
     def __init__(self, removals_kept: int = REMOVALS_KEPT) -> None:
-        self.index = 0
-        self._floor = 0
+        self.index = BEGINNING
+        self._floor = BEGINNING
         self._removals_kept = removals_kept
         # In the order of their revisions: a row that changes moves to the end.
         self._rows: dict[FactKey, _Row] = {}
@@ -69,31 +70,31 @@
     def __len__(self) -> int:
         return len(self._rows) - len(self._removed)
 
-    def listed(self, facts: Iterable[Fact], index: int) -> None:
-        """Take a list of all that the store held at the revision `index`."""
-        if not self.index or index < self.index:
+    def listed(self, facts: Iterable[Fact], index: Position) -> None:
+        """Take a list of all that the store held at the position `index`."""
+        if index < self.index or index.era != self.index.era or self.index == BEGINNING:
             self._begin(index)
         given = {_key(fact): fact for fact in facts}
         gone = (row.fact for key, row in self._rows.items() if key not in given)
         removals = [removal for removal in map(_removal, gone) if removal is not None]
         self.changed([*removals, *given.values()], index)
 
-    def changed(self, facts: Iterable[Fact], index: int) -> None:
-        """Take what has changed up to the revision `index`, in order."""
+    def changed(self, facts: Iterable[Fact], index: Position) -> None:
+        """Take what has changed up to the position `index`, in order."""
         self.index = max(self.index, index)
         for fact in facts:
             self._set(fact, self.index)
 
-    def since(self, after: int) -> tuple[Fact, ...] | None:
-        """Return the facts of all keys that have changed after the revision `after`.
+    def since(self, after: Position) -> tuple[Fact, ...] | None:
+        """Return the facts of all keys that have changed after the position `after`.
 
         Returns
         -------
         tuple of Fact or None
             In the order in which they became known. None if that reaches back further than what is
-            remembered.
+            remembered, or is of another era.
         """
-        if not self.index or after < self._floor:
+        if self.index == BEGINNING or after.era != self.index.era or after < self._floor:
             return None
         found = []
         for row in reversed(self._rows.values()):
@@ -102,13 +103,17 @@
             found.append(row.fact)
         return tuple(reversed(found))
 
-    def _begin(self, index: int) -> None:
-        """Begin anew: nothing is known, or the store counts from a lower revision than before."""
+    def whole(self) -> tuple[Fact, ...]:
+        """Return the facts of all keys that are there, as a list of the store would show them."""
+        return tuple(row.fact for key, row in self._rows.items() if key not in self._removed)
+
+    def _begin(self, index: Position) -> None:
+        """Begin anew: nothing is known, or the store counts anew."""
         self.index = self._floor = index
         self._rows.clear()
         self._removed.clear()
 
-    def _set(self, fact: Fact, index: int) -> None:
+    def _set(self, fact: Fact, index: Position) -> None:
         key = _key(fact)
         before = self._rows.get(key)
         if before is not None and (_same(before.fact, fact) or _supersedes(before.fact, fact)):
--- a/packages/gateway/src/cardamomloft/gateway/changefeed.py
+++ b/packages/gateway/src/cardamomloft/gateway/changefeed.py
@@ -8,7 +8,7 @@
 
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.entrybook import EntryBook
-from cardamomloft.core.messages import Message, NoticesCompared, NoticesTold
+from cardamomloft.core.messages import ConfigurationTold, Message, NoticesCompared, NoticesTold
 from cardamomloft.core.model import Incarnation
 from cardamomloft.core.notices import Dated
 from cardamomloft.core.registrations import EntryRecord
@@ -85,7 +85,9 @@
         self.control = RelayedControl(
             control, clock, table, self._sources, self.port, self._records, metrics
         )
-        self.gossip = Gossip(reactor, clock, rng, self._others, self._send, on_notice, metrics)
+        self.gossip = Gossip(
+            reactor, clock, rng, self._others, self._send, on_notice, metrics, own.peers
+        )
 
     def start(self, on_fault: OnFault) -> None:
         """Take messages of other gateways, if there is an address for them.
@@ -108,7 +110,7 @@
 
     def take(self, sender: Incarnation, message: Message) -> None:
         """Take a message of another gateway."""
-        if isinstance(message, NoticesTold | NoticesCompared):
+        if isinstance(message, NoticesTold | NoticesCompared | ConfigurationTold):
             self.gossip.take(sender, message)
         else:
             self.port.take(sender, message)
--- a/packages/gateway/src/cardamomloft/gateway/control.py
+++ b/packages/gateway/src/cardamomloft/gateway/control.py
@@ -3,6 +3,7 @@
 import typing as t
 from datetime import timedelta
 
+from cardamomloft.core.positions import Position
 from cardamomloft.core.registrations import EntryRecord, Fact
 from cardamomloft.store.failures import StoreFailure
 from expression import Result
@@ -13,7 +14,7 @@
     """All that the store holds, as facts; `index` is where to go on."""
 
     facts: tuple[Fact, ...]
-    index: int
+    index: Position
 
 
 class Changes(t.NamedTuple):
@@ -22,7 +23,10 @@
     Attributes
     ----------
     lost
-        The store has forgotten what changed since then: list again.
+        The store has forgotten what changed since then, or came back from an older copy: list
+        again.
+    whole
+        `facts` are not what has changed but all that there is, as of `index`.
     pause
         Least time until the next question, where its source knows better than who asks.
     failure
@@ -30,8 +34,9 @@
     """
 
     facts: tuple[Fact, ...]
-    index: int
+    index: Position
     lost: bool = False
+    whole: bool = False
     pause: timedelta | None = None
     failure: StoreFailure | None = None
 
@@ -43,7 +48,9 @@
         """List everything. Changes made meanwhile come with `changes` from the index returned."""
         ...
 
-    def changes(self, after: int, wait: timedelta) -> "Deferred[Result[Changes, StoreFailure]]":
+    def changes(
+        self, after: Position, wait: timedelta
+    ) -> "Deferred[Result[Changes, StoreFailure]]":
         """Return what has changed after the index `after`.
 
         If nothing has, the store may wait for a change, up to `wait`, before it answers.
--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -13,6 +13,7 @@
 from datetime import timedelta
 
 from cardamomloft.core.clock import Clock
+from cardamomloft.core.positions import Position
 from cardamomloft.core.registrations import Fact
 from cardamomloft.feed.sources import FAILURES_UNTIL_AWAY
 from cardamomloft.gateway.control import Changes, Control, Listing
@@ -88,7 +89,7 @@
         self._on_listing = on_listing
         self._on_changes = on_changes
         self._on_returned = on_returned
-        self._index: int | None = None
+        self._index: Position | None = None
         self._failures = 0
         self._was_away = False
         self._asked_at = timedelta(0)
@@ -159,7 +160,7 @@
 
     def _take(self, found: Listing | Changes) -> None:
         if isinstance(found, Changes) and found.lost:
-            log("store-history-lost", index=self._index)
+            log("store-history-lost", index=self._index, now=found.index)
             self._index = None
             return
         if self._was_away:
@@ -172,6 +173,8 @@
         self._index = found.index
         if isinstance(found, Listing):
             self._on_listing(found)
+        elif found.whole:
+            self._on_listing(Listing(found.facts, found.index))
         else:
             self._on_changes(found.facts)
 
--- a/packages/gateway/src/cardamomloft/gateway/gossip.py
+++ b/packages/gateway/src/cardamomloft/gateway/gossip.py
@@ -12,9 +12,12 @@
 from functools import singledispatchmethod
 
 from cardamomloft.core.clock import Clock
-from cardamomloft.core.messages import Message, NoticesCompared, NoticesTold
+from cardamomloft.core.messages import ConfigurationTold, Message, NoticesCompared, NoticesTold
 from cardamomloft.core.model import Incarnation
 from cardamomloft.core.notices import Dated, Notice, NoticeBoard
+from cardamomloft.core.registrations import PlanRead
+from cardamomloft.core.routes import RoutePlan
+from cardamomloft.feed.factcodec import decode_facts, encode_facts
 from cardamomloft.feed.noticecodec import decode_notices, encode_notices
 from cardamomloft.runtime.logs import log
 from cardamomloft.runtime.metrics import Metrics
@@ -65,6 +68,15 @@
         Told of each notice that is new here, its own ones too.
     metrics
         Counts notices and messages.
+    address
+        Where this gateway takes messages.
+
+    Attributes
+    ----------
+    plan
+        Returns the configuration in force, None before the first.
+    on_plan
+        Takes another gateway's configuration, which may be older.
     """
 
     def __init__(
@@ -76,6 +88,7 @@
         send: Send,
         on_news: Callable[[Dated], None],
         metrics: Metrics,
+        address: str,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
@@ -84,6 +97,9 @@
         self._send = send
         self._on_news = on_news
         self._metrics = metrics
+        self._address = address
+        self.plan: Callable[[], RoutePlan | None] = lambda: None
+        self.on_plan: Callable[[RoutePlan], None] = lambda plan: None
         self._board = NoticeBoard()
         self._news: list[Dated] = []
         self._pushing: IDelayedCall | None = None
@@ -99,10 +115,12 @@
 
     def compare(self) -> None:
         """Compare with another gateway; to be called at each `COMPARE_INTERVAL`."""
-        now = self._clock.monotonic()
-        if len(self._board) or now - self._started_at < CATCH_UP_TIME:
-            question = NoticesCompared(self._board.sums(now), answers=False)
-            self._to_some(1, question)
+        if len(self._board) or self._is_starting():
+            self._to_some(1, self._compared(answers=False))
+
+    def catch_up(self) -> None:
+        """Ask several gateways for what this one has missed, as soon as it knows of them."""
+        self._to_some(FANOUT, self._compared(answers=False))
 
     def take(self, sender: Incarnation, message: Message) -> None:
         """Take a message of another gateway."""
@@ -131,16 +149,39 @@
 
     @_take.register
     def _(self, message: NoticesCompared, sender: Incarnation) -> None:
-        address = self._others().get(sender.seat)
+        address = self._others().get(sender.seat) or (message.starting and message.address)
+        if not address:
+            return
+        plan = self.plan()
+        if message.starting and plan is not None and plan.number > message.configuration:
+            self._send(address, ConfigurationTold(encode_facts([PlanRead(plan)])))
         now = self._clock.monotonic()
-        sums = self._board.sums(now)
-        if address is None or message.sums == sums:
+        if message.sums == self._board.sums(now):
             return
         missing = self._board.differing(message.sums, now)
         if missing:
             self._tell(address, missing, now)
         if not message.answers:
-            self._send(address, NoticesCompared(sums, answers=True))
+            self._send(address, self._compared(answers=True))
+
+    @_take.register
+    def _(self, message: ConfigurationTold, sender: Incarnation) -> None:
+        match decode_facts(message.fact):
+            case Result(tag="ok", ok=[PlanRead(plan)]):
+                self._metrics.count("configurations_heard")
+                self.on_plan(plan)
+            case _:
+                self._metrics.count("notices_unreadable")
+                log("notices-unreadable", entry=sender.seat, detail="not a configuration")
+
+    def _compared(self, *, answers: bool) -> NoticesCompared:
+        plan, now = self.plan(), self._clock.monotonic()
+        number = 0 if plan is None else plan.number
+        sums = self._board.sums(now)
+        return NoticesCompared(sums, answers, self._is_starting(), number, self._address)
+
+    def _is_starting(self) -> bool:
+        return self._clock.monotonic() - self._started_at < CATCH_UP_TIME
 
     def _learn(self, told: Iterable[Dated], now: timedelta) -> None:
         news = self._board.take(told, now)
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -158,7 +158,13 @@
             self._control, own, bounds.record_life, lambda: self.follower.doubt()
         )
         self.view = StoreView(
-            clock, self.book, self.entries, self.selector, self._client.forget, self._put_in_force
+            clock,
+            self.book,
+            self.entries,
+            self.selector,
+            self._client.forget,
+            self._put_in_force,
+            self.metrics,
         )
         self.feed = ChangeFeed(
             self._reactor,
@@ -172,7 +178,10 @@
             self._rng,
             self.metrics,
         )
-        self.noticing.tell = self.feed.gossip.tell
+        gossip = self.feed.gossip
+        self.noticing.tell = gossip.tell
+        gossip.plan = lambda: self._reader and self._reader.plan
+        gossip.on_plan = self._put_in_force
         self.follower = Follower(
             self._reactor,
             clock,
@@ -333,7 +342,10 @@
     # The store.
 
     def _on_listing(self, listing: Listing) -> None:
+        first = not self.view.listed
         self.view.take_listing(listing)
+        if first:
+            self.feed.gossip.catch_up()
         self._check_prepared()
 
     def _put_in_force(self, plan: RoutePlan) -> None:
--- a/packages/gateway/src/cardamomloft/gateway/records.py
+++ b/packages/gateway/src/cardamomloft/gateway/records.py
@@ -23,9 +23,6 @@
 SAMPLE = 50
 """One in this many requests that went well gets a line."""
 
-KNOWN_KEPT = 1_000
-"""Mistakes of others that are kept to log each once; beyond it they may be logged again."""
-
 _SECOND = timedelta(seconds=1)
 
 
@@ -136,25 +133,5 @@
         return False
 
 
-class Known:
-    """What was logged already, so that it is logged once and not each time it is read again."""
-
-    def __init__(self) -> None:
-        self._details: dict[str, str] = {}
-
-    def is_new(self, key: str, detail: str) -> bool:
-        """Note what is wrong with `key`; return whether that is not known yet."""
-        if self._details.get(key) == detail:
-            return False
-        if len(self._details) >= KNOWN_KEPT:
-            self._details.clear()
-        self._details[key] = detail
-        return True
-
-    def forget(self, key: str) -> None:
-        """Note that nothing is wrong with `key` any more."""
-        self._details.pop(key, None)
-
-
 def _ms(duration: timedelta) -> float:
     return round(duration / timedelta(milliseconds=1), 1)
--- a/packages/gateway/src/cardamomloft/gateway/relayedcontrol.py
+++ b/packages/gateway/src/cardamomloft/gateway/relayedcontrol.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from cardamomloft.core.clock import Clock
+from cardamomloft.core.positions import Position
 from cardamomloft.core.registrations import EntryRecord
 from cardamomloft.feed.changetable import ChangeTable
 from cardamomloft.feed.sources import Question, Sources
@@ -69,7 +70,9 @@
         """List everything that the store holds."""
         return ensureDeferred(self._read())
 
-    def changes(self, after: int, wait: timedelta) -> "Deferred[Result[Changes, StoreFailure]]":
+    def changes(
+        self, after: Position, wait: timedelta
+    ) -> "Deferred[Result[Changes, StoreFailure]]":
         """Return what has changed after the revision `after`; without a wait, by the store."""
         return ensureDeferred(self._changes(after, wait))
 
@@ -94,7 +97,7 @@
             self._port.publish()
         return outcome
 
-    async def _changes(self, after: int, wait: timedelta) -> Result[Changes, StoreFailure]:
+    async def _changes(self, after: Position, wait: timedelta) -> Result[Changes, StoreFailure]:
         if not wait:
             return await self._while_failing(after)
         question = self._sources.next(self._records(), self._clock.monotonic())
@@ -103,7 +106,7 @@
             return await self._from_store(after, longest, question.pause)
         return await self._from_relay(question.relay, question, after)
 
-    async def _while_failing(self, after: int) -> Result[Changes, StoreFailure]:
+    async def _while_failing(self, after: Position) -> Result[Changes, StoreFailure]:
         """Leave it to a relay to ask whether the store is back; ask it if that may be so."""
         question = self._sources.next_while_failing(self._records(), self._clock.monotonic())
         if question.relay is None:
@@ -119,7 +122,7 @@
                 self._silent(question.relay, silence)
         return await self._from_store_at_once(after)
 
-    async def _from_store_at_once(self, after: int) -> Result[Changes, StoreFailure]:
+    async def _from_store_at_once(self, after: Position) -> Result[Changes, StoreFailure]:
         """Ask the store, which has failed before; if it does so again, hear what a relay knows."""
         outcome = await self._from_store(after, timedelta(0), None)
         if outcome.is_ok() or self._stopped:
@@ -128,18 +131,18 @@
         if relay is None:
             return outcome
         match await self._port.ask(relay, after, timedelta(0), self._sources.patience):
-            case Result(tag="ok", ok=passed) if not self._went_back(passed, after):
+            case Result(tag="ok", ok=passed) if self._is_of_use(passed, after):
                 return Ok(self._passed(passed, after, None)._replace(failure=outcome.error))
             case Result(tag="error", error=silence) if not silence.cancelled:
                 self._silent(relay, silence)
         return outcome
 
     async def _from_relay(
-        self, relay: EntryRecord, question: Question, after: int
+        self, relay: EntryRecord, question: Question, after: Position
     ) -> Result[Changes, StoreFailure]:
         wait = question.wait or timedelta(0)
         match await self._port.ask(relay, after, wait, self._sources.patience):
-            case Result(tag="ok", ok=passed) if not self._went_back(passed, after):
+            case Result(tag="ok", ok=passed) if self._is_of_use(passed, after):
                 return Ok(self._passed(passed, after, question.pause))
             case Result(tag="error", error=Silence(cancelled=True, detail=detail)):
                 return Error(StoreFailure(False, detail))
@@ -147,18 +150,27 @@
                 self._silent(relay, silence)
         return await self._from_store(after, timedelta(0), question.pause)
 
-    def _passed(self, passed: Passed, after: int, pause: timedelta | None) -> Changes:
+    def _passed(self, passed: Passed, after: Position, pause: timedelta | None) -> Changes:
         self._metrics.count("changes_from_relay")
         self._sources.complete(passed.complete_at)
+        if passed.whole:
+            self._table.listed(passed.facts, passed.index)
+            self._port.publish()
+            return Changes(passed.facts, passed.index, whole=True, pause=pause)
         index = max(after, passed.index)
         self._learn(passed.facts, index)
         return Changes(passed.facts, index, pause=pause)
 
-    def _is_no_news_of_store(self, passed: Passed, after: int) -> bool:
-        back = self._sources.is_back(passed.complete_at)
-        return not back and not self._went_back(passed, after)
+    def _is_no_news_of_store(self, passed: Passed, after: Position) -> bool:
+        return not self._sources.is_back(passed.complete_at) and self._is_of_use(passed, after)
+
+    def _is_of_use(self, passed: Passed, after: Position) -> bool:
+        """Tell whether an answer tells nothing that is older than what is known here."""
+        if passed.whole:
+            return passed.index >= after
+        return passed.index.era == after.era and not self._went_back(passed, after)
 
-    def _went_back(self, passed: Passed, after: int) -> bool:
+    def _went_back(self, passed: Passed, after: Position) -> bool:
         """Tell whether a relay heard a lower revision later: then the store counts anew."""
         own = self._sources.known_at
         return passed.index < after and own is not None and passed.complete_at > own
@@ -169,7 +181,7 @@
         self._sources.silent(relay.name, self._clock.monotonic())
 
     async def _from_store(
-        self, after: int, wait: timedelta, pause: timedelta | None
+        self, after: Position, wait: timedelta, pause: timedelta | None
     ) -> Result[Changes, StoreFailure]:
         self._metrics.count("changes_from_store")
         asked_at = self._clock.monotonic()
--- a/packages/gateway/src/cardamomloft/gateway/relaying.py
+++ b/packages/gateway/src/cardamomloft/gateway/relaying.py
@@ -13,6 +13,7 @@
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.messages import ChangesAnswer, ChangesQuestion, Message
 from cardamomloft.core.model import Incarnation
+from cardamomloft.core.positions import Position
 from cardamomloft.core.registrations import EntryRecord, Fact
 from cardamomloft.feed.changetable import ChangeTable
 from cardamomloft.feed.factcodec import decode_facts, encode_facts
@@ -50,13 +51,14 @@
 class Passed(t.NamedTuple):
     """What a relay has passed on.
 
-    `facts` has changed up to the revision `index`, which was all that had changed until the
-    instant `complete_at` of this process's clock.
+    `facts` has changed up to the position `index`, which was all that had changed until the
+    instant `complete_at` of this process's clock. If `whole` it is all that the store held then.
     """
 
     facts: tuple[Fact, ...]
-    index: int
+    index: Position
     complete_at: timedelta
+    whole: bool
 
 
 class Silence(t.NamedTuple):
@@ -133,9 +135,9 @@
         return len(self._held)
 
     def ask(
-        self, relay: EntryRecord, after: int, wait: timedelta, patience: timedelta
+        self, relay: EntryRecord, after: Position, wait: timedelta, patience: timedelta
     ) -> "Deferred[Outcome]":
-        """Ask `relay` what has changed after the revision `after`.
+        """Ask `relay` what has changed after the position `after`.
 
         Parameters
         ----------
@@ -153,7 +155,7 @@
             (wait + patience).total_seconds(), self._end, number, Error(Silence("no answer"))
         )
         self._asked[number] = _Asked(relay, self._clock.monotonic(), done, timer)
-        question = ChangesQuestion(number, after, wait // _MS)
+        question = ChangesQuestion(number, after.era, after.revision, wait // _MS)
         if self.peers is None or not self.peers.send(relay.peers, question):
             self._end(number, Error(Silence("not sent")))
         return done
@@ -204,7 +206,7 @@
 
     def _read(self, message: ChangesAnswer, asked: _Asked) -> Outcome:
         if message.facts is None:
-            return Error(Silence("it does not remember that far back"))
+            return Error(Silence("it knows nothing yet"))
         match decode_facts(message.facts):
             case Result(tag="error", error=detail):
                 return Error(Silence(f"unreadable facts: {detail}"))
@@ -215,7 +217,8 @@
         # A relay that claims to have held it for longer than it was asked makes nothing younger.
         on_the_way = elapsed - min(elapsed, min(message.held_ms, MAX_HOLD_MS) * _MS)
         age = min(message.age_ms, MAX_AGE_MS) * _MS
-        return Ok(Passed(facts, message.index, now - age - on_the_way))
+        position = Position(message.era, message.index)
+        return Ok(Passed(facts, position, now - age - on_the_way, message.whole))
 
     def _end(self, number: int, outcome: Outcome) -> None:
         asked = self._asked.pop(number, None)
@@ -226,7 +229,7 @@
         asked.done.callback(outcome)
 
     def _has_news(self, question: ChangesQuestion) -> bool:
-        return self._table.since(question.after) != ()
+        return self._table.since(Position(question.era, question.after)) != ()
 
     def _time_is_over(self, question: ChangesQuestion, asker: Incarnation) -> None:
         self._release(
@@ -241,16 +244,19 @@
             self._answer(one)
 
     def _answer(self, held: _Held) -> None:
-        age = self._age()
-        facts = None if age is None else self._table.since(held.question.after)
+        age, table, question = self._age(), self._table, held.question
+        changed = table.since(Position(question.era, question.after))
+        facts = table.whole() if changed is None else changed
         answer = ChangesAnswer(
-            held.question.number,
-            self._table.index,
-            None if facts is None else encode_facts(facts),
+            question.number,
+            table.index.era,
+            table.index.revision,
+            None if age is None else encode_facts(facts),
+            changed is None,
             (age or timedelta(0)) // _MS,
             (self._clock.monotonic() - held.arrived) // _MS,
         )
         if self.peers is None or not self.peers.send(held.address, answer, held.asker):
             # Too large or its queue is full: it hears nothing, and asks the store.
             self._metrics.count("changes_answers_dropped")
-            log("answer-dropped", entry=held.asker.seat, facts=len(facts or ()))
+            log("answer-dropped", entry=held.asker.seat, facts=len(facts))
--- a/packages/gateway/src/cardamomloft/gateway/storecontrol.py
+++ b/packages/gateway/src/cardamomloft/gateway/storecontrol.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from cardamomloft.core.document import Mistake
+from cardamomloft.core.positions import Position
 from cardamomloft.core.registrations import (
     EntryRecord,
     EntryRecorded,
@@ -56,14 +57,16 @@
         self._store = store
         self._prefix = prefix
         self._known: dict[str, int] = {}
-        self._index: int | None = None
+        self._index: Position | None = None
 
     def read(self) -> "Deferred[Result[Listing, StoreFailure]]":
         """List everything."""
         self._known = {}
         return ensureDeferred(self._read())
 
-    def changes(self, after: int, wait: timedelta) -> "Deferred[Result[Changes, StoreFailure]]":
+    def changes(
+        self, after: Position, wait: timedelta
+    ) -> "Deferred[Result[Changes, StoreFailure]]":
         """Return what differs from the last list, at once; `lost` if `after` is not its index."""
         if self._index not in (None, after):
             return succeed(Ok(Changes((), after, lost=True)))
@@ -71,11 +74,11 @@
 
     async def _read(self) -> Result[Listing, StoreFailure]:
         listed = await self._store.list(self._prefix)
-        return listed.map(lambda found: Listing(self._differences(found), found.index))
+        return listed.map(lambda found: Listing(self._differences(found), _position(found)))
 
     async def _changes(self) -> Result[Changes, StoreFailure]:
         listed = await self._store.list(self._prefix)
-        return listed.map(lambda found: Changes(self._differences(found), found.index))
+        return listed.map(lambda found: Changes(self._differences(found), _position(found)))
 
     def _differences(self, listed: Listed) -> tuple[Fact, ...]:
         records = {key.removeprefix(self._prefix): row for key, row in listed.records.items()}
@@ -84,7 +87,7 @@
             _read(key, row) for key, row in records.items() if self._known.get(key) != row.version
         ]
         self._known = {key: row.version for key, row in records.items()}
-        self._index = listed.index
+        self._index = _position(listed)
         return tuple(fact for fact in facts if fact is not None)
 
     def record(self, record: EntryRecord, life: timedelta) -> "Deferred[Result[str, StoreFailure]]":
@@ -116,6 +119,11 @@
         return self._store.release(lease)
 
 
+def _position(listed: Listed) -> Position:
+    # This interface tells no eras.
+    return Position(0, listed.index)
+
+
 def _read(key: str, record: Record) -> Fact | None:
     if key == DOCUMENT_KEY:
         return _fact(key, load_plan(record.value, record.version).map(PlanRead))
--- a/packages/gateway/src/cardamomloft/gateway/storeview.py
+++ b/packages/gateway/src/cardamomloft/gateway/storeview.py
@@ -6,6 +6,7 @@
 
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.entrybook import EntryBook
+from cardamomloft.core.positions import Position
 from cardamomloft.core.registrations import (
     EntryRecorded,
     EntryWithdrawn,
@@ -19,11 +20,15 @@
     ZoneDrained,
     ZoneRestored,
 )
+from cardamomloft.core.restoration import DRAIN_DOUBT, missing_drains, sift
 from cardamomloft.core.routes import RoutePlan
 from cardamomloft.core.selection import Selector
 from cardamomloft.gateway.control import Listing
-from cardamomloft.gateway.records import Known
-from cardamomloft.runtime.logs import log
+from cardamomloft.runtime.logs import Known, log
+from cardamomloft.runtime.metrics import Metrics
+
+DOUBTED_LOGGED = 20
+"""Facts of a restored store that are named in the log line, of those that are not taken."""
 
 
 class StoreView:
@@ -41,6 +46,8 @@
         Closes idle connections to an address, whose endpoint has started anew.
     on_plan
         Takes a configuration, which may be older than the one in force.
+    metrics
+        Counts what is doubted.
 
     Attributes
     ----------
@@ -56,6 +63,7 @@
         selector: Selector,
         forget: Callable[[str], None],
         on_plan: Callable[[RoutePlan], None],
+        metrics: Metrics,
     ) -> None:
         self._clock = clock
         self._book = book
@@ -63,22 +71,53 @@
         self._selector = selector
         self._forget = forget
         self._on_plan = on_plan
+        self._metrics = metrics
         self._unreadable = Known()
+        self._era: int | None = None
+        self._doubted_drains: dict[str, timedelta] = {}
         self.listed = False
 
     def take_listing(self, listing: Listing) -> None:
         """Take a list of all that the store holds: what is not in it has gone."""
         now = self._clock.monotonic()
-        self.take_changes(listing.facts)
+        restored = self._is_restored(listing.index)
+        facts = self._sift(listing) if restored else listing.facts
+        self.take_changes(facts)
         upstreams = _listed_upstreams(listing.facts)
-        entries = {fact.record.name for fact in listing.facts if isinstance(fact, EntryRecorded)}
-        drained = {fact.zone for fact in listing.facts if isinstance(fact, ZoneDrained)}
+        entries = {fact.record.name for fact in facts if isinstance(fact, EntryRecorded)}
         _log_gone(self._book.listed(upstreams, now))
         self._entries.listed(entries, now)
-        for zone in self._book.drained_zones - drained:
-            self._take(ZoneRestored(zone))
+        for zone in missing_drains(listing.facts, self._book):
+            if restored:
+                self._doubted_drains[zone] = now + DRAIN_DOUBT
+            elif zone not in self._doubted_drains:
+                self._take(ZoneRestored(zone))
         self.listed = True
 
+    def _is_restored(self, index: Position) -> bool:
+        """Note the era of a list; return whether the store came back from an older copy."""
+        before, self._era = self._era, index.era
+        return before not in (None, index.era)
+
+    def _sift(self, listing: Listing) -> tuple[Fact, ...]:
+        """Return what to take of the list of a restored store, and expect that others write."""
+        now = self._clock.monotonic()
+        self._book.expect_returns(now)
+        self._entries.expect_returns(now)
+        taken, doubted = sift(listing.facts, self._book, self._entries)
+        drains = missing_drains(listing.facts, self._book)
+        self._metrics.count("stores_restored")
+        self._metrics.count("doubted_facts", len(doubted) + len(drains))
+        log(
+            "store-restored",
+            era=listing.index.era,
+            revision=listing.index.revision,
+            doubted=[str(fact) for fact in doubted[:DOUBTED_LOGGED]],
+            drains_kept=sorted(drains),
+            doubted_ms=DRAIN_DOUBT // timedelta(milliseconds=1),
+        )
+        return taken
+
     def take_changes(self, facts: tuple[Fact, ...]) -> None:
         """Take facts that have changed, in order."""
         withdrawn = _withdrawn(facts)
@@ -99,6 +138,8 @@
         _log_gone(self._book.tick(now))
         for name in self._entries.tick(now):
             log("entry-gone", name=name)
+        for zone in [zone for zone, until in self._doubted_drains.items() if until <= now]:
+            self._take(ZoneRestored(zone))
         self._share_budgets()
 
     def _share_budgets(self) -> None:
@@ -146,11 +187,13 @@
 
     @_take.register
     def _(self, fact: ZoneDrained) -> None:
+        self._doubted_drains.pop(fact.zone, None)
         if self._book.drain_zone(fact.zone):
             log("zone-drained", zone=fact.zone)
 
     @_take.register
     def _(self, fact: ZoneRestored) -> None:
+        self._doubted_drains.pop(fact.zone, None)
         cold_times = {name: row.cold_time for name, row in self._selector.policies.items()}
         if self._book.restore_zone(fact.zone, self._clock.monotonic(), cold_times):
             log("zone-restored", zone=fact.zone)
--- a/packages/gateway/tests/test_following.py
+++ b/packages/gateway/tests/test_following.py
@@ -49,7 +49,7 @@
 def test_changes_are_passed_on_and_the_index_moves():
     run = Run(_listed())
     fact = UpstreamWithdrawn("i-1")
-    run.control.next = Ok(Changes((fact,), 14))
+    run.control.next = Ok(Changes((fact,), kit.at(14)))
     run.time.advance(2 * INTERVAL)
     assert run.changes[0] == (fact,)
     assert run.control.calls[-1] == "changes 14"
@@ -57,7 +57,7 @@
 
 def test_a_lost_history_leads_to_a_new_list_soon():
     run = Run(_listed())
-    run.control.next = Ok(Changes((), 10, lost=True))
+    run.control.next = Ok(Changes((), kit.at(10), lost=True))
     run.time.advance(INTERVAL + 100 * MS)
     run.control.next = kit.no_changes()
     run.time.advance(600 * MS)
@@ -108,7 +108,7 @@
     run.control.pending = Deferred()
     run.time.advance(1500 * MS)
     answered, run.control.pending = run.control.pending, Deferred()
-    answered.callback(Ok(Changes((UpstreamWithdrawn("i-1"),), 11)))
+    answered.callback(Ok(Changes((UpstreamWithdrawn("i-1"),), kit.at(11))))
     assert run.changes == [(UpstreamWithdrawn("i-1"),)]
     run.time.advance(0.8 * INTERVAL)
     assert run.control.calls == ["read", "changes 10"]
--- a/packages/gateway/tests/test_gateway_store.py
+++ b/packages/gateway/tests/test_gateway_store.py
@@ -19,7 +19,7 @@
 
 
 def listed(run, *facts):
-    run.control.next = Ok(Changes((), 10, lost=True))
+    run.control.next = Ok(Changes((), kit.at(10), lost=True))
     run.control.listing = Ok(kit.listing()._replace(facts=facts))
     run.time.advance(2000 * MS)
     run.control.next = kit.no_changes()
@@ -94,7 +94,7 @@
     """Play an outage of the store of 4 s, after which `facts` are what has changed."""
     run.control.next = kit.AWAY
     run.time.advance(4000 * MS)
-    run.control.next = Ok(Changes(facts, 20))
+    run.control.next = Ok(Changes(facts, kit.at(20)))
     run.time.advance(600 * MS)
     run.control.next = kit.no_changes(20)
 
@@ -121,7 +121,7 @@
     run.control.next = kit.AWAY
     run.time.advance(4000 * MS)
     lapsed = tuple(UpstreamWithdrawn(f"i-{number}") for number in range(1, 41))
-    run.control.next = Ok(Changes(lapsed, 120))
+    run.control.next = Ok(Changes(lapsed, kit.at(120)))
     run.time.advance(600 * MS)
     run.control.next = kit.no_changes(120)
     assert run.ask().status == 200
@@ -153,7 +153,7 @@
 def test_a_zone_drained_no_longer_in_a_new_list_is_restored():
     run = Run()
     run.change(ZoneDrained("a"))
-    run.control.next = Ok(Changes((), 11, lost=True))
+    run.control.next = Ok(Changes((), kit.at(11), lost=True))
     run.time.advance(2000 * MS)
     assert run.ask().status == 200
 
--- a/packages/gateway/tests/test_gossip.py
+++ b/packages/gateway/tests/test_gossip.py
@@ -4,9 +4,16 @@
 from datetime import timedelta
 
 import pytest
-from cardamomloft.core.messages import ChangesQuestion, NoticesCompared, NoticesTold
+from cardamomloft.core.messages import (
+    ChangesQuestion,
+    ConfigurationTold,
+    NoticesCompared,
+    NoticesTold,
+)
 from cardamomloft.core.model import Incarnation
 from cardamomloft.core.notices import CrashUnderRequest, UpstreamLeaving
+from cardamomloft.core.registrations import ZoneDrained
+from cardamomloft.feed.factcodec import encode_facts
 from cardamomloft.gateway.gossip import CATCH_UP_TIME, COMPARE_INTERVAL, FANOUT, Gossip
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft_standins import gateway as kit
@@ -42,7 +49,11 @@
             self._send,
             self.heard.append,
             self.metrics,
+            name,
         )
+        self.plans = []
+        self.gossip.plan = lambda: self.plans[-1] if self.plans else None
+        self.gossip.on_plan = lambda plan: self.plans.append(plan)
         timer = LoopingCall(self.gossip.compare)
         timer.clock = run.time.reactor
         timer.start(COMPARE_INTERVAL.total_seconds(), now=False)
@@ -137,6 +148,29 @@
     assert late.knows(CRASH)
 
 
+def test_a_gateway_that_starts_by_an_older_copy_takes_the_newest_configuration_that_others_have():
+    fleet = Fleet(10)
+    for number, member in enumerate(fleet.members):
+        member.plans = [kit.plan(7 if number % 2 else 6)]
+    fleet.run(2 * CATCH_UP_TIME)
+    late = fleet.add("late")
+    late.known, late.plans = False, [kit.plan(5)]
+    late.gossip.catch_up()
+    fleet.run(3 * LINK)
+    assert late.plans[-1].number > 5
+    fleet.run(IN_TIME)
+    assert max(plan.number for plan in late.plans) == 7
+
+
+def test_only_a_gateway_that_has_just_started_is_told_of_configurations():
+    fleet = Fleet(10)
+    fleet.run(CATCH_UP_TIME)
+    fleet.members[0].plans = [kit.plan(7)]
+    fleet.members[1].gossip.tell([CRASH])
+    fleet.run(IN_TIME)
+    assert [member.plans for member in fleet.members[1:]] == [[]] * 9
+
+
 def test_without_notices_nothing_is_sent_after_the_start():
     fleet = Fleet(10)
     fleet.run(CATCH_UP_TIME)
@@ -171,13 +205,15 @@
     member, stranger = fleet.members[0], Incarnation("stranger", "1")
     for message in (
         NoticesTold(b"\xc1"),
-        NoticesCompared((), answers=False),
-        NoticesCompared((1,) * 1000, answers=True),
-        ChangesQuestion(1, 1, 1),
+        NoticesCompared((), False, False, 0, ""),
+        NoticesCompared((1,) * 1000, True, False, 0, ""),
+        ConfigurationTold(b"x"),
+        ConfigurationTold(encode_facts([ZoneDrained("a")])),
+        ChangesQuestion(1, 0, 1, 1),
     ):
         member.gossip.take(stranger, message)
     assert member.heard == []
-    assert member.metrics.counters["notices_unreadable"] == 1
+    assert member.metrics.counters["notices_unreadable"] == 3
     assert member.metrics.counters["peer_messages_of_another_kind"] == 1
 
 
--- a/packages/gateway/tests/test_relayed_changes.py
+++ b/packages/gateway/tests/test_relayed_changes.py
@@ -219,7 +219,7 @@
 def test_numbers_beyond_all_bounds_raise_nothing():
     run = Deployment()
     listener, relay = run.listeners()[0], run.by_name(run.relays[0])
-    relay.receive(listener.me, ChangesQuestion(10**6, run.store.revision, 2**61))
+    relay.receive(listener.me, ChangesQuestion(10**6, run.store.era, run.store.revision, 2**61))
     assert relay.feed.port.held > 0
     run.run(31_000 * MS)
     assert all(gateway.faults == [] for gateway in run.gateways)
@@ -237,12 +237,12 @@
     port.peers = SimpleNamespace(send=lambda *message: sent.append(message) or True)
     relay = kit.entry_records(1)[0]
     outcomes = []
-    port.ask(relay, 5, DRAIN, DRAIN).addCallback(outcomes.append)
+    port.ask(relay, kit.at(5), DRAIN, DRAIN).addCallback(outcomes.append)
     time.advance(40 * MS)
     asked = sent[0][1]
     port.take(
         Incarnation(relay.name, "1"),
-        ChangesAnswer(asked.number, 5, encode_facts([]), age_ms, held_ms),
+        ChangesAnswer(asked.number, 0, 5, encode_facts([]), False, age_ms, held_ms),
     )
     assert outcomes[0].ok.complete_at <= time.clock.monotonic()
 
@@ -251,9 +251,11 @@
     run = Deployment()
     listener, stranger = run.listeners()[0], Incarnation("stranger", "1")
     for number in range(200):
-        listener.receive(stranger, ChangesAnswer(number, 10**9, b"", 0, 0))
-        listener.receive(Incarnation(run.relays[0], "9"), ChangesAnswer(number, 10**9, b"x", 0, 0))
-    listener.receive(stranger, ChangesQuestion(1, 0, 10**9))
+        listener.receive(stranger, ChangesAnswer(number, 1, 10**9, b"", False, 0, 0))
+        listener.receive(
+            Incarnation(run.relays[0], "9"), ChangesAnswer(number, 1, 10**9, b"x", True, 0, 0)
+        )
+    listener.receive(stranger, ChangesQuestion(1, 0, 0, 10**9))
     run.configure()
     run.run(DRAIN)
     assert run.late() == []
--- a/packages/gateway/tests/test_storecontrol.py
+++ b/packages/gateway/tests/test_storecontrol.py
@@ -94,7 +94,7 @@
 
 
 def _facts(control, after=1):
-    return set(_result(control.changes(after, timedelta(0))).ok.facts)
+    return set(_result(control.changes(kit.at(after), timedelta(0))).ok.facts)
 
 
 class Asker:
@@ -128,7 +128,7 @@
     """An endpoint came by a relay and has gone since: no list of this process shows either."""
     store = ListStore(routes__current=DOCUMENT)
     asker = Asker(StoreControl(store, "g/"))
-    asker.index += 5
+    asker.index = kit.at(asker.index.revision + 5)
     found = _result(asker.control.changes(asker.index, timedelta(0))).ok
     assert found.lost and found.facts == ()
     relisted = Asker(asker.control)
--- a/packages/peers/src/cardamomloft/peers/codec.py
+++ b/packages/peers/src/cardamomloft/peers/codec.py
@@ -12,7 +12,7 @@
 from expression import Error, Ok, Result
 
 MAGIC = b"cL"
-VERSION = 1
+VERSION = 2
 HEADER_BYTES = 4
 MAX_FRAME_BYTES = 2_000_000
 MAX_NUMBER = 2**62
@@ -32,6 +32,7 @@
     messages.ChangesAnswer,
     messages.NoticesTold,
     messages.NoticesCompared,
+    messages.ConfigurationTold,
 )
 _HEADERS = {kind: MAGIC + bytes([VERSION, at]) for at, kind in enumerate(_KINDS)}
 
--- a/packages/runtime/src/cardamomloft/runtime/logs.py
+++ b/packages/runtime/src/cardamomloft/runtime/logs.py
@@ -7,6 +7,9 @@
 from twisted.logger import ILogObserver, LogEvent, LogLevel, formatEvent, globalLogBeginner
 from zope.interface import implementer
 
+KNOWN_KEPT = 1_000
+"""Mistakes of others that are kept to log each once; beyond it they may be logged again."""
+
 
 def log(event: str, **fields: object) -> None:
     """Write one log line; `event` is its message type."""
@@ -28,3 +31,23 @@
     """Send eliot's and twisted's messages to standard output, one JSON object a line."""
     eliot.to_file(LogOutput(sys.stdout.fileno()))
     globalLogBeginner.beginLoggingTo([_TwistedObserver()], redirectStandardIO=False)
+
+
+class Known:
+    """What was logged already, so that it is logged once and not each time it is read again."""
+
+    def __init__(self) -> None:
+        self._details: dict[str, str] = {}
+
+    def is_new(self, key: str, detail: str) -> bool:
+        """Note what is wrong with `key`; return whether that is not known yet."""
+        if self._details.get(key) == detail:
+            return False
+        if len(self._details) >= KNOWN_KEPT:
+            self._details.clear()
+        self._details[key] = detail
+        return True
+
+    def forget(self, key: str) -> None:
+        """Note that nothing is wrong with `key` any more."""
+        self._details.pop(key, None)
--- a/packages/store/src/cardamomloft/store/exchange.py
+++ b/packages/store/src/cardamomloft/store/exchange.py
@@ -23,11 +23,16 @@
 
 
 class Answer(t.NamedTuple):
-    """A whole HTTP answer; `index` is its X-Consul-Index, None if there is no valid one."""
+    """A whole HTTP answer.
+
+    `index` is its X-Consul-Index, None if there is no valid one. `era` is the text of the header by
+    which the server tells its era, None without it.
+    """
 
     status: int
     index: int | None
     body: bytes
+    era: str | None = None
 
 
 class _Connection(HTTP11ClientProtocol):
@@ -67,14 +72,23 @@
         Longer answers count as failed.
     agent
         Sends the requests; the default keeps a few connections open.
+    era_header
+        Header of answers by which the server tells its era.
     """
 
     def __init__(
-        self, reactor: t.Any, address: str, *, max_answer_bytes: int, agent: IAgent | None = None
+        self,
+        reactor: t.Any,
+        address: str,
+        *,
+        max_answer_bytes: int,
+        agent: IAgent | None = None,
+        era_header: str | None = None,
     ) -> None:
         self._reactor = reactor
         self._root = f"http://{address}"
         self._max_answer_bytes = max_answer_bytes
+        self._era_header = era_header
         self._pool = _Pool(reactor)
         self._pool.maxPersistentPerHost = IDLE_CONNECTIONS
         # Twisted would repeat a GET on a connection that has died; the caller is to decide that.
@@ -115,7 +129,8 @@
             unbuffered=True,
         )
         content = await _collect(response, self._max_answer_bytes)
-        return Answer(response.code, _index(response), content)
+        era = response.headers.getRawHeaders(self._era_header) if self._era_header else None
+        return Answer(response.code, _index(response), content, era[0] if era else None)
 
 
 class _Collector(Protocol):
--- a/standins/src/cardamomloft_standins/assembled.py
+++ b/standins/src/cardamomloft_standins/assembled.py
@@ -57,7 +57,7 @@
 
     def change(self, *facts, index=11) -> None:
         """Let the store tell of `facts`, up to the revision `index`."""
-        self.control.next = Ok(Changes(tuple(facts), index))
+        self.control.next = Ok(Changes(tuple(facts), kit.at(index)))
         self.time.advance(1200 * MS)
         self.control.next = kit.no_changes(index)
 
--- a/standins/src/cardamomloft_standins/gateway.py
+++ b/standins/src/cardamomloft_standins/gateway.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from cardamomloft.core.clock import ManualClock
+from cardamomloft.core.positions import Position
 from cardamomloft.core.registrations import (
     EntryRecord,
     PlanRead,
@@ -54,6 +55,11 @@
     return RoutePlan(number, tuple(rules), {"menus": POLICY}, LIMITS)
 
 
+def at(revision: int, era: int = 0) -> Position:
+    """Return a position of the store."""
+    return Position(era, revision)
+
+
 def registration(number: int, address: str = "", **changes) -> Registration:
     """Return the registration of endpoint `number`; `changes` replace fields."""
     address = address or f"10.0.0.{number}:80"
@@ -64,7 +70,7 @@
 def listing(*registrations: Registration, number: int = 1, index: int = 10) -> Listing:
     """Return a whole listing with a plan and the registrations."""
     facts = [PlanRead(plan(number)), *map(UpstreamRegistered, registrations)]
-    return Listing(tuple(facts), index)
+    return Listing(tuple(facts), at(index))
 
 
 def entry_records(count: int, region: str = "east", zones: str = "abc") -> list[EntryRecord]:
@@ -152,7 +158,7 @@
 
     def changes(self, after, wait):
         """Return the changes that were set, at once unless the store is set to wait."""
-        self.calls.append(f"changes {after}")
+        self.calls.append(f"changes {after.revision}")
         self.waits.append(wait)
         return succeed(self.next) if self.pending is None else self.pending
 
@@ -195,4 +201,4 @@
 
 def no_changes(index: int = 10):
     """Return an answer without changes."""
-    return Ok(Changes((), index))
+    return Ok(Changes((), at(index)))
--- a/standins/src/cardamomloft_standins/relayed.py
+++ b/standins/src/cardamomloft_standins/relayed.py
@@ -7,22 +7,24 @@
 from cardamomloft.core.entrybook import EntryBook
 from cardamomloft.core.model import Incarnation
 from cardamomloft.core.notices import Dated
+from cardamomloft.core.positions import Position
 from cardamomloft.core.registrations import (
     EntryRecorded,
     EntryWithdrawn,
     PlanRead,
-    ZoneDrained,
-    ZoneRestored,
+    UpstreamBook,
 )
+from cardamomloft.core.selection import Preferences, Selector
 from cardamomloft.feed.relays import relays_of
 from cardamomloft.gateway.changefeed import ChangeFeed
 from cardamomloft.gateway.control import Changes, Listing
 from cardamomloft.gateway.following import Follower, Pace
+from cardamomloft.gateway.storeview import StoreView
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.store.failures import StoreFailure
 from expression import Error, Ok
 from twisted.internet.defer import Deferred
-from twisted.internet.task import Clock
+from twisted.internet.task import Clock, LoopingCall
 
 from cardamomloft_standins import gateway as kit
 
@@ -40,24 +42,42 @@
 LINK = 2 * MS
 """How long a message between gateways takes."""
 
+TICK = 200 * MS
+"""How often a gateway looks what did not come back."""
+
 LOST_AFTER = 700 * MS
 """When a call to a store that says nothing counts as failed; its wait comes on top."""
 
 
+class Copy(t.NamedTuple):
+    """What a store held at an instant."""
+
+    at: timedelta
+    revision: int
+    held: dict[object, object]
+
+
 class Store:
     """A store with revisions. Gateways in `cut` hear nothing from it, those in `refused` a no."""
 
     def __init__(self, time: kit.Time) -> None:
         self.time = time
+        self.era = 1
         self.revision = 1
         self.held: dict[object, object] = {}
         self.events: list[tuple[int, object]] = []
+        self.copies: list[Copy] = [Copy(timedelta(0), 1, {})]
         self.first_known = 0
         self.cut: set[str] = set()
         self.refused: set[str] = set()
-        self.waiting: list[tuple[int, t.Callable[[], None]]] = []
+        self.waiting: list[t.Callable[[], None]] = []
         self.calls = 0
 
+    @property
+    def position(self) -> Position:
+        """Where it is in its history."""
+        return Position(self.era, self.revision)
+
     def write(self, key: object, fact: object, *, removes: bool = False) -> None:
         """Write or remove a key, and answer who waits for a change."""
         self.revision += 1
@@ -65,14 +85,29 @@
         self.held.pop(key, None)
         if not removes:
             self.held[key] = fact
+        self.copies.append(Copy(self.time.clock.monotonic(), self.revision, dict(self.held)))
         waiting, self.waiting = self.waiting, []
-        for _, answer in waiting:
+        for answer in waiting:
             answer()
 
     def forget(self) -> None:
         """Drop the history of changes."""
         self.first_known = self.revision
 
+    def restore(self, age: timedelta) -> None:
+        """Come back from a copy of that age: what was written since is gone."""
+        instant = self.time.clock.monotonic() - age
+        copy = [copy for copy in self.copies if copy.at <= instant or copy.revision == 1][-1]
+        self.era += 1
+        self.revision, self.held = copy.revision, dict(copy.held)
+        self.events = [(at, fact) for at, fact in self.events if at <= copy.revision]
+        self.copies = [each for each in self.copies if each.revision <= copy.revision]
+        self.first_known = min(self.first_known, copy.revision)
+        # Whoever waits for a change is cut off, and hears of that.
+        waiting, self.waiting = self.waiting, []
+        for answer in waiting:
+            answer()
+
 
 class Client:
     """One gateway's connection to the store."""
@@ -84,18 +119,19 @@
         """List all that the store holds."""
         store = self.store
         return self._call(
-            lambda: Ok(Listing(tuple(store.held.values()), store.revision)), timedelta(0)
+            lambda: Ok(Listing(tuple(store.held.values()), store.position)), timedelta(0)
         )
 
     def changes(self, after, wait):
         """Return what has changed, at the latest when `wait` is over."""
-        return self._call(lambda: self._news(after), wait, lambda: self.store.revision > after)
+        return self._call(lambda: self._news(after), wait, lambda: self.store.position > after)
 
     def _news(self, after):
         store = self.store
-        if after < store.first_known:
+        if after.era != store.era or after.revision < store.first_known:
             return Ok(Changes((), after, lost=True))
-        return Ok(Changes(tuple(f for at, f in store.events if at > after), store.revision))
+        news = tuple(fact for at, fact in store.events if at > after.revision)
+        return Ok(Changes(news, store.position))
 
     def _call(self, answer, wait, is_due=lambda: True):
         store, reactor = self.store, self.store.time.reactor
@@ -117,7 +153,7 @@
                 if is_due() or not wait:
                     reply()
                 else:
-                    store.waiting.append((0, reply))
+                    store.waiting.append(reply)
                     reactor.callLater(wait.total_seconds(), reply)
 
         lost = Error(StoreFailure(False, "no answer"))
@@ -156,7 +192,6 @@
         self.entries = EntryBook(record, timedelta(seconds=10))
         self.time = time
         self.plans: list[int] = [0]
-        self.drained: set[str] = set()
         self.faults = []
         self.returns: list[timedelta] = []
         self.entries_gone: list[timedelta] = []
@@ -179,24 +214,34 @@
             metrics,
         )
         self.feed.port.peers = self
+        self.book = UpstreamBook(dict.fromkeys("abc", record.region))
+        selector = Selector(self.book, self.name, record.zone, None, Preferences())
+        self.view = StoreView(
+            time.clock, self.book, self.entries, selector, _ignore, self._on_plan, metrics
+        )
         self.follower = Follower(
             time.reactor,
             time.clock,
             self.feed.control,
             random.Random(seed),
             Pace(DRAIN * 0.4, DRAIN * 0.6),
-            self._on_listing,
+            self.view.take_listing,
             self._on_changes,
-            lambda: self.returns.append(time.clock.monotonic()),
+            self._on_returned,
         )
+        self._ticks = LoopingCall(self.view.tick)
+        self._ticks.clock = time.reactor
 
     def start(self) -> None:
         """Begin to follow."""
+        self._ticks.start(TICK.total_seconds(), now=False)
         self.follower.start(self.faults.append)
 
     def stop(self) -> None:
         """End, as a gateway does."""
         self.stopped = True
+        if self._ticks.running:
+            self._ticks.stop()
         self.feed.stop()
         self.follower.stop()
 
@@ -212,27 +257,27 @@
         if not self.stopped:
             self.feed.take(sender, message)
 
-    def _on_listing(self, listing) -> None:
-        self.drained = {fact.zone for fact in listing.facts if isinstance(fact, ZoneDrained)}
-        self._on_changes(listing.facts)
-        names = {fact.record.name for fact in listing.facts if isinstance(fact, EntryRecorded)}
-        self.entries.listed(names, self.time.clock.monotonic())
+    @property
+    def drained(self) -> set[str]:
+        """The zones that get nothing."""
+        return set(self.book.drained_zones)
 
     def _on_changes(self, facts) -> None:
-        now = self.time.clock.monotonic()
-        for fact in facts:
-            match fact:
-                case PlanRead(plan):
-                    self.plans.append(plan.number)
-                case ZoneDrained(zone):
-                    self.drained.add(zone)
-                case ZoneRestored(zone):
-                    self.drained.discard(zone)
-                case EntryRecorded(record):
-                    self.entries.add(record, now)
-                case EntryWithdrawn(name):
-                    self.entries_gone.append(now)
-                    self.entries.withdraw(name, now)
+        gone = [fact for fact in facts if isinstance(fact, EntryWithdrawn)]
+        self.entries_gone += [self.time.clock.monotonic()] * len(gone)
+        self.view.take_changes(facts)
+
+    def _on_plan(self, plan) -> None:
+        if plan.number > self.plans[-1]:
+            self.plans.append(plan.number)
+
+    def _on_returned(self) -> None:
+        self.returns.append(self.time.clock.monotonic())
+        self.view.store_returned()
+
+
+def _ignore(address) -> None:
+    """Keep no connections."""
 
 
 class Deployment:
--- a/tests/adapter/test_client.py
+++ b/tests/adapter/test_client.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 import pytest
+from cardamomloft.core.positions import Position
 from cardamomloft.core.registrations import (
     EntryRecord,
     EntryRecorded,
@@ -56,6 +57,10 @@
     return Ok(Answer(200, None, json.dumps(body).encode()))
 
 
+def _in_era(era: object, outcome: Ok) -> Ok:
+    return Ok(outcome.ok._replace(era=str(era)))
+
+
 def _status(status: int) -> Ok:
     return Ok(Answer(status, None, b"{}"))
 
@@ -96,7 +101,7 @@
         watch=[_ok({"events": [], "asOf": 64})],
     )
     listing = _result(store.read()).ok
-    assert listing.index == 64
+    assert listing.index == Position(0, 64)
     assert [fact for fact in listing.facts if isinstance(fact, ZoneDrained)] == [ZoneDrained("b")]
     assert _ids(listing) == ["i-1", "i-2"]
     *pages, question = [call[2] for call in store._exchange.calls]
@@ -121,7 +126,7 @@
     listing = _result(store.read()).ok
     assert _ids(listing) == ["i-2", "i-3"]
     assert [type(fact) for fact in listing.facts] == [UpstreamRegistered, UpstreamRegistered]
-    assert listing.index == 54
+    assert listing.index == Position(0, 54)
 
 
 def test_a_replica_from_before_the_known_history_is_not_used():
@@ -144,7 +149,7 @@
     }
     listing = _result(store.read()).ok
     assert _ids(listing) == ["i-2", "i-3"]
-    assert listing.index == 75
+    assert listing.index == Position(0, 75)
     own_pages, question = store._exchange.calls[-4:-1], store._exchange.calls[-1]
     assert all("serializable" not in call[2] for call in own_pages)
     assert question[2]["after"] == "68"
@@ -172,29 +177,29 @@
         {"key": "elsewhere", "revision": 53, "removed": True},
     ]
     store = _store(watch=[_ok({"events": events, "asOf": 53})])
-    changes = _result(store.changes(50, NO_WAIT)).ok
-    assert changes.index == 53
+    changes = _result(store.changes(Position(0, 50), NO_WAIT)).ok
+    assert changes.index == Position(0, 53)
     assert [type(fact) for fact in changes.facts] == [UpstreamRegistered, UpstreamWithdrawn]
 
 
 def test_the_store_is_told_how_long_to_wait_and_gets_its_usual_time_on_top():
     store = _store(watch=[_ok({"events": [], "asOf": 50})])
-    _result(store.changes(50, timedelta(seconds=2)))
-    _result(store.changes(50, timedelta(seconds=90)))
+    _result(store.changes(Position(0, 50), timedelta(seconds=2)))
+    _result(store.changes(Position(0, 50), timedelta(seconds=90)))
     assert [call[2]["waitMs"] for call in store._exchange.calls] == ["2000", "30000"]
     longest = [timedelta(seconds=2), timedelta(seconds=30)]
     assert store._exchange.timeouts == [CALL_TIMEOUT + wait for wait in longest]
 
 
 def test_a_lost_history_is_no_failure():
-    changes = _result(_store(watch=[_status(410)]).changes(50, NO_WAIT)).ok
+    changes = _result(_store(watch=[_status(410)]).changes(Position(0, 50), NO_WAIT)).ok
     assert changes.lost
-    assert changes.index == 50
+    assert changes.index == Position(0, 50)
 
 
 @pytest.mark.parametrize("bad", [LOST, _status(429), _status(503), _ok({"events": [{}]})])
 def test_changes_without_a_usable_answer_are_a_failure_that_is_not_ambiguous(bad):
-    failure = _result(_store(watch=[bad]).changes(50, NO_WAIT)).error
+    failure = _result(_store(watch=[bad]).changes(Position(0, 50), NO_WAIT)).error
     assert not failure.ambiguous
 
 
@@ -206,7 +211,7 @@
     (put,) = written["puts"]
     assert (put["key"], put["lease"]) == ("entries/e-1", 77)
     recorded = _result(
-        _store(watch=[_ok({"events": [put], "asOf": 1})]).changes(0, NO_WAIT)
+        _store(watch=[_ok({"events": [put], "asOf": 1})]).changes(Position(0, 0), NO_WAIT)
     ).ok.facts
     assert recorded == (EntryRecorded(RECORD),)
 
@@ -230,3 +235,63 @@
     store = _store(lease_end=[Ok(Answer(200, None, b""))])
     assert _result(store.withdraw("77")) == Ok(None)
     assert store._exchange.calls[0][:2] == ("DELETE", "/v1/kv-lease-end/77")
+
+
+NO_NEWS = _ok({"events": [], "asOf": 64})
+
+
+def test_a_revision_that_a_restored_store_has_reached_again_is_another_one():
+    store = _store(watch=[_in_era(3, NO_NEWS)])
+    changes = _result(store.changes(Position(2, 64), NO_WAIT)).ok
+    assert changes.lost
+    assert changes.index == Position(2, 64)
+    assert not _result(store.changes(Position(3, 64), NO_WAIT)).ok.lost
+
+
+@pytest.mark.parametrize("era", ["2", None, "x", "-1", "9" * 20, ""])
+def test_an_era_that_falls_is_missing_or_unreadable_means_to_list_anew(era):
+    answer = NO_NEWS if era is None else _in_era(era, NO_NEWS)
+    assert _result(_store(watch=[answer]).changes(Position(3, 64), NO_WAIT)).ok.lost
+
+
+def test_a_list_of_pages_from_before_a_restoration_is_read_again_from_the_store_itself():
+    old, new = _in_era(2, _page(_item("servers/i-1", SERVER), at=90)), _in_era(3, _page(at=40))
+    store = _store(range=[new], range_servers=[old, new], watch=[_in_era(3, NO_NEWS)])
+    listing = _result(store.read()).ok
+    assert _ids(listing) == []
+    assert listing.index == Position(3, 64)
+
+
+def test_a_store_that_is_restored_while_it_is_listed_is_no_list():
+    old, new = _in_era(2, _page(at=90)), _in_era(3, _page(at=40))
+    store = _store(range=[new], range_op=[old], watch=[_in_era(3, NO_NEWS)])
+    assert _result(store.read()).is_error()
+
+
+LEASE, WRITTEN = _ok({"lease": 77, "ttl_time": "3000ms"}), _ok({"revision": 9})
+KEPT = _ok({"ttl_time": "3000ms"})
+
+
+def test_a_lease_whose_number_was_given_out_again_is_another_one():
+    store = _store(
+        lease=[_in_era(2, LEASE)],
+        txn=[_in_era(2, WRITTEN)],
+        keep=[_in_era(2, KEPT), _in_era(3, KEPT)],
+        lease_end=[_in_era(3, _ok({}))],
+    )
+    lease = _result(store.record(RECORD, timedelta(seconds=3))).ok
+    assert _result(store.renew(lease)) == Ok(True)
+    assert _result(store.renew(lease)) == Ok(False)
+    assert _result(store.withdraw(lease)) == Ok(None)
+    assert "DELETE" not in [call[0] for call in store._exchange.calls]
+
+
+def test_a_lease_of_this_era_is_ended():
+    store = _store(keep=[_in_era(2, KEPT)], lease_end=[_in_era(2, _ok({}))])
+    assert _result(store.withdraw("77.2")) == Ok(None)
+    assert store._exchange.calls[-1][:2] == ("DELETE", "/v1/kv-lease-end/77")
+
+
+def test_a_record_that_is_written_in_another_era_than_its_lease_is_written_again():
+    store = _store(lease=[_in_era(2, LEASE)], txn=[_in_era(3, WRITTEN)])
+    assert _result(store.record(RECORD, timedelta(seconds=3))).is_error()
