--- a/packages/core/src/cardamomloft/core/estimates.py
+++ b/packages/core/src/cardamomloft/core/estimates.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from cardamomloft.core.registrations import LoadReport, Upstream
+from cardamomloft.core.upstreambook import LoadReport, Upstream
 
 REPORT_LIFE = timedelta(seconds=1)
 """How long a load report says more than this entry's own counts; it fades out over this time.
--- a/packages/core/src/cardamomloft/core/restoration.py
+++ b/packages/core/src/cardamomloft/core/restoration.py
@@ -18,13 +18,8 @@
 from functools import singledispatch
 
 from cardamomloft.core.entrybook import EntryBook
-from cardamomloft.core.registrations import (
-    EntryRecorded,
-    Fact,
-    UpstreamBook,
-    UpstreamRegistered,
-    ZoneDrained,
-)
+from cardamomloft.core.registrations import EntryRecorded, Fact, UpstreamRegistered, ZoneDrained
+from cardamomloft.core.upstreambook import UpstreamBook
 
 DRAIN_DOUBT = timedelta(seconds=10)
 """How long a drained zone that is missing in the copy gets nothing. Too long costs its room for so
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -24,10 +24,10 @@
 )
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.ranks import OwnRanks
-from cardamomloft.core.registrations import LoadReport, Upstream, UpstreamBook
 from cardamomloft.core.routes import RouteRule, ServicePolicy
 from cardamomloft.core.sizes import Sizes
 from cardamomloft.core.touches import Touch, Touches
+from cardamomloft.core.upstreambook import LoadReport, Upstream, UpstreamBook
 from cardamomloft.core.zones import slot_weights
 
 MAX_RESTING = 0.5
--- a/packages/core/src/cardamomloft/core/touches.py
+++ b/packages/core/src/cardamomloft/core/touches.py
@@ -7,7 +7,7 @@
 import enum
 from collections import OrderedDict
 
-from cardamomloft.core.registrations import Upstream
+from cardamomloft.core.upstreambook import Upstream
 
 PAIRS_KEPT = 20_000
 """Pairs of endpoint and object that are kept, the longest unused forgotten first, at 0.2 KB each
--- a/packages/core/tests/test_ranks.py
+++ b/packages/core/tests/test_ranks.py
@@ -8,9 +8,10 @@
 from cardamomloft.core.budgets import ColdLimit
 from cardamomloft.core.model import Refusal
 from cardamomloft.core.ranks import OwnRanks
-from cardamomloft.core.registrations import Registration, UpstreamBook
+from cardamomloft.core.registrations import Registration
 from cardamomloft.core.routes import ServicePolicy
 from cardamomloft.core.selection import Preferences, Selector
+from cardamomloft.core.upstreambook import UpstreamBook
 from cardamomloft_standins.gateway import RULE
 
 NAMES = [f"e-{number}" for number in range(20)]
--- a/packages/core/tests/test_restoration.py
+++ b/packages/core/tests/test_restoration.py
@@ -8,12 +8,12 @@
     EntryRecorded,
     PlanRead,
     Registration,
-    UpstreamBook,
     UpstreamRegistered,
     ZoneDrained,
 )
 from cardamomloft.core.restoration import missing_drains, sift
 from cardamomloft.core.routes import CallerLimits, RoutePlan
+from cardamomloft.core.upstreambook import UpstreamBook
 
 ZERO = timedelta(0)
 OWN = EntryRecord("e-0", "10.0.0.1:80", "a", "east")
--- a/packages/core/tests/test_selection.py
+++ b/packages/core/tests/test_selection.py
@@ -8,9 +8,10 @@
 from cardamomloft.core.budgets import ColdLimit
 from cardamomloft.core.estimates import REPORT_LIFE, expected_load
 from cardamomloft.core.model import Refusal
-from cardamomloft.core.registrations import LoadReport, Registration, UpstreamBook
+from cardamomloft.core.registrations import Registration
 from cardamomloft.core.routes import ServicePolicy
 from cardamomloft.core.selection import Choice, Preferences, Selector
+from cardamomloft.core.upstreambook import LoadReport, UpstreamBook
 from cardamomloft_standins.gateway import RULE
 
 MS = timedelta(milliseconds=1)
--- a/packages/core/tests/test_touches.py
+++ b/packages/core/tests/test_touches.py
@@ -2,8 +2,9 @@
 
 import pytest
 from cardamomloft.core import touches
-from cardamomloft.core.registrations import Registration, Upstream
+from cardamomloft.core.registrations import Registration
 from cardamomloft.core.touches import Touch, Touches
+from cardamomloft.core.upstreambook import Upstream
 
 ZERO = timedelta(0)
 
--- a/packages/core/tests/test_registrations.py
+++ b/packages/core/tests/test_upstreambook.py
@@ -3,8 +3,9 @@
 from datetime import timedelta
 
 import pytest
-from cardamomloft.core import registrations
-from cardamomloft.core.registrations import RETURN_TIME, Life, Registration, UpstreamBook
+from cardamomloft.core import upstreambook
+from cardamomloft.core.registrations import RETURN_TIME, Life, Registration
+from cardamomloft.core.upstreambook import UpstreamBook
 
 MS = timedelta(milliseconds=1)
 ZERO = timedelta(0)
@@ -53,8 +54,8 @@
 def test_a_long_list_is_divided_by_service_once(monkeypatch):
     """A list of 810 took a third of a second of processor time, and more with the square."""
     divided = []
-    placed = registrations._placed
-    monkeypatch.setattr(registrations, "_placed", lambda rows: divided.append(1) or placed(rows))
+    placed = upstreambook._placed
+    monkeypatch.setattr(upstreambook, "_placed", lambda rows: divided.append(1) or placed(rows))
     book = UpstreamBook(REGIONS)
     for number in range(1000):
         book.register(_row(number), ZERO)
@@ -186,7 +187,7 @@
 
 
 def test_starts_are_kept_for_a_bounded_number_of_endpoints(monkeypatch):
-    monkeypatch.setattr(registrations, "STARTS_KEPT", 2)
+    monkeypatch.setattr(upstreambook, "STARTS_KEPT", 2)
     book = UpstreamBook(REGIONS)
     for number in (1, 2, 3):
         book.register(_row(number, started_ms=200), ZERO)
--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -11,8 +11,8 @@
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.comeback import ComeBack, Waits
 from cardamomloft.core.model import Refusal, RefusalReason
-from cardamomloft.core.registrations import UpstreamBook
 from cardamomloft.core.selection import Selector
+from cardamomloft.core.upstreambook import UpstreamBook
 from cardamomloft.gateway.calls import Call
 from cardamomloft.gateway.noticing import Noticing
 from cardamomloft.gateway.passage import Caller, Passage
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -13,10 +13,11 @@
 from cardamomloft.core.entrybook import EntryBook
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.naming import Names
-from cardamomloft.core.registrations import EntryRecord, UpstreamBook
+from cardamomloft.core.registrations import EntryRecord
 from cardamomloft.core.routes import RoutePlan
 from cardamomloft.core.selection import Preferences, Selector
 from cardamomloft.core.timekeeping import Timekeeper
+from cardamomloft.core.upstreambook import UpstreamBook
 from cardamomloft.gateway.calls import Call, CallerHeaders, Reader
 from cardamomloft.gateway.changefeed import ChangeFeed
 from cardamomloft.gateway.control import Control, Listing
--- a/packages/gateway/src/cardamomloft/gateway/noticing.py
+++ b/packages/gateway/src/cardamomloft/gateway/noticing.py
@@ -6,7 +6,8 @@
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.notices import CrashUnderRequest, Dated, Notice, UpstreamLeaving
 from cardamomloft.core.quarantine import Quarantine
-from cardamomloft.core.registrations import Life, Upstream, UpstreamBook
+from cardamomloft.core.registrations import Life
+from cardamomloft.core.upstreambook import Upstream, UpstreamBook
 from cardamomloft.runtime.logs import log
 from cardamomloft.runtime.metrics import Metrics
 
--- a/packages/gateway/src/cardamomloft/gateway/passage.py
+++ b/packages/gateway/src/cardamomloft/gateway/passage.py
@@ -13,10 +13,10 @@
 from cardamomloft.core.estimates import expected_load
 from cardamomloft.core.fingerprints import fingerprint
 from cardamomloft.core.model import Endpoint, Refusal, RefusalReason
-from cardamomloft.core.registrations import LoadReport, Upstream
 from cardamomloft.core.retries import may_retry
 from cardamomloft.core.selection import Choice, Reason
 from cardamomloft.core.touches import Touch
+from cardamomloft.core.upstreambook import LoadReport, Upstream
 from cardamomloft.gateway.calls import Call
 from cardamomloft.gateway.outcomes import (
     Failed,
--- a/packages/gateway/src/cardamomloft/gateway/records.py
+++ b/packages/gateway/src/cardamomloft/gateway/records.py
@@ -10,9 +10,9 @@
 
 from cardamomloft.callers.exchange import RequestHead
 from cardamomloft.core.model import Refusal
-from cardamomloft.core.registrations import Upstream
 from cardamomloft.core.selection import Reason
 from cardamomloft.core.touches import Touch
+from cardamomloft.core.upstreambook import Upstream
 from cardamomloft.gateway.calls import Call
 from cardamomloft.gateway.outcomes import Told
 from cardamomloft.runtime.logs import log
--- a/packages/gateway/src/cardamomloft/gateway/storeview.py
+++ b/packages/gateway/src/cardamomloft/gateway/storeview.py
@@ -13,7 +13,6 @@
     Fact,
     PlanRead,
     Unreadable,
-    UpstreamBook,
     UpstreamRegistered,
     UpstreamUnreadable,
     UpstreamWithdrawn,
@@ -23,6 +22,7 @@
 from cardamomloft.core.restoration import DRAIN_DOUBT, missing_drains, sift
 from cardamomloft.core.routes import RoutePlan
 from cardamomloft.core.selection import Selector
+from cardamomloft.core.upstreambook import UpstreamBook
 from cardamomloft.gateway.control import Listing
 from cardamomloft.runtime.logs import Known, log
 from cardamomloft.runtime.metrics import Metrics
--- a/packages/gateway/tests/test_gateway_forwarding.py
+++ b/packages/gateway/tests/test_gateway_forwarding.py
@@ -8,8 +8,8 @@
 from cardamomloft.core.budgets import ColdLimit, RetryBudget
 from cardamomloft.core.notices import REQUEST_LIFE
 from cardamomloft.core.quarantine import RESTART_TIME
-from cardamomloft.core.registrations import UpstreamBook
 from cardamomloft.core.selection import Preferences, Selector
+from cardamomloft.core.upstreambook import UpstreamBook
 from cardamomloft.gateway.calls import Reader
 from cardamomloft.gateway.forwarding import Forwarder
 from cardamomloft.gateway.noticing import Noticing
--- a/packages/gateway/tests/test_restored_store.py
+++ b/packages/gateway/tests/test_restored_store.py
@@ -11,7 +11,6 @@
     EntryRecorded,
     EntryWithdrawn,
     PlanRead,
-    UpstreamBook,
     UpstreamRegistered,
     UpstreamWithdrawn,
     ZoneDrained,
@@ -19,6 +18,7 @@
 )
 from cardamomloft.core.restoration import DRAIN_DOUBT
 from cardamomloft.core.selection import Preferences, Selector
+from cardamomloft.core.upstreambook import UpstreamBook
 from cardamomloft.feed.changetable import ChangeTable
 from cardamomloft.feed.relays import relays_of
 from cardamomloft.feed.sources import Sources
--- a/scripts/slopes_gateway.py
+++ b/scripts/slopes_gateway.py
@@ -12,8 +12,9 @@
 
 from cardamomloft.core.budgets import ColdLimit
 from cardamomloft.core.naming import entries_for
-from cardamomloft.core.registrations import EntryRecord, Registration, UpstreamBook
+from cardamomloft.core.registrations import EntryRecord, Registration
 from cardamomloft.core.selection import Preferences, Selector
+from cardamomloft.core.upstreambook import UpstreamBook
 from cardamomloft.gateway.documents import load_registration
 from cardamomloft_standins.gateway import RULE
 
--- a/standins/src/cardamomloft_standins/experiment/policies.py
+++ b/standins/src/cardamomloft_standins/experiment/policies.py
@@ -7,9 +7,9 @@
 from cardamomloft.core.budgets import ColdLimit
 from cardamomloft.core.estimates import expected_load
 from cardamomloft.core.model import Refusal, RefusalReason
-from cardamomloft.core.registrations import Upstream, UpstreamBook
 from cardamomloft.core.routes import RouteRule
 from cardamomloft.core.selection import Choice, Preferences, Reason, Selector
+from cardamomloft.core.upstreambook import Upstream, UpstreamBook
 
 from cardamomloft_standins.experiment.sharing import SharingSelector
 
--- a/standins/src/cardamomloft_standins/experiment/sharing.py
+++ b/standins/src/cardamomloft_standins/experiment/sharing.py
@@ -4,9 +4,10 @@
 from collections.abc import Sequence
 from datetime import timedelta
 
-from cardamomloft.core.registrations import Life, Upstream
+from cardamomloft.core.registrations import Life
 from cardamomloft.core.selection import Selector
 from cardamomloft.core.suspicion import Suspicions
+from cardamomloft.core.upstreambook import Upstream
 
 PASSING = timedelta(milliseconds=150)
 """From a failure at one gateway until all others know of it: a relay on each side, and the links
--- a/standins/src/cardamomloft_standins/experiment/world.py
+++ b/standins/src/cardamomloft_standins/experiment/world.py
@@ -7,8 +7,9 @@
 from cardamomloft.callers.body import RequestBody
 from cardamomloft.callers.exchange import Answer, RequestHead
 from cardamomloft.core.budgets import ColdLimit, RetryBudget
-from cardamomloft.core.registrations import Registration, UpstreamBook
+from cardamomloft.core.registrations import Registration
 from cardamomloft.core.routes import RouteRule, ServicePolicy, ServiceShare
+from cardamomloft.core.upstreambook import UpstreamBook
 from cardamomloft.gateway.calls import Call
 from cardamomloft.gateway.forwarding import Forwarder
 from cardamomloft.gateway.noticing import Noticing
--- a/standins/src/cardamomloft_standins/gateway.py
+++ b/standins/src/cardamomloft_standins/gateway.py
@@ -6,12 +6,7 @@
 
 from cardamomloft.core.clock import ManualClock
 from cardamomloft.core.positions import Position
-from cardamomloft.core.registrations import (
-    EntryRecord,
-    PlanRead,
-    Registration,
-    UpstreamRegistered,
-)
+from cardamomloft.core.registrations import EntryRecord, PlanRead, Registration, UpstreamRegistered
 from cardamomloft.core.routes import (
     CallerLimits,
     RoutePlan,
--- a/standins/src/cardamomloft_standins/relayed.py
+++ b/standins/src/cardamomloft_standins/relayed.py
@@ -8,13 +8,9 @@
 from cardamomloft.core.model import Incarnation
 from cardamomloft.core.notices import Dated
 from cardamomloft.core.positions import Position
-from cardamomloft.core.registrations import (
-    EntryRecorded,
-    EntryWithdrawn,
-    PlanRead,
-    UpstreamBook,
-)
+from cardamomloft.core.registrations import EntryRecorded, EntryWithdrawn, PlanRead
 from cardamomloft.core.selection import Preferences, Selector
+from cardamomloft.core.upstreambook import UpstreamBook
 from cardamomloft.feed.relays import relays_of
 from cardamomloft.gateway.changefeed import ChangeFeed
 from cardamomloft.gateway.control import Changes, Listing
