--- a/packages/gateway/tests/test_gateway_forwarding.py
+++ b/packages/gateway/tests/test_gateway_forwarding.py
@@ -1,101 +1,25 @@
 """From a call to its answer: what is repeated, what is called not run, and what is not."""
 
-from collections import deque
-
 import pytest
-from cardamomloft.callers.body import RequestBody
-from cardamomloft.callers.exchange import RequestHead
-from cardamomloft.core.budgets import ColdLimit, RetryBudget
-from cardamomloft.core.notices import REQUEST_LIFE
-from cardamomloft.core.quarantine import RESTART_TIME
-from cardamomloft.core.selection import Preferences, Selector
-from cardamomloft.core.upstreambook import UpstreamBook
-from cardamomloft.gateway.calls import Reader
-from cardamomloft.gateway.forwarding import Forwarder
-from cardamomloft.gateway.noticing import Noticing
-from cardamomloft.gateway.records import RequestLog
-from cardamomloft.runtime.metrics import Metrics
-from cardamomloft.upstreams.client import SendFailure
 from cardamomloft_standins import gateway as kit
-from expression import Error
-from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.task import Clock
-
-MS = kit.MS
-SHED = kit.answer(503, b"", not_run=True)
-MISDIRECTED = kit.answer(421, b"", not_run=True)
-NOT_CONNECTED = Error(SendFailure(True, "refused"))
-RESET = Error(SendFailure(False, "reset"))
-CRASH = Error(SendFailure(False, "closed", cut=True))
-CUT_SHORT = kit.answer(200, "cut short after 3 bytes")
-
-
-class Bench:
-    """A forwarder between fakes."""
-
-    def __init__(self, *outcomes, slack=1000.0, endpoints=4) -> None:
-        self.time = kit.Time(Clock())
-        self.client = kit.FakeClient(*outcomes)
-        self.book = UpstreamBook({"a": "east"})
-        for number in range(endpoints):
-            self.book.register(kit.registration(number), 0 * MS)
-        self.selector = Selector(self.book, "e-0", "a", ColdLimit(1.5, 5), Preferences())
-        self.metrics = Metrics()
-        budget = RetryBudget(0.0, slack, 10_000 * MS)
-        self.forwarder = Forwarder(
-            self.time.reactor,
-            self.time.clock,
-            kit.rng(),
-            self.selector,
-            self.book,
-            self.client,
-            lambda service: budget,
-            self.metrics,
-            RequestLog(lambda: 1),
-            Noticing(self.time.clock, self.book, self.metrics),
-        )
-
-    def start(self, path="/menus/7", body=b"", whole=True, caller="app/1", address="10.0.0.9"):
-        pairs = (
-            ("host", "a.example"),
-            ("x-request-id", "id-1"),
-            ("x-object", "17"),
-            ("user-agent", caller),
-        )
-        head = RequestHead("GET", path, "", pairs, address, len(body), False)
-        call = Reader(kit.plan(), kit.HEADERS, kit.rng()).read(head, self.time.clock.monotonic())
-        carried = RequestBody(len(body), self)
-        if body:
-            carried.data_received(body if whole else body[:1])
-            if whole:
-                carried.end()
-        self.gone = Deferred()
-        return ensureDeferred(self.forwarder.carry(call, head, carried, self.gone))
-
-    def answer(self, *args, **kwargs):
-        done = self.start(*args, **kwargs)
-        result = []
-        done.addBoth(result.append)
-        assert result
-        return result[0]
-
-    def pause_body(self):
-        pass
-
-    def resume_body(self):
-        pass
-
-
-def _header(answer, name):
-    return next((value for key, value in answer.headers if key.lower() == name), None)
+from cardamomloft_standins.carrying import (
+    CUT_SHORT,
+    MISDIRECTED,
+    MS,
+    NOT_CONNECTED,
+    RESET,
+    SHED,
+    Bench,
+    header,
+)
 
 
 def test_an_answer_is_passed_on_unchanged():
     bench = Bench(kit.answer(207, b"whole", x_stamp="s-1", connection="close"))
     answer = bench.answer()
     assert (answer.status, answer.body) == (207, b"whole")
-    assert _header(answer, "x-stamp") == "s-1"
-    assert _header(answer, "connection") is None
+    assert header(answer, "x-stamp") == "s-1"
+    assert header(answer, "connection") is None
 
 
 def test_the_endpoint_gets_the_request_as_it_was_and_the_time_left():
@@ -130,7 +54,7 @@
     bench = Bench(first, kit.answer())
     answer = bench.answer("/orders/1")
     assert answer.status == 502
-    assert _header(answer, "retry-after") is None
+    assert header(answer, "retry-after") is None
     assert len(bench.client.sent) == 1
 
 
@@ -169,7 +93,7 @@
 
 
 def test_refused_callers_are_told_when_to_come_back_in_fractions():
-    waits = {float(_header(Bench(SHED).answer(), "retry-after")) for _ in range(3)}
+    waits = {float(header(Bench(SHED).answer(), "retry-after")) for _ in range(3)}
     assert all(0.1 < wait < 1 for wait in waits)
 
 
@@ -189,7 +113,7 @@
     bench = Bench(kit.answer(status, b"busy", x_stamp="s-1"))
     answer = bench.answer("/orders/1")
     assert answer.status == 502
-    assert _header(answer, "x-stamp") is None
+    assert header(answer, "x-stamp") is None
     assert len(bench.client.sent) == 1
 
 
@@ -289,126 +213,3 @@
     bench = Bench(kit.answer(), endpoints=0)
     assert bench.answer().status == 503
     assert bench.client.sent == []
-
-
-def test_a_request_is_sent_to_no_more_endpoints_after_three_have_crashed_under_it():
-    bench = Bench(CRASH, endpoints=8)
-    for sent in (2, 3):
-        assert bench.answer().status == 502
-        assert len(bench.client.sent) == sent
-        bench.time.advance(RESTART_TIME)
-    answer = bench.answer()
-    assert answer.status == 503
-    assert _header(answer, "cardamomloft-reason") == "upstreams-crash-under-it"
-    left = REQUEST_LIFE - 2 * RESTART_TIME
-    assert float(_header(answer, "retry-after")) == pytest.approx(left.total_seconds())
-    assert len(bench.client.sent) == 3
-
-
-def quarantined(*outcomes) -> Bench:
-    """Return a bench where a request has met three crashes, and then `outcomes`."""
-    bench = Bench(CRASH, endpoints=8)
-    for _ in range(2):
-        bench.answer()
-        bench.time.advance(RESTART_TIME)
-    assert len(bench.forwarder.noticing.refused()) == 1
-    bench.client.outcomes = deque(outcomes)
-    return bench
-
-
-def test_refusing_a_deadly_request_makes_no_other_caller_wait_longer():
-    bench = quarantined(SHED)
-    for _ in range(40):
-        assert bench.answer().status == 503
-    assert float(_header(bench.answer("/menus/8"), "retry-after")) < 1
-
-
-@pytest.mark.parametrize(
-    "other", [{"path": "/menus/8"}, {"body": b"?"}, {"caller": "app/2"}], ids=str
-)
-def test_another_path_body_or_caller_is_another_request(other):
-    bench = quarantined(kit.answer())
-    assert bench.answer(**other).status == 200
-
-
-def test_a_caller_that_comes_by_another_network_is_known_all_the_same():
-    assert quarantined(kit.answer()).answer(address="10.9.0.1").status == 503
-
-
-@pytest.mark.parametrize("answered", [kit.answer(), kit.answer(404, b"none"), kit.answer(500, b"")])
-def test_a_request_that_got_an_answer_is_not_the_cause_of_crashes_before(answered):
-    bench = Bench(CRASH, CRASH, answered, CRASH, CRASH, kit.answer(), endpoints=8)
-    for _ in range(3):
-        bench.answer()
-        bench.time.advance(RESTART_TIME)
-    assert bench.forwarder.noticing.refused() == []
-    assert bench.answer().status == 200
-
-
-@pytest.mark.parametrize("outcome", [RESET, NOT_CONNECTED, SHED, CUT_SHORT])
-def test_what_is_no_crash_is_never_taken_for_one(outcome):
-    bench = Bench(outcome, endpoints=8)
-    for _ in range(10):
-        bench.answer()
-        bench.time.advance(RESTART_TIME)
-    assert bench.forwarder.noticing.refused() == []
-
-
-@pytest.mark.parametrize("status", [200, 404, 500])
-def test_an_endpoint_whose_answer_says_that_it_leaves_gets_nothing_more(status):
-    bench = Bench(kit.answer(status, b"last", x_leaving="1"), kit.answer(), endpoints=2)
-    bench.answer()
-    leaving = bench.client.sent[0].endpoint.name
-    for _ in range(5):
-        assert bench.answer().status == 200
-    assert leaving not in [req.endpoint.name for req in bench.client.sent[1:]]
-
-
-def test_a_refusal_that_says_that_its_endpoint_leaves_counts_as_well():
-    shed = kit.answer(503, b"", not_run=True, x_leaving="1")
-    bench = Bench(shed, kit.answer(), endpoints=2)
-    assert bench.answer().status == 200
-    leaving = bench.client.sent[0].endpoint.name
-    assert leaving not in [up.id for up in bench.book.of_service("menus")]
-
-
-def test_what_another_endpoint_at_the_address_says_of_its_leaving_does_not_count():
-    bench = Bench(kit.answer(421, b"", not_run=True, x_leaving="1"), kit.answer())
-    told = []
-    bench.forwarder.noticing.tell = told.extend
-    bench.answer()
-    assert told == []
-
-
-@pytest.mark.parametrize("marked", [True, False])
-def test_an_endpoint_that_wants_nothing_for_a_time_gets_nothing_for_so_long(marked):
-    shed = kit.answer(503, b"", not_run=marked, retry_after="2.5")
-    bench = Bench(shed, kit.answer(), endpoints=2)
-    bench.answer()
-    full = bench.client.sent[0].endpoint.name
-    bench.client.sent.clear()
-    for _ in range(24):
-        bench.time.advance(100 * MS)
-        assert bench.answer().status == 200
-    assert full not in [req.endpoint.name for req in bench.client.sent]
-    bench.time.advance(200 * MS)
-    bench.answer()
-    assert bench.client.sent[-1].endpoint.name == full
-
-
-def test_when_all_want_nothing_callers_are_told_when_the_first_wants_something_again():
-    shed = kit.answer(503, b"", not_run=True, retry_after="2.5")
-    bench = Bench(shed, endpoints=2)
-    assert bench.answer().status == 503
-    assert len(bench.client.sent) == 2
-    bench.time.advance(500 * MS)
-    answer = bench.answer()
-    assert answer.status == 503
-    assert float(_header(answer, "retry-after")) == pytest.approx(2.0, abs=0.02)
-    assert len(bench.client.sent) == 2
-
-
-def test_a_time_in_any_other_answer_is_the_callers_matter():
-    bench = Bench(kit.answer(200, retry_after="2.5"), endpoints=1)
-    for _ in range(2):
-        assert bench.answer().status == 200
--- /dev/null
+++ b/standins/src/cardamomloft_standins/carrying.py
@@ -0,0 +1,99 @@
+"""One request's way through a gateway's forwarding, between fakes."""
+
+from cardamomloft.callers.body import RequestBody
+from cardamomloft.callers.exchange import RequestHead
+from cardamomloft.core.budgets import ColdLimit, RetryBudget
+from cardamomloft.core.selection import Preferences, Selector
+from cardamomloft.core.upstreambook import UpstreamBook
+from cardamomloft.gateway.calls import Reader
+from cardamomloft.gateway.forwarding import Forwarder
+from cardamomloft.gateway.noticing import Noticing
+from cardamomloft.gateway.records import RequestLog
+from cardamomloft.runtime.metrics import Metrics
+from cardamomloft.upstreams.client import SendFailure
+from expression import Error
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import Clock
+
+from cardamomloft_standins import gateway as kit
+
+MS = kit.MS
+SHED = kit.answer(503, b"", not_run=True)
+MISDIRECTED = kit.answer(421, b"", not_run=True)
+NOT_CONNECTED = Error(SendFailure(True, "refused"))
+RESET = Error(SendFailure(False, "reset"))
+CRASH = Error(SendFailure(False, "closed", cut=True))
+CUT_SHORT = kit.answer(200, "cut short after 3 bytes")
+
+
+class Bench:
+    """A forwarder between fakes.
+
+    Parameters
+    ----------
+    outcomes
+        What the endpoints' answers are, in turn; the last one for ever.
+    slack
+        Of the budget of repeats.
+    endpoints
+        How many there are.
+    """
+
+    def __init__(self, *outcomes, slack=1000.0, endpoints=4) -> None:
+        self.time = kit.Time(Clock())
+        self.client = kit.FakeClient(*outcomes)
+        self.book = UpstreamBook({"a": "east"})
+        for number in range(endpoints):
+            self.book.register(kit.registration(number), 0 * MS)
+        self.selector = Selector(self.book, "e-0", "a", ColdLimit(1.5, 5), Preferences())
+        self.metrics = Metrics()
+        budget = RetryBudget(0.0, slack, 10_000 * MS)
+        self.forwarder = Forwarder(
+            self.time.reactor,
+            self.time.clock,
+            kit.rng(),
+            self.selector,
+            self.book,
+            self.client,
+            lambda service: budget,
+            self.metrics,
+            RequestLog(lambda: 1),
+            Noticing(self.time.clock, self.book, self.metrics),
+        )
+
+    def start(self, path="/menus/7", body=b"", whole=True, caller="app/1", address="10.0.0.9"):
+        """Begin to carry a request, and return its answer to come."""
+        pairs = (
+            ("host", "a.example"),
+            ("x-request-id", "id-1"),
+            ("x-object", "17"),
+            ("user-agent", caller),
+        )
+        head = RequestHead("GET", path, "", pairs, address, len(body), False)
+        call = Reader(kit.plan(), kit.HEADERS, kit.rng()).read(head, self.time.clock.monotonic())
+        carried = RequestBody(len(body), self)
+        if body:
+            carried.data_received(body if whole else body[:1])
+            if whole:
+                carried.end()
+        self.gone = Deferred()
+        return ensureDeferred(self.forwarder.carry(call, head, carried, self.gone))
+
+    def answer(self, *args, **kwargs):
+        """Carry a request that is answered at once."""
+        done = self.start(*args, **kwargs)
+        result = []
+        done.addBoth(result.append)
+        assert result
+        return result[0]
+
+    def pause_body(self):
+        """Do nothing: bodies are there at once."""
+
+    def resume_body(self):
+        """Do nothing: bodies are there at once."""
+
+
+def header(answer, name):
+    """Return the value of an answer's header, or None."""
+    return next((value for key, value in answer.headers if key.lower() == name), None)
