Let go of a doubted fact that a later list does not have

A registration from the copy of a restored store that was doubted, and ran out before the next list, was believed ten seconds later though nobody lived there. Found by reading; the new test had both endpoints in use before, one now.

--- a/packages/gateway/src/cardamomloft/gateway/changefeed.py
+++ b/packages/gateway/src/cardamomloft/gateway/changefeed.py
@@ -1,4 +1,4 @@
-"""The feed of changes of one gateway: from relays or the store, and on to other gateways."""
+"""What one gateway hears from other gateways and tells them: changes of the store, and notices."""
 
 import random
 import typing as t
--- a/packages/gateway/src/cardamomloft/gateway/gossip.py
+++ b/packages/gateway/src/cardamomloft/gateway/gossip.py
@@ -160,7 +160,7 @@
             return
         missing = self._board.differing(message.sums, now)
         if missing:
-            self._tell(address, missing, now)
+            self._send(address, _told(missing, now))
         if not message.answers:
             self._send(address, self._compared(answers=True))
 
@@ -196,13 +196,13 @@
         news, self._news = self._news, []
         now = self._clock.monotonic()
         self._metrics.count("notices_new", len(news))
-        self._to_some(FANOUT, NoticesTold(encode_notices(news[:NOTICES_A_MESSAGE], now)))
-
-    def _tell(self, address: str, notices: list[Dated], now: timedelta) -> None:
-        told = NoticesTold(encode_notices(notices[:NOTICES_A_MESSAGE], now))
-        self._send(address, told)
+        self._to_some(FANOUT, _told(news, now))
 
     def _to_some(self, count: int, message: Message) -> None:
         addresses = sorted(self._others().values())
         for address in self._rng.sample(addresses, min(count, len(addresses))):
             self._send(address, message)
+
+
+def _told(notices: list[Dated], now: timedelta) -> NoticesTold:
+    return NoticesTold(encode_notices(notices[:NOTICES_A_MESSAGE], now))
--- a/packages/gateway/src/cardamomloft/gateway/storeview.py
+++ b/packages/gateway/src/cardamomloft/gateway/storeview.py
@@ -126,8 +126,15 @@
         )
         return taken
 
-    def _undoubted(self, facts: Iterable[Fact]) -> tuple[Fact, ...]:
-        """Return the facts of a list but for those that are doubted as they stand there."""
+    def _undoubted(self, facts: tuple[Fact, ...]) -> tuple[Fact, ...]:
+        """Return the facts of a list but for those that are doubted as they stand there.
+
+        What was doubted and is not there any more has gone.
+        """
+        listed = {key_of(fact) for fact in facts}
+        for key, doubt in list(self._doubts.items()):
+            if key not in listed and not isinstance(doubt.fact, ZoneRestored):
+                del self._doubts[key]
         return tuple(fact for fact in facts if not self._is_doubted(fact))
 
     def _is_doubted(self, fact: Fact) -> bool:
--- a/packages/gateway/tests/test_restored_store.py
+++ b/packages/gateway/tests/test_restored_store.py
@@ -142,6 +142,16 @@
     assert view.usable() == []
 
 
+def test_one_that_is_missing_in_a_later_list_is_not_believed():
+    view = View()
+    view.listed(up(1), up(2))
+    view.view.take_changes((UpstreamWithdrawn("i-1"),))
+    view.listed(up(1), up(2), era=2)
+    view.listed(up(2), era=2)
+    view.pass_by(2 * DOUBT_TIME)
+    assert view.usable() == ["i-2"]
+
+
 def test_a_zone_drained_since_the_copy_stays_so_until_operators_write_it_again():
     view = View()
     view.listed(up(1))
