--- a/packages/callers/src/cardamomloft/callers/channel.py
+++ b/packages/callers/src/cardamomloft/callers/channel.py
@@ -26,7 +26,7 @@
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_HEADERS = 100
-# Unless a configuration sets it. Chosen, not measured: slow links take a second or two for a head.
+# Unless a configuration sets it: slow links take a second or two for a head.
 HEAD_TIMEOUT_S = 10
 # How long a rest of a body that is not kept is read and dropped, so that the caller gets to see
 # its answer.
--- a/packages/callers/src/cardamomloft/callers/pipelining.py
+++ b/packages/callers/src/cardamomloft/callers/pipelining.py
@@ -9,7 +9,7 @@
 import typing as t
 
 MAX_REQUESTS = 8
-"""Requests of one connection that are handled at a time. Chosen, not measured."""
+"""Requests of one connection that are handled at a time."""
 
 MAX_BYTES = 512 * 1024
 """Bytes of answers that one connection holds for their turn before it reads no further request.
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -37,30 +37,23 @@
 """
 
 UNKNOWN_WORK = 3
-"""How many times as long work takes on an object that is not at hand: 1,930 ms against 592 ms for
-reports, 556 against 172 for uploads (medians of a calm day's sends)."""
+"""How many times as long work takes on an object that is not at hand, about."""
 
 CLEARLY = 0.8
-"""Part of the first endpoint's expected time below which the second is taken to be sooner; both
-are smoothed figures. Chosen, not measured against others."""
+"""Part of the first endpoint's expected time below which the second is taken to be sooner: both are
+smoothed figures, and small differences say nothing."""
 
 ENDPOINTS_IN_ZONE = 1.5
 """Endpoints of a service in a zone, on average, from which large requests stay in their zone.
 
-With one in each zone an object was at hand nowhere: each zone's endpoint got all objects of its
-region, and what found no room there went to another region. By region instead, uploads earned 0.35
-of their credit instead of 0.17 (58 entries, 6 endpoints, one run each). With two in a zone it is
-cheaper to stay in it. The bound lies between the two, so that one that comes or goes changes
-nothing.
+With one in each zone an object is at hand nowhere: each zone's endpoint gets all objects of its
+region. With two it is cheaper to stay in the zone. The bound lies between, so that one that comes
+or goes changes nothing.
 """
 
 USUAL_PART = 0.25
 """Part of a service's usual load at which an endpoint that is not heard of is estimated: a second
-endpoint is then still used while others usually have up to twice its slots there. Whole, at a half
-and at a quarter (worth, no processor time charged, one run each): 58 entries with few endpoints
-0.593, 0.594 and 0.580 on their heaviest day, where it was 0.476; ten entries whose endpoints have
-room for more objects 0.689, 0.703 and 0.721, where it was 0.725.
-"""
+endpoint is then still used while others usually have up to twice its slots there."""
 
 FIRST_RANKS = 8
 """Endpoints that are ranked for a key: it is at two, and some of the others rest or are cold.
@@ -69,23 +62,23 @@
 """
 
 RANKS_KEPT = 20_000
-"""Keys of a service whose ranks are kept, at 0.2 KB each with 50 endpoints and 1.9 KB with 3,200
-(scripts/slopes_gateway.py); others are ranked each time."""
+"""Keys of a service whose ranks are kept, at 0.2 KB each with 50 endpoints; others are ranked each
+time."""
 
 _FAILURES_TO_REST = 2
 """Failures in a row after which an endpoint rests; one may be an answer that was lost."""
 
 _FIRST_REST = timedelta(milliseconds=300)
-"""The first rest, doubled with each further failure. Chosen short, not measured."""
+"""The first rest, doubled with each further failure; one that was only unlucky is soon back."""
 
 _LONGEST_REST = timedelta(seconds=4)
-"""The longest rest, after which an endpoint is tried again. Chosen, not measured."""
+"""The longest rest, after which an endpoint is tried again: callers wait seconds, not minutes."""
 
 _FULL_TIME = timedelta(milliseconds=60)
 """How long an endpoint that refused a request for want of room counts as full.
 
-Its objects then go to their second endpoint only as far as those of any full one. Chosen as a part
-of the usual time of work; not measured.
+Its objects then go to their second endpoint only as far as those of any full one. A part of the
+usual time of work, after which a slot may be free again.
 """
 
 _ZERO = timedelta(0)
@@ -106,15 +99,10 @@
         work takes there is not known.
     second_load
         Load up to which it goes to its second endpoint, where it is seldom at hand and pushes
-        another object out. Up to a free slot (1.0) the model of ``make experiment`` gives 0.65 of
-        the credit in its calm scenario, up to this 0.74, and without a second endpoint 0.76; with
-        room for twice the objects, played on a whole site, 0.66, 0.65 and 0.64 (scale-1), which is
-        no difference beyond noise.
+        another object out.
     known_load
         Load up to which an object goes to its second endpoint when it is at hand there and the
-        first is expected to answer later: a free slot. At 0 it never does. Up to the first
-        endpoint's bound the model gives less as soon as the load is heavy (0.624 of the credit
-        against 0.640 at 0.9 of what warm slots can do, scenario ``fleet``).
+        first is expected to answer later: a free slot. At 0 it never does.
     repeat_load
         Load up to which a request that has failed is sent to another endpoint: a free slot.
     """
@@ -301,9 +289,7 @@
         """Return the second endpoint if it has the object at hand and is to answer clearly sooner.
 
         It evens out what hashing divides unevenly, without further first touches: an object gets
-        to its second endpoint only when the first is full. In the model of ``make experiment``,
-        scenario ``fleet``, callers get 0.896 instead of 0.838 of the credit at 0.6 of what warm
-        slots can do, and 0.640 instead of 0.615 at 0.9.
+        to its second endpoint only when the first is full.
         """
         load = expected_load(second, now)
         bound = self._preferences.known_load * second.registration.slots
@@ -320,11 +306,9 @@
     def _usual_load(self, upstream: Upstream) -> float:
         """Return what others' requests take up of the slots of an endpoint that is not heard of.
 
-        With many entries and few endpoints most reports are old. Where nothing known counted as
-        nothing there, every entry sent the objects of full endpoints on to the same others, which
-        were as full, and pushed what they had at hand out. In the model of ``make experiment``
-        callers get 0.592 instead of 0.548 of the credit (``calm``, 0.7 of what warm slots can do),
-        0.517 instead of 0.480 (``burst``) and 0.798 instead of 0.795 (``fleet``, 0.6).
+        With many entries and few endpoints most reports are old. If nothing known counted as
+        nothing there, every entry would send the objects of full endpoints on to the same others,
+        which are as full, and push what they have at hand out.
         """
         return USUAL_PART * self._usual.get(upstream.registration.service, 0.0)
 
--- a/packages/core/src/cardamomloft/core/suspicion.py
+++ b/packages/core/src/cardamomloft/core/suspicion.py
@@ -20,7 +20,7 @@
 callers get 0.892 of the credit at 0.3 s, 0.895 at 1 s and 0.897 at 2 s."""
 
 LONGEST_REST = timedelta(seconds=4)
-"""The longest rest, after which an endpoint is tried again. Chosen, not measured."""
+"""The longest rest, after which an endpoint is tried again."""
 
 MOST_DOUBLINGS = 2
 """Doublings after which a rest is no longer than the longest one anyway."""
--- a/packages/core/src/cardamomloft/core/upstreambook.py
+++ b/packages/core/src/cardamomloft/core/upstreambook.py
@@ -10,10 +10,7 @@
 from cardamomloft.core.registrations import RETURN_TIME, Life, Registration
 
 LEAST_LAPSED = 3
-"""Fewer registrations that vanish at once count as planned, on deployments with few endpoints.
-
-Chosen, not measured.
-"""
+"""Fewer registrations that vanish at once count as planned, on deployments with few endpoints."""
 
 LAPSED_PART = 0.5
 """Part of all registrations beyond which those that vanish at once have lapsed with the store.
--- a/packages/feed/src/cardamomloft/feed/changetable.py
+++ b/packages/feed/src/cardamomloft/feed/changetable.py
@@ -25,8 +25,7 @@
 
 REMOVALS_KEPT = 5_000
 """Keys whose removal is remembered; gateways that missed an older one ask the store. Endpoints with
-new ids at each start leave one each, so this lasts for days of ordinary restarts. Chosen, not
-measured."""
+new ids at each start leave one each, so this lasts for days of ordinary restarts."""
 
 
 class FactKey(t.NamedTuple):
--- a/packages/feed/src/cardamomloft/feed/relays.py
+++ b/packages/feed/src/cardamomloft/feed/relays.py
@@ -16,8 +16,7 @@
 
 LEAST_ENTRIES = 8
 """Gateways of a region below which each asks the store by itself: with a handful the relays are
-half of them, which spares few calls, and each question to a relay is one more thing to fail.
-Chosen, not measured."""
+half of them, which spares few calls, and each question to a relay is one more thing to fail."""
 
 
 def relays_of(region: str, records: Iterable[EntryRecord]) -> list[EntryRecord]:
--- a/packages/feed/src/cardamomloft/feed/sources.py
+++ b/packages/feed/src/cardamomloft/feed/sources.py
@@ -32,11 +32,11 @@
 
 QUESTION_PART = 0.3
 """Part of the drain time for which a relay may wait for a change before it answers a listener: what
-the parts around it leave. Chosen, not measured."""
+the parts around it leave."""
 
 ANSWER_PART = 0.1
 """Part of the drain time that a relay's answer may take on top of that: 0.25 s of 2.5 s, for links
-between zones and a busy relay. Chosen, not measured."""
+between zones and a busy relay."""
 
 OLDEST_PART = 0.7
 """Part of the drain time after which knowledge is renewed by the store itself. After
--- a/packages/gateway/src/cardamomloft/gateway/presence.py
+++ b/packages/gateway/src/cardamomloft/gateway/presence.py
@@ -14,7 +14,7 @@
 RENEWALS = 2
 """Renewals in the life of a lease. One that fails is tried again at once, so that two calls may be
 lost before it lapses. With three and no second try two might be lost as well, for half as many
-calls again. Worked out, not measured apart."""
+calls again."""
 
 
 class Presence:
