--- a/packages/core/src/cardamomloft/core/quarantine.py
+++ b/packages/core/src/cardamomloft/core/quarantine.py
@@ -12,7 +12,7 @@
 
 CRASHES_TO_QUARANTINE = 3
 """Crashes without an answer between them after which a request is sent to no upstream. Two are met
-by a harmless request too whose repeat goes the way of the deadly one."""
+by a harmless request too whose repeat goes the way of the poison one."""
 
 RESTART_TIME = timedelta(seconds=1)
 """An upstream that ends a connection so much later than before has crashed again; what ends within
--- a/packages/core/tests/test_quarantine.py
+++ b/packages/core/tests/test_quarantine.py
@@ -50,12 +50,12 @@
     quarantine = Quarantine()
     for upstream in ("i-1", "i-2"):
         crash(quarantine, "harmless", upstream)
-        crash(quarantine, "deadly", upstream)
+        crash(quarantine, "poison", upstream)
     for notice in quarantine.answered("harmless"):
         quarantine.apply(notice, NOW)
-    for fingerprint in ("harmless", "deadly"):
+    for fingerprint in ("harmless", "poison"):
         crash(quarantine, fingerprint, "i-3")
-    assert quarantine.refused(NOW) == ["deadly"]
+    assert quarantine.refused(NOW) == ["poison"]
 
 
 def test_an_answer_heard_of_late_ends_the_refusal():
--- a/packages/gateway/src/cardamomloft/gateway/passage.py
+++ b/packages/gateway/src/cardamomloft/gateway/passage.py
@@ -183,7 +183,7 @@
     # Learning.
 
     def _heed(self, upstream: Upstream, result: Result[UpstreamAnswer, SendFailure]) -> Told:
-        """Take to heart what an endpoint tells of itself, before the rest of its answer is read."""
+        """Act on what an endpoint tells of itself, before the rest of its answer is read."""
         if result.is_error():
             return Told()
         told = told_by(result.ok, self._dialect)
--- a/packages/gateway/tests/test_crashing_requests.py
+++ b/packages/gateway/tests/test_crashing_requests.py
@@ -8,7 +8,7 @@
 
 LAUNCH = ("-m", "cardamomloft.gateway.main")
 
-DEADLY = "/menus/deadly"
+POISON = "/menus/poison"
 
 CONTACT_S = 3.0
 """Time within which all gateways know of a crash that one of them has seen."""
@@ -24,7 +24,7 @@
         self.folder = folder
         self.store = stack.enter_context(processes.store())
         processes.configure(self.store)
-        service = endpoints.service(self.store, 6, endpoints.crash_on(DEADLY))
+        service = endpoints.service(self.store, 6, endpoints.crash_on(POISON))
         self.endpoints, self.arrivals = stack.enter_context(service)
         self.settings = []
         for number in range(gateways):
@@ -45,8 +45,8 @@
             for page in pages
         )
 
-    def deadly(self) -> int:
-        return sum(arrival.path == DEADLY for arrival in self.arrivals)
+    def poison(self) -> int:
+        return sum(arrival.path == POISON for arrival in self.arrivals)
 
 
 @pytest.fixture(params=[3, 9], ids=["each asks the store", "relays"])
@@ -60,9 +60,9 @@
 
 
 def crash_three(fleet, gateways) -> None:
-    """Send the deadly request to these gateways in turn until three endpoints have ended."""
+    """Send the poison request to these gateways in turn until three endpoints have ended."""
     for number in range(50):
-        endpoints.ask(gateways[number % len(gateways)]["callers"], DEADLY)
+        endpoints.ask(gateways[number % len(gateways)]["callers"], POISON)
         if len({arrival.endpoint for arrival in fleet.arrivals}) >= ENDED:
             return
         time.sleep(0.4)
@@ -76,9 +76,9 @@
         endpoints.put(f"http://{fleet.store}/control", {"down": "hang"})
     crash_three(fleet, fleet.settings[:1] if seen_by == "one gateway" else fleet.settings[-3:])
     time.sleep(CONTACT_S)
-    before = fleet.deadly()
-    answers = [endpoints.ask(cfg["callers"], DEADLY) for cfg in fleet.settings * 2]
-    assert fleet.deadly() == before
+    before = fleet.poison()
+    answers = [endpoints.ask(cfg["callers"], POISON) for cfg in fleet.settings * 2]
+    assert fleet.poison() == before
     assert {answer.status for answer in answers} == {503}
     assert all(float(answer.headers["Retry-After"]) > 0 for answer in answers)
 
@@ -95,6 +95,6 @@
     late = fleet.add(fleet.stack, "e-late", "a")
     assert processes.eventually(fleet.know_each_other, 60)
     time.sleep(CONTACT_S)
-    before = fleet.deadly()
-    assert endpoints.ask(late["callers"], DEADLY).status == 503
-    assert fleet.deadly() == before
+    before = fleet.poison()
+    assert endpoints.ask(late["callers"], POISON).status == 503
+    assert fleet.poison() == before
--- a/packages/gateway/tests/test_heeding.py
+++ b/packages/gateway/tests/test_heeding.py
@@ -43,7 +43,7 @@
     return bench
 
 
-def test_refusing_a_deadly_request_makes_no_other_caller_wait_longer():
+def test_refusing_a_poison_request_makes_no_other_caller_wait_longer():
     bench = quarantined(SHED)
     for _ in range(40):
         assert bench.answer().status == 503
