--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -23,6 +23,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from .columns import ROUTE_COLUMNS
+
 MS = timedelta(milliseconds=1)
 
 SERVER = {
@@ -36,20 +38,6 @@
     "sequence": 4,
 }
 
-ROUTE_COLUMNS = [
-    "name",
-    "host",
-    "prefix",
-    "kind",
-    "timeout",
-    "targetLatency",
-    "priority",
-    "service",
-    "maxAttempts",
-    "stickySessions",
-    "homeRegions",
-    "split",
-]
 ROUTE = ["r-1", "A.example", "/x/", "unsafe", "1200ms", "500ms", 1, "pay", 2, True, ["east"], None]
 SPLIT = ["r-2", "a.example", "/x/y/", "safe", "1s", None, 2, None, 3, False, [], []]
 
--- a/tests/adapter/test_restored_platform.py
+++ b/tests/adapter/test_restored_platform.py
@@ -18,6 +18,7 @@
 from cardamomloft_standins import endpoints, processes
 
 from . import restorable
+from .columns import ROUTE_COLUMNS
 
 LAUNCH = (
     "-c",
@@ -38,7 +39,7 @@
 
 
 def configuration(version: int) -> dict:
-    """Return a configuration; its rules show its version by their limits."""
+    """Return a configuration with one rule; versions differ in their number only."""
     rule = [
         "menus",
         endpoints.HOST,
@@ -56,20 +57,7 @@
     return {
         "version": version,
         "routes": {
-            "columns": [
-                "name",
-                "host",
-                "prefix",
-                "kind",
-                "timeout",
-                "targetLatency",
-                "priority",
-                "service",
-                "maxAttempts",
-                "stickySessions",
-                "homeRegions",
-                "split",
-            ],
+            "columns": ROUTE_COLUMNS,
             "rows": [rule],
         },
         "services": {
