Log by how many entries limits are divided, and count retries by service

Retries were counted over all services together, and no line said by how many entries a budget was divided, so logs could not tell an entry that takes too large a part from one that forgets what its predecessor sent. One line each time the number changes; one counter a service.

--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -120,6 +120,7 @@
         if self._deliveries:
             self._budget.spend(now)
             self._forwarder.metrics.count("repeats")
+            self._forwarder.metrics.count(f"repeats.{self._call.service}")
         self._deliveries += 1
         load = expected_load(upstream, now)
         report_age = None if upstream.report is None else now - upstream.report.at
--- a/packages/gateway/src/cardamomloft/gateway/storeview.py
+++ b/packages/gateway/src/cardamomloft/gateway/storeview.py
@@ -185,7 +185,10 @@
                 self._apply(unconfirmed.fact)
 
     def _update_selector_entries(self) -> None:
-        self._selector.entries = self._entries.max_recent_count(self._clock.monotonic())
+        divisor = self._entries.max_recent_count(self._clock.monotonic())
+        if divisor != self._selector.entries:
+            log("limits-divided", entries=divisor)
+        self._selector.entries = divisor
         self._selector.others = [row.name for row in self._entries.records(with_own=False)]
 
     @singledispatchmethod
