Use a share of the retries' fixed allowance only when all entries count it

Cause: the fixed allowance is divided by the number of recorded entries, and entries disagreed on it. An entry that starts while records have lapsed finds few others; one that starts again takes a whole share although its predecessor has used one in the same window; one whose record has lapsed goes on using a share that the others stop counting after a window.

Change: an entry uses its share only after its record has been confirmed for a whole window. Until then its retries are in proportion to its own requests, which needs no agreement. Entries that have vanished count for five minutes and a window, by name, and an entry whose last confirmation is older than five minutes stops using its share. Tying the share to the lease alone was tried first and given up: in an outage of the store no entry would have had one.

test_leaving_answers checks what it did; its gateways have just started and sent few requests, so they get a higher ratio, since the test is not about the budget. Tests of the budget pass a Division in place of a number.

--- a/packages/core/src/cardamomloft/core/budgets.py
+++ b/packages/core/src/cardamomloft/core/budgets.py
@@ -1,8 +1,10 @@
 """Budgets that hold over all entries together, divided without coordination.
 
 An entry's share depends only on the number of recorded entries, so that the shares add up to less
-than the budget. A new entry needs no share of another one: its retries are proportional to its own
-requests, and the fixed allowance is divided with a margin.
+than the budget. An entry uses its share of a fixed allowance only after its record has been in the
+store for the whole window of the limit. Until then the others may not count it, or its predecessor
+under the same name may have used the share. Its retries in proportion to its own requests need
+no agreement.
 """
 
 import typing as t
@@ -10,13 +12,32 @@
 from datetime import timedelta
 
 DIVIDED_FRACTION = 0.8
-"""Fraction of a budget that is divided; the remainder covers entries that not all others know yet.
+"""Fraction of a budget that is divided; the remainder covers entries that not all others know.
 
-While such entries join, the shares add up to more than was divided; the sum stays within the budget
-as long as no more than a quarter of the entries join at once.
+An entry that started while the records of others had lapsed does not count them; the sum of the
+shares stays within the budget as long as no more than a quarter of the entries are unknown to it.
 """
 
 
+class Division(t.NamedTuple):
+    """How limits over all entries are divided at one instant.
+
+    Attributes
+    ----------
+    entries
+        Number of entries that share the limits.
+    record_age
+        How long all entries have counted this one.
+    """
+
+    entries: int
+    record_age: timedelta
+
+    def share(self, window: timedelta) -> float:
+        """Return this entry's fraction of a limit that holds for any `window`."""
+        return 1 / max(self.entries, 1) if self.record_age >= window else 0.0
+
+
 class RetryBudget:
     """Bounds one entry's retries for a service in a sliding window.
 
@@ -46,18 +67,18 @@
         self._requests.append(now)
         self._expire(now)
 
-    def may_retry(self, entries: int, now: timedelta) -> bool:
+    def may_retry(self, division: Division, now: timedelta) -> bool:
         """Return whether one more retry is within this entry's share.
 
         Parameters
         ----------
-        entries
-            Number of entries that share the budget.
+        division
+            How the fixed allowance is divided.
         now
             Monotonic instant.
         """
         self._expire(now)
-        allowed = self._ratio * len(self._requests) + self._slack / max(entries, 1)
+        allowed = self._ratio * len(self._requests) + self._slack * division.share(self._window)
         return len(self._retries) + 1 <= DIVIDED_FRACTION * allowed
 
     def spend(self, now: timedelta) -> None:
--- a/packages/core/src/cardamomloft/core/entrytable.py
+++ b/packages/core/src/cardamomloft/core/entrytable.py
@@ -1,9 +1,7 @@
 """The table of entries that are recorded in the control store."""
 
-from collections import deque
 from datetime import timedelta
 
-from cardamomloft.core.recent import RecentSet
 from cardamomloft.core.registrations import RENEWAL_GRACE, EntryRecord
 
 MAX_GONE_ENTRIES = 5_000
@@ -18,8 +16,8 @@
     own
         This entry, which counts as present even if its record is not in the store.
     count_window
-        How long a withdrawn entry still counts for `max_recent_count`. It is the length of
-        the longest sliding window of a budget, within which the entry may have spent its share.
+        How long a withdrawn entry still counts for `recent_count`. It covers the time in which
+        the entry may still use its share, and the longest sliding window of a budget.
 
     Attributes
     ----------
@@ -33,19 +31,18 @@
         self.version = 0
         self._records: dict[str, EntryRecord] = {}
         self._missing: set[str] = set()
-        self._gone = RecentSet[str](MAX_GONE_ENTRIES)
+        self._gone_at: dict[str, timedelta] = {}
         self._grace_until = timedelta(0)
-        self._count_history: deque[tuple[timedelta, int]] = deque()
 
     def records(self, *, with_own: bool) -> list[EntryRecord]:
         """Return the recorded entries; this entry is included only with `with_own`."""
         others = [record for name, record in self._records.items() if name != self._own.name]
         return [*others, self._own] if with_own else others
 
-    def max_recent_count(self, now: timedelta) -> int:
-        """Return the maximum number of entries present at one time within `count_window`."""
-        self._record_count(now)
-        return max(count for _, count in self._count_history)
+    def recent_count(self, now: timedelta) -> int:
+        """Return the number of entries that were present at any time within `count_window`."""
+        gone = sum(now - at <= self.count_window for at in self._gone_at.values())
+        return len(self._records.keys() | {self._own.name}) + gone
 
     def add(self, record: EntryRecord, now: timedelta) -> bool:
         """Store an entry's record; return whether it is new or changed."""
@@ -53,13 +50,12 @@
         self._records[record.name] = record
         self.version += changed
         self._missing.discard(record.name)
-        self._gone.discard(record.name)
-        self._record_count(now)
+        self._gone_at.pop(record.name, None)
         return changed
 
     def has_gone(self, name: str) -> bool:
         """Return whether an entry was recorded and has been withdrawn since."""
-        return name in self._gone
+        return name in self._gone_at
 
     def withdraw(self, name: str, now: timedelta) -> bool:
         """Remove an entry and return whether it is removed now.
@@ -72,9 +68,11 @@
             self._missing.add(name)
             return False
         del self._records[name]
-        self._gone.add(name)
+        if name != self._own.name:
+            self._gone_at[name] = now
+        if len(self._gone_at) > MAX_GONE_ENTRIES:
+            del self._gone_at[next(iter(self._gone_at))]
         self.version += 1
-        self._record_count(now)
         return True
 
     def withdraw_unlisted(self, names: set[str], now: timedelta) -> list[str]:
@@ -93,11 +91,3 @@
             return []
         missing, self._missing = self._missing, set()
         return [name for name in missing if self.withdraw(name, now)]
-
-    def _record_count(self, now: timedelta) -> None:
-        count = len(self._records.keys() | {self._own.name})
-        # A count is valid until the next one, so the first kept may begin before the window.
-        while len(self._count_history) > 1 and now - self._count_history[1][0] > self.count_window:
-            self._count_history.popleft()
-        if not self._count_history or self._count_history[-1][1] != count:
-            self._count_history.append((now, count))
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -10,11 +10,11 @@
 import enum
 import typing as t
 from collections import Counter
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from datetime import timedelta
 
 from cardamomloft.core.affinity import Candidate, first_ranked
-from cardamomloft.core.budgets import ColdLimit, cold_allowance, may_send_cold
+from cardamomloft.core.budgets import ColdLimit, Division, cold_allowance, may_send_cold
 from cardamomloft.core.cachestate import CacheState, CacheTracker
 from cardamomloft.core.estimates import (
     SMOOTHING_FACTOR,
@@ -165,7 +165,9 @@
     policies
         The policy of each service.
     entries
-        Number of entries that share the budgets.
+        Number of entries that share the limits.
+    record_age
+        Returns how long all entries have counted this one at an instant.
     body_sizes : BodySizes
         Body sizes of the requests of each rule.
     cache_states : CacheTracker
@@ -189,6 +191,7 @@
         self.cache_states = CacheTracker()
         self.policies: Mapping[str, ServicePolicy] = {}
         self.entries = 1
+        self.record_age: Callable[[timedelta], timedelta] = lambda now: timedelta.max
         self._average_loads: dict[str, float] = {}
         self._ranks = EntryRanks(name)
 
@@ -201,6 +204,10 @@
     def others(self, names: Collection[str]) -> None:
         self._ranks.set_others(names)
 
+    def division(self, now: timedelta) -> Division:
+        """Return how the limits over all entries are divided."""
+        return Division(self.entries, self.record_age(now))
+
     def choose(
         self,
         rule: RouteRule,
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -13,6 +13,7 @@
 from cardamomloft.core.entrytable import EntryTable
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.naming import EntryLookup
+from cardamomloft.core.recordlease import LAPSED_SHARE_TIME
 from cardamomloft.core.registrations import EntryRecord
 from cardamomloft.core.routes import RoutePlan
 from cardamomloft.core.selection import Preferences, Selector
@@ -129,7 +130,7 @@
         peers = cfg.get("peers", "")
         own = EntryRecord(cfg["name"], cfg["callers"], cfg["zone"], cfg["region"], peers)
         self.upstream_table = UpstreamTable(cfg["zones"])
-        self.entries = EntryTable(own, bounds.retry_window)
+        self.entries = EntryTable(own, _count_window(bounds))
         self._names = EntryLookup(self.entries)
         self.selector = Selector(
             self.upstream_table, cfg["name"], cfg["zone"], _cold_limit(cfg), Preferences()
@@ -153,8 +154,9 @@
             None, self.handle, self._on_fault, may_overlap=self._may_overlap, meter=self.metrics
         )
         self.presence = Presence(
-            self._control, own, bounds.record_ttl, lambda: self.follower.poll_now()
+            clock, self._control, own, bounds.record_ttl, lambda: self.follower.poll_now()
         )
+        self.selector.record_age = self.presence.record_lease.age
         self.view = StoreView(
             clock,
             self.upstream_table,
@@ -215,7 +217,7 @@
         self.selector.cold_limit = _cold_limit(self._cfg)
         for budget in self._budgets.values():
             budget.set_limits(*self._retry_budget_settings())
-        self.entries.count_window = self._bounds.retry_window
+        self.entries.count_window = _count_window(self._bounds)
         self.follower.timing = _poll_timing(self._bounds)
         self.feed.set_drain_time(self._bounds.drain_time)
         self.upstream_table.use_regions(self._cfg["zones"])
@@ -400,6 +402,10 @@
     return ColdLimit(cfg["cold"]["overage"], cfg["cold"]["slack"])
 
 
+def _count_window(bounds: Bounds) -> timedelta:
+    return LAPSED_SHARE_TIME + bounds.retry_window
+
+
 def _poll_timing(bounds: Bounds) -> PollTiming:
     return PollTiming(
         bounds.drain_time * POLL_INTERVAL_FRACTION, bounds.drain_time * STORE_WAIT_FRACTION
--- a/packages/gateway/src/cardamomloft/gateway/presence.py
+++ b/packages/gateway/src/cardamomloft/gateway/presence.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from cardamomloft.core.clock import Clock
+from cardamomloft.core.recordlease import RecordLease
 from cardamomloft.core.registrations import EntryRecord
 from cardamomloft.gateway.control import Control
 from cardamomloft.runtime.logs import log
@@ -21,6 +23,8 @@
 
     Parameters
     ----------
+    clock
+        Source of time.
     control
         The store.
     record
@@ -29,21 +33,29 @@
         How long the record stays in the store after the last renewal.
     on_failed
         Called when a renewal fails, since the store may be unavailable.
+
+    Attributes
+    ----------
+    record_lease
+        How long the other entries have counted this one.
     """
 
     def __init__(
         self,
+        clock: Clock,
         control: Control,
         record: EntryRecord,
         ttl: timedelta,
         on_failed: Callable[[], None] = lambda: None,
     ) -> None:
+        self._clock = clock
         self._control = control
         self._record = record
         self._ttl = ttl
         self._on_failed = on_failed
         self._lease: str | None = None
         self._withdrawn = False
+        self.record_lease = RecordLease()
 
     @property
     def interval(self) -> timedelta:
@@ -69,22 +81,31 @@
                 return
             log("entry-lease-lapsed", entry=self._record.name)
             self._lease = None
+        sent_at = self._clock.monotonic()
         match await self._control.record(self._record, self._ttl):
             case Result(tag="ok", ok=lease):
-                await self._store_lease(lease)
+                await self._store_lease(lease, sent_at)
             case Result(error=failure):
                 log("entry-not-recorded", entry=self._record.name, detail=failure.detail)
 
     async def _renew(self, lease: str) -> Result[bool, StoreFailure]:
-        renewed = await self._control.renew(lease)
+        renewed = await self._renew_once(lease)
         if renewed.is_error():
             self._on_failed()
-            renewed = await self._control.renew(lease)
+            renewed = await self._renew_once(lease)
+        return renewed
+
+    async def _renew_once(self, lease: str) -> Result[bool, StoreFailure]:
+        sent_at = self._clock.monotonic()
+        renewed = await self._control.renew(lease)
+        if renewed == Result.Ok(True):
+            self.record_lease.confirm(sent_at, self._clock.monotonic())
         return renewed
 
-    async def _store_lease(self, lease: str) -> None:
+    async def _store_lease(self, lease: str, sent_at: timedelta) -> None:
         log("entry-recorded", entry=self._record.name)
         if self._withdrawn:
             await self._control.withdraw(lease)
         else:
             self._lease = lease
+            self.record_lease.confirm(sent_at, self._clock.monotonic())
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -244,8 +244,8 @@
         allowed = may_retry(
             call.rule.idempotent, not_run, attempts, call.deadline - now, MIN_TIME_LEFT
         )
-        entries = self._selector.entries
-        return allowed and (not self._deliveries or self._budget.may_retry(entries, now))
+        division = self._selector.division(now)
+        return allowed and (not self._deliveries or self._budget.may_retry(division, now))
 
     # Final answer.
 
--- a/packages/gateway/src/cardamomloft/gateway/storeview.py
+++ b/packages/gateway/src/cardamomloft/gateway/storeview.py
@@ -185,7 +185,7 @@
                 self._apply(unconfirmed.fact)
 
     def _update_selector_entries(self) -> None:
-        divisor = self._entries.max_recent_count(self._clock.monotonic())
+        divisor = self._entries.recent_count(self._clock.monotonic())
         if divisor != self._selector.entries:
             log("limits-divided", entries=divisor)
         self._selector.entries = divisor
--- a/packages/gateway/tests/test_leaving_answers.py
+++ b/packages/gateway/tests/test_leaving_answers.py
@@ -15,6 +15,9 @@
 PAUSE_S = 3.0
 """Retry-After of the refusing endpoint."""
 
+RETRY_RATIO = 5.0
+"""Allows retries by gateways that have just started, which have no share of the slack yet."""
+
 PATHS = [f"/menus/{number}" for number in range(60)]
 """Enough affinity keys for each endpoint to be the primary endpoint of some."""
 
@@ -32,6 +35,7 @@
         )
         settings = [stack.enter_context(cfg) for cfg in owned]
         for cfg in settings:
+            cfg["retries"]["ratio"] = RETRY_RATIO
             stack.enter_context(processes.gateway(tmp_path, cfg, LAUNCH))
         assert processes.eventually(lambda: all(map(has_converged(settings, rows), settings)), 60)
         assert bool(processes.status(settings[0])["relays"]) == (request.param > 8)
--- a/packages/gateway/tests/test_presence.py
+++ b/packages/gateway/tests/test_presence.py
@@ -1,5 +1,6 @@
 """The entry's own record is kept under a lease, and written again once the lease has expired."""
 
+from cardamomloft.core.clock import ManualClock
 from cardamomloft.core.registrations import EntryRecord
 from cardamomloft.gateway.presence import Presence
 from cardamomloft_standins import gateway as kit
@@ -11,7 +12,7 @@
 
 def _presence():
     control = kit.FakeControl()
-    return control, Presence(control, RECORD, 3000 * kit.MS)
+    return control, Presence(ManualClock(), control, RECORD, 3000 * kit.MS)
 
 
 def test_record_is_written_once_and_then_renewed():
@@ -63,7 +64,9 @@
 def test_failed_renewal_is_reported_and_an_expired_lease_is_not():
     failures = []
     control = kit.FakeControl()
-    presence = Presence(control, RECORD, 3000 * kit.MS, lambda: failures.append("failed"))
+    presence = Presence(
+        ManualClock(), control, RECORD, 3000 * kit.MS, lambda: failures.append("failed")
+    )
     presence.refresh()
     control.renewed = Ok(False)
     presence.refresh()
--- a/packages/gateway/tests/test_restored_store.py
+++ b/packages/gateway/tests/test_restored_store.py
@@ -189,7 +189,7 @@
     view.listed(*records)
     view.listed(*records[:1], era=2)
     assert len(view.entry_table.records(with_own=True)) == 5
-    assert view.entry_table.max_recent_count(view.time.clock.monotonic()) == 5
+    assert view.entry_table.recent_count(view.time.clock.monotonic()) == 5
 
 
 def test_listing_without_eras_replaces_the_state():
