Send nothing to a cold endpoint before all entries count this one

An entry whose record has been confirmed for less than the second in which the limit holds sends nothing to cold endpoints.

--- a/packages/core/src/cardamomloft/core/budgets.py
+++ b/packages/core/src/cardamomloft/core/budgets.py
@@ -106,7 +106,7 @@
 """Allowance for jitter between sending a request and its arrival, from the link and from queues."""
 
 
-def cold_allowance(rate: float, limit: ColdLimit, entries: int, rank: int) -> int:
+def cold_allowance(rate: float, limit: ColdLimit, division: Division, rank: int) -> int:
     """Return the number of requests per second that an entry may send to a cold endpoint.
 
     Parameters
@@ -115,13 +115,16 @@
         Requests per second that the service states for a cold endpoint.
     limit
         What is allowed beyond the stated rate.
-    entries
-        Number of entries that share the limit.
+    division
+        How the limit is divided.
     rank
         This entry's rank among them for this endpoint, from 0. If the limit is below one request
         per entry, only the lowest ranks get one.
     """
+    if not division.share(_SECOND):
+        return 0
     budget = int(DIVIDED_FRACTION * (rate * limit.overage + limit.slack))
+    entries = division.entries
     return budget // entries if budget >= entries else int(rank < budget)
 
 
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -336,7 +336,7 @@
             policy = self.policies.get(upstream.registration.service)
             rate = policy.cold_per_s if policy else 0.0
             rank = self._ranks.rank_for(upstream.id, upstream.seed)
-            allowance = cold_allowance(rate, self.cold_limit, self.entries, rank)
+            allowance = cold_allowance(rate, self.cold_limit, self.division(now), rank)
             if may_send_cold(upstream.cold_sends, allowance, now):
                 return upstream
         return None
--- a/packages/core/tests/test_selection.py
+++ b/packages/core/tests/test_selection.py
@@ -334,6 +334,25 @@
     assert 0 < max_rate <= limit
 
 
+def test_entries_that_start_together_stay_within_the_limit_of_a_cold_endpoint():
+    """Entries that have just started know of no others yet."""
+    limit = 7.0 * 1.5 + 5
+    selectors = []
+    for number in range(12):
+        selector = _selector(near=1, far=0, cold_left=timedelta(seconds=60), name=f"e-{number}")
+        selector.record_age = lambda now: now - NOW
+        selectors.append(selector)
+    sent = 0
+    for step in range(100):
+        now = NOW + step * 10 * MS
+        for selector in selectors:
+            chosen = _choose(selector, now=now)
+            if not isinstance(chosen, Refusal):
+                selector.record_sent(chosen, now)
+                sent += 1
+    assert sent <= limit
+
+
 def test_the_number_of_keys_is_proportional_to_the_weight():
     candidates = [Candidate("a", text_hash("a"), 1.0), Candidate("b", text_hash("b"), 3.0)]
     firsts = Counter(first_ranked(str(key), candidates, 1)[0] for key in range(4000))
