Log the rate limit that an endpoint states in its answers

No line had it, so logs could not tell entries that don't know a limit from entries that divide it wrongly. It is read, with what else an endpoint says of itself, and not yet used.

--- a/packages/gateway/src/cardamomloft/gateway/outcomes.py
+++ b/packages/gateway/src/cardamomloft/gateway/outcomes.py
@@ -11,6 +11,7 @@
     Dialect,
     HeaderLoad,
     parse_header_load,
+    parse_rate_limit,
     parse_retry_after,
 )
 from expression import Result
@@ -40,18 +41,21 @@
     """What an endpoint reports about itself with an answer.
 
     `leaving` means that it is about to stop; `pause` is the time for which it accepts no more
-    requests.
+    requests; `rate_limit` is the number of requests per second that it accepts from all entries.
     """
 
     load: HeaderLoad | None = None
     leaving: bool = False
     pause: timedelta | None = None
+    rate_limit: float | None = None
 
     def fields(self) -> dict[str, t.Any]:
         """Return the values for a log line, without the load and without defaults."""
         found: dict[str, t.Any] = {"leaving": True} if self.leaving else {}
         if self.pause is not None:
             found["leave_alone_ms"] = self.pause // timedelta(milliseconds=1)
+        if self.rate_limit is not None:
+            found["rate_limit"] = self.rate_limit
         return found
 
 
@@ -99,6 +103,7 @@
         load=parse_header_load(headers.get(dialect.load or "")),
         leaving=headers.get(dialect.leaving) == "1",
         pause=parse_retry_after(headers.get("retry-after")) if rejecting else None,
+        rate_limit=parse_rate_limit(headers.get(dialect.rate_limit)),
     )
 
 
--- a/packages/upstreams/src/cardamomloft/upstreams/dialect.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/dialect.py
@@ -8,13 +8,14 @@
 DEADLINE_HEADER = "x-deadline-ms"
 NOT_RUN_HEADER = "x-not-run"
 LEAVING_HEADER = "x-leaving"
+RATE_LIMIT_HEADER = "x-rate-limit"
 RETRY_AFTER_HEADER = "retry-after"
 SHED_STATUS = 503
 
 MAX_RETRY_AFTER = timedelta(hours=1)
 """Upper bound of an upstream's Retry-After time; longer times are reduced to it."""
 
-_SECONDS = re.compile(r"\d{1,9}(\.\d{1,9})?\Z", re.ASCII)
+_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?\Z", re.ASCII)
 _LOAD = re.compile(r"(\d{1,6}),(\d{1,6}),(\d{1,6})\Z")
 
 
@@ -35,6 +36,9 @@
         Request header with the endpoint incarnation that is to run the request, or None.
     leaving
         Answer header of an endpoint that is shutting down; its value is ``1``.
+    rate_limit
+        Answer header of an endpoint that limits the requests per second from all entries together;
+        its value is a decimal number.
     load
         Answer header with the endpoint's load as ``running,waiting,slots``, or None.
     close_ends_body
@@ -50,6 +54,7 @@
     misdirected: int | None = None
     expected: str | None = None
     leaving: str = LEAVING_HEADER
+    rate_limit: str = RATE_LIMIT_HEADER
     load: str | None = None
     close_ends_body: bool = False
     reuse_always: bool = False
@@ -75,10 +80,16 @@
     return HeaderLoad(*(int(part) for part in match.groups())) if match else None
 
 
+def parse_rate_limit(text: str | None) -> float | None:
+    """Return the requests per second, or None if the header is missing or malformed."""
+    match = _DECIMAL.match(text) if text else None
+    return float(match[0]) if match else None
+
+
 def parse_retry_after(text: str | None) -> timedelta | None:
     """Return the Retry-After time of a refusal, or None if it is missing or malformed.
 
     Only seconds, with fractions, are accepted: a date would depend on the clocks of both hosts.
     """
-    match = _SECONDS.match(text) if text else None
+    match = _DECIMAL.match(text) if text else None
     return min(timedelta(seconds=float(match[0])), MAX_RETRY_AFTER) if match else None
