Keep to the rate limit that an endpoint states for all entries together

What callers and upstreams saw: endpoints in need stated a limit of 7.8 and 6.3 requests a second, and got 59 and 67 in four seconds, as many as before.

Cause: nobody read the header; the endpoints' rates did not change when they began to state it. Each entry sees few answers of one endpoint, and a limit over all entries needs all of them to know it, and to agree by how many it is divided.

Change: what an answer states is published as a notice by gossip, which needs neither store nor relays. Notices are numbered, the later one holds, and of two with one number the lower limit. Four fifths of the limit are divided as token buckets; only as many entries send as the endpoint takes requests in a second, by the rank that cold endpoints use already, so that bursts stay below a second's worth. An entry recorded for less than a second sends nothing. A key whose endpoint is at its limit goes to the next ones in its order; where all are, the caller is refused at once, with the time of the next token.

The process test was changed before it passed: endpoints take 20 ms and each request has a key of its own. With keys that come again, a key stays where it is at hand after the limit has ended, as it does after any move, so that the second test did not see requests come back.

--- a/packages/core/src/cardamomloft/core/notices.py
+++ b/packages/core/src/cardamomloft/core/notices.py
@@ -5,6 +5,7 @@
 regardless of order and repetition.
 """
 
+import math
 import typing as t
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
@@ -31,6 +32,9 @@
 LEAVING_RETENTION = timedelta(minutes=1)
 """How long a leaving notice is kept. Each answer of a leaving upstream states it again."""
 
+RATE_LIMIT_RETENTION = timedelta(minutes=1)
+"""How long a rate limit is kept after it was last published."""
+
 
 # The class names and fields of notices are part of their `repr`, which `NoticeTable` hashes into
 # checksums that entries compare: a rename makes entries of different versions resend everything.
@@ -96,7 +100,44 @@
         return EXCUSE_RETENTION if self.excused else CRASH_RETENTION
 
 
-Notice = UpstreamLeaving | CrashUnderRequest
+class UpstreamRateLimit(t.NamedTuple):
+    """The rate limit that the incarnation of upstream `id` stated for all entries together.
+
+    Attributes
+    ----------
+    id, started_ms
+        The incarnation.
+    serial
+        Increases with each notice about it, so that the latest statement is kept.
+    per_s
+        Requests per second, None once it states no limit any more.
+    """
+
+    id: str
+    started_ms: int
+    serial: int
+    per_s: float | None
+
+    @property
+    def key(self) -> tuple[t.Any, ...]:
+        """Identifies the subject; of notices with the same key one is kept."""
+        return (self.id, self.started_ms)
+
+    @property
+    def rank(self) -> tuple[int, float]:
+        """Of two notices with the same key the one of higher rank is kept.
+
+        Two entries may issue the same serial; then the lower limit is kept.
+        """
+        return (self.serial, -math.inf if self.per_s is None else -self.per_s)
+
+    @property
+    def retention(self) -> timedelta:
+        """How long the notice is kept after its creation."""
+        return RATE_LIMIT_RETENTION
+
+
+Notice = UpstreamLeaving | CrashUnderRequest | UpstreamRateLimit
 
 
 class DatedNotice(t.NamedTuple):
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -25,6 +25,7 @@
 )
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.ranks import EntryRanks
+from cardamomloft.core.ratelimits import RateLimits
 from cardamomloft.core.routes import RouteRule, ServicePolicy
 from cardamomloft.core.sizes import BodySizes
 from cardamomloft.core.upstreamtable import LoadReport, Upstream, UpstreamTable
@@ -170,6 +171,8 @@
         Returns how long all entries have counted this one at an instant.
     body_sizes : BodySizes
         Body sizes of the requests of each rule.
+    rate_limits : RateLimits
+        The rate limits that endpoints have stated.
     cache_states : CacheTracker
         Cache states of the keys at the endpoints.
     """
@@ -189,6 +192,7 @@
         self._rankings: dict[tuple[str, frozenset[str], bool], _Ranking] = {}
         self.body_sizes = BodySizes()
         self.cache_states = CacheTracker()
+        self.rate_limits = RateLimits()
         self.policies: Mapping[str, ServicePolicy] = {}
         self.entries = 1
         self.record_age: Callable[[timedelta], timedelta] = lambda now: timedelta.max
@@ -237,14 +241,13 @@
         order = self._order(rule, service, key)
         if not order:
             return Refusal(RefusalReason.NO_PLACE, f"{service} has no endpoint")
-        if all(max(up.cold_until, up.paused_until) > now or up.id in tried for up in order):
+        if all(up.cold_until > now or up.id in tried or self._hold(up, now) for up in order):
             ranking = self._ranking(rule, service)
             order = first_ranked(key, ranking.candidates, len(ranking.candidates))
-        paused_until = min(up.paused_until for up in order)
-        if paused_until > now:
-            detail = f"all endpoints of {service} are paused by their own Retry-After"
-            return Refusal(RefusalReason.OVERLOAD, detail, paused_until - now)
-        order = [up for up in order if up.paused_until <= now]
+        holds = [self._hold(up, now) for up in order]
+        if min(holds):
+            return _on_hold(service, min(holds))
+        order = [up for up, hold in zip(order, holds, strict=True) if not hold]
         eligible = [up for up in order if up.ejected_until <= now]
         if len(eligible) < len(order) * (1 - MAX_EJECTED_FRACTION):
             eligible = order
@@ -266,6 +269,22 @@
         loads = ", ".join(describe_load(up, now) for up in untried) or f"{len(cold)} cold"
         return Refusal(RefusalReason.OVERLOAD, f"no endpoint has room for {key}: {loads}")
 
+    def _hold(self, upstream: Upstream, now: timedelta) -> timedelta:
+        """Return the time until an endpoint accepts a request of this entry.
+
+        An endpoint may have asked for a pause, or limited the rate of all entries.
+        """
+        pause = upstream.paused_until - now if upstream.paused_until > now else _ZERO
+        if not self.rate_limits:
+            return pause
+        wait = self.rate_limits.wait(
+            upstream.incarnation,
+            self.division(now),
+            lambda: self._ranks.rank_for(upstream.id, upstream.seed),
+            now,
+        )
+        return max(pause, wait)
+
     def _with_room(
         self,
         warm: list[Upstream],
@@ -393,6 +412,8 @@
     def record_sent(self, upstream: Upstream, now: timedelta) -> None:
         """Record that a request is sent to `upstream`."""
         upstream.in_flight += 1
+        if self.rate_limits:
+            self.rate_limits.record_sent(upstream.incarnation)
         if upstream.cold_until > now:
             upstream.cold_sends.append(now)
 
@@ -441,6 +462,12 @@
             upstream.ejected_until = now + min(ejection, _MAX_EJECTION)
 
 
+def _on_hold(service: str, hold: timedelta) -> Refusal:
+    """Return the refusal while no endpoint accepts requests; the first does after `hold`."""
+    detail = f"all endpoints of {service} are paused or at their rate limits"
+    return Refusal(RefusalReason.OVERLOAD, detail, None if hold == timedelta.max else hold)
+
+
 def _reason(
     chosen: Upstream, primary: Upstream, first_eligible: Upstream, is_retry: bool
 ) -> Reason:
--- a/packages/core/tests/test_notices.py
+++ b/packages/core/tests/test_notices.py
@@ -12,6 +12,7 @@
     DatedNotice,
     NoticeTable,
     UpstreamLeaving,
+    UpstreamRateLimit,
 )
 from hypothesis import given
 from hypothesis import strategies as st
@@ -33,6 +34,13 @@
         st.integers(1, 2),
         st.booleans(),
     ),
+    st.builds(
+        UpstreamRateLimit,
+        st.sampled_from("abc"),
+        st.integers(0, 1),
+        st.integers(1, 3),
+        st.sampled_from([None, 2.0, 4.5]),
+    ),
 )
 
 
--- a/packages/core/tests/test_selection.py
+++ b/packages/core/tests/test_selection.py
@@ -8,6 +8,7 @@
 from cardamomloft.core.budgets import ColdLimit
 from cardamomloft.core.estimates import REPORT_MAX_AGE, expected_load
 from cardamomloft.core.model import Refusal
+from cardamomloft.core.notices import UpstreamRateLimit
 from cardamomloft.core.registrations import Registration
 from cardamomloft.core.routes import ServicePolicy
 from cardamomloft.core.selection import Choice, Preferences, Selector
@@ -334,6 +335,32 @@
     assert 0 < max_rate <= limit
 
 
+def _state_limit(selector: Selector, upstream, per_s: float) -> None:
+    notice = UpstreamRateLimit(*upstream.incarnation, 1, per_s)
+    selector.rate_limits.apply(notice, NOW, NOW)
+
+
+def test_a_key_whose_endpoint_is_at_its_rate_limit_goes_to_another_endpoint():
+    selector = _selector(near=3, far=0)
+    primary = _choose(selector)
+    _state_limit(selector, primary, 2.0)
+    other = _choose(selector)
+    assert other is not primary and other.id.startswith("i-")
+    later = NOW + timedelta(seconds=2)
+    assert _choose(selector, now=later) is primary
+    selector.record_sent(primary, later)
+    assert _choose(selector, now=later) is other
+
+
+def test_callers_are_told_when_the_first_endpoint_at_its_rate_limit_takes_a_request():
+    selector = _selector(near=2, far=0)
+    for upstream in selector._table.of_service("menus"):
+        _state_limit(selector, upstream, 2.0)
+    refusal = _choose(selector)
+    assert isinstance(refusal, Refusal) and refusal.retry_after > ZERO
+    assert not isinstance(_choose(selector, now=NOW + refusal.retry_after), Refusal)
+
+
 def test_entries_that_start_together_stay_within_the_limit_of_a_cold_endpoint():
     """Entries that have just started know of no others yet."""
     limit = 7.0 * 1.5 + 5
--- a/packages/feed/src/cardamomloft/feed/noticecodec.py
+++ b/packages/feed/src/cardamomloft/feed/noticecodec.py
@@ -7,7 +7,13 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
-from cardamomloft.core.notices import CrashUnderRequest, DatedNotice, Notice, UpstreamLeaving
+from cardamomloft.core.notices import (
+    CrashUnderRequest,
+    DatedNotice,
+    Notice,
+    UpstreamLeaving,
+    UpstreamRateLimit,
+)
 from cardamomloft.feed.typedcodec import TypedCodec
 from expression import Error, Result
 
@@ -30,9 +36,20 @@
     notice: CrashUnderRequest
 
 
-_ROW_TYPES = {UpstreamLeaving: _Leaving, CrashUnderRequest: _Crash}
+class _RateLimit(t.NamedTuple):
+    age_ms: int
+    notice: UpstreamRateLimit
+
+
+_Row = _Leaving | _Crash | _RateLimit
+
+_ROW_TYPES = {
+    UpstreamLeaving: _Leaving,
+    CrashUnderRequest: _Crash,
+    UpstreamRateLimit: _RateLimit,
+}
 
-_codec: TypedCodec[_Leaving | _Crash] = TypedCodec((_Leaving, _Crash))
+_codec: TypedCodec[_Row] = TypedCodec((_Leaving, _Crash, _RateLimit))
 
 
 def encode_notices(notices: Iterable[DatedNotice], now: timedelta) -> bytes:
@@ -54,5 +71,5 @@
     return all(len(field) <= MAX_TEXT_CHARS for field in notice if isinstance(field, str))
 
 
-def _dated(row: _Leaving | _Crash, now: timedelta) -> DatedNotice:
+def _dated(row: _Row, now: timedelta) -> DatedNotice:
     return DatedNotice(row.notice, now - min(max(0, row.age_ms), MAX_AGE_MS) * _MS)
--- a/packages/feed/tests/test_noticecodec.py
+++ b/packages/feed/tests/test_noticecodec.py
@@ -3,7 +3,12 @@
 from datetime import timedelta
 
 import pytest
-from cardamomloft.core.notices import CrashUnderRequest, DatedNotice, UpstreamLeaving
+from cardamomloft.core.notices import (
+    CrashUnderRequest,
+    DatedNotice,
+    UpstreamLeaving,
+    UpstreamRateLimit,
+)
 from cardamomloft.feed.noticecodec import MAX_AGE_MS, decode_notices, encode_notices
 from hypothesis import given
 from hypothesis import strategies as st
@@ -13,6 +18,8 @@
 HELD = [
     DatedNotice(UpstreamLeaving("i-1", 7), NOW - 20 * MS),
     DatedNotice(CrashUnderRequest("f", "i-2", 0, 2, excused=True), NOW),
+    DatedNotice(UpstreamRateLimit("i-3", 7, 1, 7.8), NOW - 30 * MS),
+    DatedNotice(UpstreamRateLimit("i-4", 7, 2, None), NOW),
 ]
 
 
@@ -37,7 +44,12 @@
 
 
 @pytest.mark.parametrize(
-    "notice", [UpstreamLeaving("x" * 501, 0), CrashUnderRequest("x" * 501, "i", 0, 1)]
+    "notice",
+    [
+        UpstreamLeaving("x" * 501, 0),
+        CrashUnderRequest("x" * 501, "i", 0, 1),
+        UpstreamRateLimit("x" * 501, 0, 1, 4.0),
+    ],
 )
 def test_overlong_texts_are_an_error(notice):
     assert decode_notices(encode_notices([DatedNotice(notice, NOW)], NOW), NOW).is_error()
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -137,7 +137,9 @@
         )
         self._budgets: dict[str, RetryBudget] = {}
         self.records = RequestLog(lambda: self.configuration)
-        self.notice_handler = NoticeHandler(clock, self.upstream_table, self.metrics)
+        self.notice_handler = NoticeHandler(
+            clock, self.upstream_table, self.selector.rate_limits, self.metrics
+        )
         self.forwarder = Forwarder(
             self._reactor,
             clock,
--- a/packages/gateway/src/cardamomloft/gateway/noticehandler.py
+++ b/packages/gateway/src/cardamomloft/gateway/noticehandler.py
@@ -1,11 +1,18 @@
-"""Publishes notices about crashes and leaving upstreams, and applies those of all gateways."""
+"""Publishes notices about upstreams and crashes, and applies those of all gateways."""
 
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from cardamomloft.core.clock import Clock
-from cardamomloft.core.notices import CrashUnderRequest, DatedNotice, Notice, UpstreamLeaving
+from cardamomloft.core.notices import (
+    CrashUnderRequest,
+    DatedNotice,
+    Notice,
+    UpstreamLeaving,
+    UpstreamRateLimit,
+)
 from cardamomloft.core.quarantine import Quarantine
+from cardamomloft.core.ratelimits import RateLimits
 from cardamomloft.core.registrations import UpstreamIncarnation
 from cardamomloft.core.upstreamtable import Upstream, UpstreamTable
 from cardamomloft.runtime.logs import log
@@ -21,6 +28,8 @@
         Source of time.
     upstream_table
         The registered endpoints.
+    rate_limits
+        The limits that endpoints have stated.
     metrics
         Counts crashes and quarantined requests.
 
@@ -30,9 +39,16 @@
         Sends notices to all gateways and applies them here.
     """
 
-    def __init__(self, clock: Clock, upstream_table: UpstreamTable, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        upstream_table: UpstreamTable,
+        rate_limits: RateLimits,
+        metrics: Metrics,
+    ) -> None:
         self._clock = clock
         self._upstream_table = upstream_table
+        self._rate_limits = rate_limits
         self._metrics = metrics
         self._quarantine = Quarantine()
         self.publish: Callable[[Iterable[Notice]], None] = self._apply_own
@@ -62,6 +78,18 @@
         if not upstream.leaving:
             self.publish([UpstreamLeaving(*upstream.incarnation)])
 
+    def record_rate_limit(
+        self, upstream: Upstream, per_s: float | None, sent_at: timedelta
+    ) -> None:
+        """Publish the rate limit that an answer states, or that it states none, if this is new.
+
+        `sent_at` is when the answered request was sent.
+        """
+        now = self._clock.monotonic()
+        notice = self._rate_limits.observe(upstream.incarnation, per_s, sent_at, now)
+        if notice is not None:
+            self.publish([notice])
+
     def apply(self, dated: DatedNotice) -> None:
         """Apply a notice of this or another gateway."""
         notice, at = dated
@@ -70,14 +98,18 @@
                 self._apply_crash(notice, at)
             case UpstreamLeaving(id=upstream_id, started_ms=started_ms):
                 self._apply_leaving(UpstreamIncarnation(upstream_id, started_ms))
+            case UpstreamRateLimit():
+                self._apply_rate_limit(notice, at)
 
     def quarantined(self) -> list[str]:
         """Return the fingerprints of the quarantined requests."""
         return self._quarantine.quarantined(self._clock.monotonic())
 
     def tick(self) -> None:
-        """Discard expired crashes; call it periodically."""
-        self._quarantine.expire(self._clock.monotonic())
+        """Discard expired crashes and rate limits; call it periodically."""
+        now = self._clock.monotonic()
+        self._quarantine.expire(now)
+        self._rate_limits.expire(now)
 
     def _apply_own(self, notices: Iterable[Notice]) -> None:
         for notice in notices:
@@ -88,6 +120,10 @@
             self._metrics.count("requests_quarantined")
             log("request-quarantined", fingerprint=notice.fingerprint, upstream=notice.upstream)
 
+    def _apply_rate_limit(self, notice: UpstreamRateLimit, at: timedelta) -> None:
+        if self._rate_limits.apply(notice, at, self._clock.monotonic()):
+            log("upstream-rate-limit", id=notice.id, per_s=notice.per_s)
+
     def _apply_leaving(self, incarnation: UpstreamIncarnation) -> None:
         if self._upstream_table.leave(incarnation):
             log("upstream-leaving", id=incarnation.upstream_id, started_ms=incarnation.started_ms)
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -127,7 +127,7 @@
         selector.record_sent(upstream, now)
         try:
             result = await self._forwarder.client.send(self._request_for(upstream, now))
-            status = self._apply_status(upstream, result)
+            status = self._apply_status(upstream, result, now)
             outcome = await read_outcome(result, status, self._dialect, self._is_late)
         finally:
             selector.record_end(upstream)
@@ -187,14 +187,17 @@
     # Recording of outcomes.
 
     def _apply_status(
-        self, upstream: Upstream, result: Result[UpstreamAnswer, SendFailure]
+        self, upstream: Upstream, result: Result[UpstreamAnswer, SendFailure], sent_at: timedelta
     ) -> EndpointStatus:
         """Apply what an endpoint reports about itself, before the body of its answer is read."""
         if result.is_error():
             return EndpointStatus()
         status = endpoint_status(result.ok, self._dialect)
+        notice_handler = self._forwarder.notice_handler
         if status.leaving:
-            self._forwarder.notice_handler.record_leaving(upstream)
+            notice_handler.record_leaving(upstream)
+        if result.ok.status != self._dialect.misdirected:
+            notice_handler.record_rate_limit(upstream, status.rate_limit, sent_at)
         if status.pause is not None:
             upstream.paused_until = max(upstream.paused_until, self._now() + status.pause)
         if status.load is not None:
--- a/packages/gateway/tests/test_heeding.py
+++ b/packages/gateway/tests/test_heeding.py
@@ -99,6 +99,29 @@
     assert leaving not in [up.id for up in bench.table.of_service("menus")]
 
 
+@pytest.mark.parametrize("status", [200, 404, 500, 503])
+def test_rate_limit_is_read_from_each_answer_of_the_endpoint(status):
+    bench = ForwarderHarness(kit.answer(status, b"", x_rate_limit="0.5"), endpoints=1)
+    bench.answer()
+    assert bench.answer().status == 503
+    assert len(bench.client.sent) == 1
+
+
+@pytest.mark.parametrize("stated", ["", "-1", "many", "1e3", "nan"])
+def test_malformed_rate_limit_is_ignored(stated):
+    bench = ForwarderHarness(kit.answer(x_rate_limit=stated), endpoints=1)
+    assert [bench.answer().status for _ in range(3)] == [200, 200, 200]
+
+
+def test_rate_limit_of_another_endpoint_at_the_address_is_ignored():
+    misdirected = kit.answer(421, b"", not_run=True, x_rate_limit="0.5")
+    bench = ForwarderHarness(misdirected, kit.answer())
+    published = []
+    bench.forwarder.notice_handler.publish = published.extend
+    bench.answer()
+    assert published == []
+
+
 def test_leaving_reported_by_another_endpoint_at_the_address_is_ignored():
     bench = ForwarderHarness(kit.answer(421, b"", not_run=True, x_leaving="1"), kit.answer())
     published = []
--- a/packages/gateway/tests/test_stated_rate_limit.py
+++ b/packages/gateway/tests/test_stated_rate_limit.py
@@ -26,7 +26,8 @@
 ALLOWED = 1.5 * LIMIT_PER_S * WINDOW_S + 5
 """Requests that the endpoint may get in a window."""
 
-PATHS = [f"/menus/{number}" for number in range(120)]
+SERVICE_TIME_S = 0.02
+"""Time that each request takes, large beside that for a new connection."""
 
 
 class Load:
@@ -53,7 +54,7 @@
 
     def _send_all(self, cfg, number) -> None:
         pause = len(self._settings) / REQUESTS_PER_S
-        for path in itertools.islice(itertools.cycle(PATHS), 7 * number, None):
+        for path in (f"/menus/{number}-{at}" for at in itertools.count()):
             if self._stopped.wait(pause):
                 return
             answer = endpoints.send_request(cfg["callers"], path, key=path)
@@ -66,7 +67,7 @@
     with contextlib.ExitStack() as stack:
         store = stack.enter_context(processes.store())
         processes.configure(store)
-        rows, _ = stack.enter_context(endpoints.service(store, 3))
+        rows, _ = stack.enter_context(endpoints.service(store, 3, serve))
         owned = (
             processes.settings(store, f"e-{number}", "ab"[number % 2])
             for number in range(request.param)
@@ -89,13 +90,18 @@
         yield settings, rows, store
 
 
+def serve(endpoint, handler) -> None:
+    time.sleep(SERVICE_TIME_S)
+    handler.answer()
+
+
 def record_times(endpoint) -> list[float]:
     """Record when requests arrive at the endpoint, and return the growing list."""
     times: list[float] = []
 
     def behave(endpoint, handler) -> None:
         times.append(time.monotonic())
-        handler.answer()
+        serve(endpoint, handler)
 
     endpoint.behaviour = behave
     return times
--- a/standins/src/cardamomloft_standins/experiment/simulation.py
+++ b/standins/src/cardamomloft_standins/experiment/simulation.py
@@ -210,7 +210,7 @@
             lambda service: budget,
             Metrics(),
             _NullLog(lambda: 1),
-            NoticeHandler(world.clock, table, Metrics()),
+            NoticeHandler(world.clock, table, selector.rate_limits, Metrics()),
         )
 
     def ask(self, request_id: str, key: str, wait_limit: timedelta) -> "Deferred[Answer]":
--- a/standins/src/cardamomloft_standins/forwarderharness.py
+++ b/standins/src/cardamomloft_standins/forwarderharness.py
@@ -58,7 +58,7 @@
             lambda service: budget,
             self.metrics,
             RequestLog(lambda: 1),
-            NoticeHandler(self.time.clock, self.table, self.metrics),
+            NoticeHandler(self.time.clock, self.table, self.selector.rate_limits, self.metrics),
         )
 
     def start(self, path="/menus/7", body=b"", whole=True, caller="app/1", address="10.0.0.9"):
