--- a/packages/gateway/src/cardamomloft/gateway/status.py
+++ b/packages/gateway/src/cardamomloft/gateway/status.py
@@ -54,6 +54,7 @@
                     "in_flight": up.in_flight,
                     "failures": up.failures,
                     "report": up.report and up.report[:3],
+                    "rate_limit": gateway.selector.rate_limits.limit_of(up.incarnation),
                 }
                 for up in gateway.upstream_table.all()
             ]
