--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -9,11 +9,9 @@
 
 import enum
 import typing as t
-from collections import Counter
 from collections.abc import Callable, Collection, Mapping
 from datetime import timedelta
 
-from cardamomloft.core.affinity import Candidate, first_ranked
 from cardamomloft.core.budgets import ColdLimit, Division, cold_allowance, may_send_cold
 from cardamomloft.core.cachestate import CacheState, CacheTracker
 from cardamomloft.core.estimates import (
@@ -24,12 +22,12 @@
     others_load,
 )
 from cardamomloft.core.model import Refusal, RefusalReason
+from cardamomloft.core.ranking import RANKED_ENDPOINTS, KeyRanker
 from cardamomloft.core.ranks import EntryRanks
 from cardamomloft.core.ratelimits import RateLimits
 from cardamomloft.core.routes import RouteRule, ServicePolicy
 from cardamomloft.core.sizes import BodySizes
 from cardamomloft.core.upstreamtable import LoadReport, Upstream, UpstreamTable
-from cardamomloft.core.zones import slot_weights
 
 MAX_EJECTED_FRACTION = 0.5
 """Maximum fraction of a service's endpoints that may be ejected at one time.
@@ -44,27 +42,9 @@
 """The secondary endpoint is preferred only if its expected time is below this fraction of the
 primary's. Both times are smoothed estimates, so small differences are ignored."""
 
-MIN_ENDPOINTS_PER_ZONE = 1.5
-"""Average number of a service's endpoints per zone from which large requests stay in their zone.
-
-With one endpoint per zone, that endpoint would get every key of its region and cache none of them
-well; with two, staying in the zone is cheaper. The value lies between the two so that a single
-endpoint that joins or leaves does not change the result.
-"""
-
 ASSUMED_LOAD_FRACTION = 0.25
 """Fraction of a service's average load that is assumed at an endpoint without a fresh report."""
 
-RANKED_ENDPOINTS = 8
-"""Number of endpoints that are ranked for a key.
-
-This leaves alternatives to the primary and secondary while some endpoints are ejected or cold. All
-endpoints are ranked if every one of these is cold, paused or already tried.
-"""
-
-MAX_CACHED_RANKINGS = 20_000
-"""Number of keys per service whose rankings are cached; others are ranked for each request."""
-
 _FAILURES_TO_EJECT = 2
 """Consecutive failures after which an endpoint is ejected; a single one may be a lost answer."""
 
@@ -121,8 +101,8 @@
     """Why an endpoint was chosen.
 
     `Reason.PRIMARY`: it is the primary endpoint of the key. `Reason.OVERFLOW`: the primary is full.
-    `Reason.MOVED`: the primary is ejected or cold. `Reason.RETRY`: another endpoint was tried
-    before. `Reason.COLD`: only cold endpoints are available.
+    `Reason.MOVED`: the primary is ejected, cold, paused or at its rate limit. `Reason.RETRY`:
+    another endpoint was tried before. `Reason.COLD`: only cold endpoints are available.
     """
 
     PRIMARY = "home"
@@ -139,14 +119,6 @@
     reason: Reason
 
 
-class _Ranking(t.NamedTuple):
-    """The weighted endpoints of a service, and the cached rankings by key."""
-
-    version: int
-    candidates: list[Candidate[Upstream]]
-    by_key: dict[str, list[Upstream]]
-
-
 class Selector:
     """Chooses endpoints for the requests of one entry.
 
@@ -171,6 +143,8 @@
         Returns how long all entries have counted this one at an instant.
     body_sizes : BodySizes
         Body sizes of the requests of each rule.
+    ranker : KeyRanker
+        Ranks endpoints for affinity keys.
     rate_limits : RateLimits
         The rate limits that endpoints have stated.
     cache_states : CacheTracker
@@ -189,8 +163,8 @@
         self._zone = zone
         self.cold_limit = cold_limit
         self._preferences = preferences
-        self._rankings: dict[tuple[str, frozenset[str], bool], _Ranking] = {}
         self.body_sizes = BodySizes()
+        self.ranker = KeyRanker(table, zone, self.body_sizes)
         self.cache_states = CacheTracker()
         self.rate_limits = RateLimits()
         self.policies: Mapping[str, ServicePolicy] = {}
@@ -238,12 +212,12 @@
         now
             Monotonic instant.
         """
-        order = self._order(rule, service, key)
+        order = self.ranker.first(rule, service, key)
         if not order:
             return Refusal(RefusalReason.NO_PLACE, f"{service} has no endpoint")
         if all(up.cold_until > now or up.id in tried or self._hold(up, now) for up in order):
-            ranking = self._ranking(rule, service)
-            order = first_ranked(key, ranking.candidates, len(ranking.candidates))
+            order = self.ranker.all(rule, service, key)
+        primary = order[0]
         holds = [self._hold(up, now) for up in order]
         if min(holds):
             return _on_hold(service, min(holds))
@@ -260,7 +234,7 @@
         if chosen is None:
             chosen = self._with_room(untried, bool(tried), rule, until, now)
         if chosen is not None:
-            return Choice(chosen, _reason(chosen, order[0], untried[0], bool(tried)))
+            return Choice(chosen, _reason(chosen, primary, untried[0], bool(tried)))
         cold = [up for up in eligible if up.cold_until > now and up.id not in tried]
         if not warm:
             chosen = self._cold_with_room(cold, now)
@@ -360,53 +334,6 @@
                 return upstream
         return None
 
-    def _order(self, rule: RouteRule, service: str, key: str) -> list[Upstream]:
-        """Return the first endpoints in the order of preference of the key."""
-        ranking = self._ranking(rule, service)
-        found = ranking.by_key.get(key)
-        if found is None:
-            found = first_ranked(key, ranking.candidates, RANKED_ENDPOINTS)
-            if rule.keyed and len(ranking.by_key) < MAX_CACHED_RANKINGS:
-                ranking.by_key[key] = found
-        return found
-
-    def _ranking(self, rule: RouteRule, service: str) -> "_Ranking":
-        large = self.body_sizes.has_large_bodies(rule.name)
-        version = self._table.version(service)
-        cached = self._rankings.get((service, rule.homes, large))
-        if cached is not None and cached.version == version:
-            return cached
-        usable = [
-            up
-            for up in self._table.of_service(service)
-            if not rule.homes or up.region in rule.homes
-        ]
-        by_zone = large and _fills_zones(usable)
-        area = _zone_of if by_zone else _region_of
-        weights = self._weigh(usable, rule.homes, by_zone)
-        candidates = [
-            Candidate(up, up.seed, up.registration.slots * weights[area(up)]) for up in usable
-        ]
-        ranking = _Ranking(version, candidates, {})
-        self._rankings[service, rule.homes, large] = ranking
-        return ranking
-
-    def _weigh(
-        self, candidates: list[Upstream], homes: frozenset[str], by_zone: bool
-    ) -> dict[str, float]:
-        """Return the weight of a slot in each zone if `by_zone`, otherwise in each region."""
-        area = _zone_of if by_zone else _region_of
-        slots: Counter[str] = Counter()
-        for upstream in candidates:
-            slots[area(upstream)] += upstream.registration.slots
-        regions = {
-            zone if by_zone else region: region
-            for zone, region in self._table.regions.items()
-            if not homes or region in homes
-        }
-        here = self._zone if by_zone else self._table.regions.get(self._zone, "")
-        return slot_weights(slots, here, regions)
-
     # Feedback from requests.
 
     def record_sent(self, upstream: Upstream, now: timedelta) -> None:
@@ -476,17 +403,3 @@
     if chosen is primary:
         return Reason.PRIMARY
     return Reason.MOVED if chosen is first_eligible else Reason.OVERFLOW
-
-
-def _fills_zones(usable: list[Upstream]) -> bool:
-    """Return whether there are enough endpoints per zone to keep requests within zones."""
-    zones = {upstream.registration.zone for upstream in usable}
-    return len(usable) >= MIN_ENDPOINTS_PER_ZONE * len(zones)
-
-
-def _zone_of(upstream: Upstream) -> str:
-    return upstream.registration.zone
-
-
-def _region_of(upstream: Upstream) -> str:
-    return upstream.region
--- a/packages/core/tests/test_selection.py
+++ b/packages/core/tests/test_selection.py
@@ -407,7 +407,7 @@
 
 def test_a_warm_endpoint_is_found_when_all_ranked_ones_are_cold():
     selector = _selector(near=20, far=0)
-    for upstream in selector._order(RULE, "menus", "17"):
+    for upstream in selector.ranker.first(RULE, "menus", "17"):
         upstream.cold_until = NOW + timedelta(seconds=9)
     chosen = _choose(selector)
     assert chosen.cold_until <= NOW
@@ -416,19 +416,19 @@
 def test_a_change_of_one_service_keeps_the_cached_ranking_of_others():
     selector = _selector()
     _choose(selector)
-    ranking = selector._ranking(RULE, "menus")
+    ranking = selector.ranker.ranking(RULE, "menus")
     row = Registration("i-x", "orders", "10.0.0.99:80", "a", 4, False, ZERO)
     selector._table.register(row, NOW)
-    assert selector._ranking(RULE, "menus") is ranking
+    assert selector.ranker.ranking(RULE, "menus") is ranking
     selector._table.register(row._replace(id="i-y", service="menus"), NOW)
-    assert selector._ranking(RULE, "menus") is not ranking
+    assert selector.ranker.ranking(RULE, "menus") is not ranking
 
 
 def test_rankings_are_cached_for_affinity_keys_only():
     selector = _selector()
     rule = RULE._replace(keyed=False)
     _choose(selector, "some-request", rule=rule)
-    assert selector._ranking(rule, "menus").by_key == {}
+    assert selector.ranker.ranking(rule, "menus").by_key == {}
 
 
 def test_the_hash_is_the_same_in_every_process():
