Let shares of limits outlast a store outage of an hour

Five minutes were shorter than outages that are expected. After that time an entry has no share of the retries' slack, and sends nothing to endpoints that are cold or at a rate limit. The price: names that have gone for good count for an hour too, which makes shares smaller, not larger. Chosen, not measured.

--- a/packages/core/src/cardamomloft/core/recordlease.py
+++ b/packages/core/src/cardamomloft/core/recordlease.py
@@ -7,9 +7,10 @@
 
 from datetime import timedelta
 
-LAPSED_SHARE_TIME = timedelta(minutes=5)
-"""How long an entry uses its share after the last confirmation of its record. The others count a
-vanished entry for as long, and for the window of the limit in addition."""
+LAPSED_SHARE_TIME = timedelta(hours=1)
+"""How long an entry uses its share after the last confirmation of its record, which covers most
+outages of the store. The others count a vanished entry for as long, and for the window of the limit
+in addition."""
 
 
 class RecordLease:
