Tell a gateway of facts that were replaced and set again between its sources

What operators would see: one of many gateways goes on sending requests to a drained zone, until it lists the store anew.

Cause: a zone is drained, restored and drained again. A relay that missed the last two changes receives only the last fact, from the store's list or from another relay; it holds that fact already, so it notes no change. A gateway that has received the restoring from somebody else asks this relay for what has changed since, and is told of nothing.

Change: the table notes updates that repeat held facts, and gives all its facts to a position within one; the last 64 of them are kept, and earlier positions must list. Nothing more is sent to others.

--- a/packages/feed/src/cardamomloft/feed/changetable.py
+++ b/packages/feed/src/cardamomloft/feed/changetable.py
@@ -6,6 +6,7 @@
 """
 
 import typing as t
+from collections import deque
 from collections.abc import Iterable
 from functools import singledispatch
 
@@ -27,6 +28,10 @@
 """Removed keys that are kept. A gateway that missed an older removal must read the store. Each
 restart of an endpoint with a new id leaves one."""
 
+MAX_GAPS = 64
+"""Updates with repeated facts that are kept. A gateway whose position lies within an earlier one
+must read the store."""
+
 
 class FactKey(t.NamedTuple):
     """Identifies the subject of a fact; a later fact replaces an earlier one with the same key."""
@@ -42,6 +47,17 @@
     fact: Fact
 
 
+class _Gap(t.NamedTuple):
+    """An update from `start` to `end` that repeated facts which the table held before.
+
+    Between these positions such a key may have had another fact, which a gateway may have received
+    from another source.
+    """
+
+    start: Position
+    end: Position
+
+
 class ChangeTable:
     """The latest fact of each key.
 
@@ -65,6 +81,7 @@
         # Ordered by position: a row that changes moves to the end.
         self._rows: dict[FactKey, _Row] = {}
         self._removed: dict[FactKey, None] = {}
+        self._gaps: deque[_Gap] = deque()
 
     def __len__(self) -> int:
         return len(self._rows) - len(self._removed)
@@ -80,9 +97,10 @@
 
     def apply_changes(self, facts: Iterable[Fact], index: Position) -> None:
         """Apply the changes up to the position `index`, in order."""
-        self.index = max(self.index, index)
-        for fact in facts:
-            self._set(fact, self.index)
+        before, self.index = self.index, max(self.index, index)
+        repeated = [fact for fact in facts if not self._set(fact, self.index)]
+        if repeated and before < self.index:
+            self._record_gap(_Gap(before, self.index))
 
     def changes_since(self, after: Position) -> tuple[Fact, ...] | None:
         """Return the facts of all keys that have changed after the position `after`.
@@ -95,6 +113,8 @@
         """
         if self.index == BEGINNING or after.era != self.index.era or after < self._oldest_index:
             return None
+        if any(gap.start < after < gap.end for gap in self._gaps):
+            return tuple(row.fact for row in self._rows.values())
         found = []
         for row in reversed(self._rows.values()):
             if row.index <= after:
@@ -111,20 +131,28 @@
         self.index = self._oldest_index = index
         self._rows.clear()
         self._removed.clear()
+        self._gaps.clear()
+
+    def _record_gap(self, gap: _Gap) -> None:
+        self._gaps.append(gap)
+        if len(self._gaps) > MAX_GAPS:
+            self._oldest_index = max(self._oldest_index, self._gaps.popleft().end)
 
-    def _set(self, fact: Fact, index: Position) -> None:
+    def _set(self, fact: Fact, index: Position) -> bool:
+        """Store a fact; return False if it is the held one or an older configuration."""
         key = key_of(fact)
         previous = self._rows.get(key)
         if previous is not None and (
             is_same_fact(previous.fact, fact) or _supersedes(previous.fact, fact)
         ):
-            return
+            return False
         self._rows.pop(key, None)
         self._rows[key] = _Row(index, fact)
         self._removed.pop(key, None)
         if _is_removal(fact):
             self._removed[key] = None
             self._evict_removals()
+        return True
 
     def _evict_removals(self) -> None:
         while len(self._removed) > self._max_removals:
--- a/packages/feed/tests/test_changetable.py
+++ b/packages/feed/tests/test_changetable.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+import pytest
 from cardamomloft.core.registrations import (
     EntryRecord,
     EntryRecorded,
@@ -14,7 +15,7 @@
     ZoneDrained,
     ZoneRestored,
 )
-from cardamomloft.feed.changetable import ChangeTable
+from cardamomloft.feed.changetable import MAX_GAPS, ChangeTable
 from cardamomloft_standins import gateway as kit
 from hypothesis import given
 from hypothesis import strategies as st
@@ -125,6 +126,27 @@
     assert table.changes_since(kit.position(10)) == (registered(1, cold_left=timedelta(seconds=2)),)
 
 
+@pytest.mark.parametrize("update", ["changes", "listing"])
+def test_position_within_an_update_gets_facts_that_were_replaced_and_set_again(update):
+    """A subscriber may have received the replacement from another source."""
+    table = ChangeTable()
+    table.apply_listing([ZoneDrained("b")], kit.position(10))
+    apply_update = table.apply_changes if update == "changes" else table.apply_listing
+    apply_update([ZoneDrained("b")], kit.position(20))
+    assert table.changes_since(kit.position(15)) == (ZoneDrained("b"),)
+    for settled in (10, 20):
+        assert table.changes_since(kit.position(settled)) == ()
+
+
+def test_position_within_an_update_too_long_ago_is_not_answered():
+    table = ChangeTable()
+    table.apply_listing([ZoneDrained("b")], kit.position(0))
+    for number in range(1, MAX_GAPS + 2):
+        table.apply_changes([ZoneDrained("b")], kit.position(10 * number))
+    assert table.changes_since(kit.position(5)) is None
+    assert table.changes_since(kit.position(15)) == (ZoneDrained("b"),)
+
+
 FACTS = st.one_of(
     st.builds(registered, st.integers(1, 4), draining=st.booleans()),
     st.builds(UpstreamWithdrawn, st.sampled_from(["i-1", "i-2", "i-3", "i-4"])),
