Let the test of lapsed records show the fault that it guards against

The test covered the first start of the fleet too, where the old division failed already, so lapses by themselves were not shown. It checks the start alone now, and then the lapses alone.

An assertion of test_selection that held for any text is a check that an endpoint was chosen. Docstrings of the record's age said that all entries count this one: others read the record up to a drain time later.

--- a/packages/core/src/cardamomloft/core/budgets.py
+++ b/packages/core/src/cardamomloft/core/budgets.py
@@ -27,7 +27,8 @@
     entries
         Number of entries that share the limits.
     record_age
-        How long all entries have counted this one.
+        How long this entry has been recorded. The others count it as soon as they have read that,
+        and for as long as it may use its share.
     """
 
     entries: int
--- a/packages/core/src/cardamomloft/core/recordlease.py
+++ b/packages/core/src/cardamomloft/core/recordlease.py
@@ -1,4 +1,4 @@
-"""How long an entry's own record has been known to all entries.
+"""How long an entry has been recorded in the control store.
 
 Limits over all entries are divided among the recorded ones. The record of a running entry lapses
 while the store is unavailable to it, and the entry goes on using its share. Therefore the others
@@ -27,7 +27,7 @@
         self._confirmed_at = sent_at
 
     def age(self, now: timedelta) -> timedelta:
-        """Return how long all entries have counted this one; zero if they may have stopped."""
+        """Return how long this entry has been recorded; zero if the others may not count it."""
         if self._recorded_at is None or now - self._confirmed_at > LAPSED_SHARE_TIME:
             return timedelta(0)
         return now - self._recorded_at
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -140,7 +140,7 @@
     entries
         Number of entries that share the limits.
     record_age
-        Returns how long all entries have counted this one at an instant.
+        Returns how long this entry has been recorded at an instant.
     body_sizes : BodySizes
         Body sizes of the requests of each rule.
     ranker : KeyRanker
--- a/packages/core/tests/test_budgets.py
+++ b/packages/core/tests/test_budgets.py
@@ -161,7 +161,9 @@
 @pytest.mark.parametrize("cut_off", [1, 4, 11])
 def test_entries_whose_records_lapse_while_they_serve_stay_within_the_retry_budget(cut_off):
     fleet = Fleet(12)
-    fleet.run(15_000 * MS)
+    fleet.run(30_000 * MS)
+    assert fleet.excess() <= 0
+    fleet.retries.clear()
     for name in fleet.names[:cut_off]:
         fleet.entries[name].cut_off = True
     fleet.run(40_000 * MS)
--- a/packages/core/tests/test_selection.py
+++ b/packages/core/tests/test_selection.py
@@ -345,7 +345,7 @@
     primary = _choose(selector)
     _state_limit(selector, primary, 2.0)
     other = _choose(selector)
-    assert other is not primary and other.id.startswith("i-")
+    assert not isinstance(other, Refusal) and other is not primary
     later = NOW + timedelta(seconds=2)
     assert _choose(selector, now=later) is primary
     selector.record_sent(primary, later)
--- a/packages/gateway/src/cardamomloft/gateway/presence.py
+++ b/packages/gateway/src/cardamomloft/gateway/presence.py
@@ -37,7 +37,7 @@
     Attributes
     ----------
     record_lease
-        How long the other entries have counted this one.
+        How long the entry has been recorded.
     """
 
     def __init__(
