--- /dev/null
+++ b/packages/gateway/tests/test_unreachable_endpoints.py
@@ -0,0 +1,190 @@
+"""Gateways that lose their links to all endpoints, which the other gateways still reach."""
+
+import concurrent.futures
+import contextlib
+import json
+import statistics
+import time
+import typing as t
+from collections import Counter
+
+import pytest
+from cardamomloft_standins import endpoints, processes
+from cardamomloft_standins.cutlinks import Cut, write_links
+
+NOTICE_S = 1.0
+"""Time after a cut within which the requests of new callers are served, in seconds."""
+
+CUT_S = 5.0
+SEND_INTERVAL_S = 0.1
+WORK_S = 0.05
+SERVED_FRACTION = 0.95
+"""Fraction of the requests at cut-off gateways that is served, of the others' fraction."""
+
+IDEMPOTENT, ONCE = "/menus/7", "/stamps"
+
+STAMPS = {
+    "name": "stamps",
+    "when": {"host": endpoints.HOST, "path": "/stamps/"},
+    "then": {
+        "services": [{"service": "menus", "weight": 1}],
+        "timeout": "1s",
+        "target": "400ms",
+        "attempts": 2,
+        "priority": 1,
+    },
+}
+
+
+class Sent(t.NamedTuple):
+    """A request that was sent `at` seconds after the start of the callers, and its status."""
+
+    gateway: str
+    path: str
+    at: float
+    took: float
+    status: int
+    retry_after: str | None
+
+
+class Fleet:
+    """Gateways in two zones with links to six endpoints that can be cut."""
+
+    def __init__(self, stack, folder, gateways: int, cut_off: int) -> None:
+        self.folder = folder
+        self.store = stack.enter_context(processes.store())
+        document = json.loads(processes.ROUTES.read_text())
+        document["rules"].append(STAMPS)
+        endpoints.put(f"http://{self.store}/v1/kv/gateway/routes/current", document)
+        service = endpoints.service(self.store, 6, self.work)
+        self.endpoints, self.arrivals = stack.enter_context(service)
+        self.settings = []
+        for number in range(gateways):
+            zone = "b" if number < cut_off else "a"
+            self._add(stack, f"e-{number}", zone)
+        self.cut_off = self.settings[:cut_off]
+
+    def _add(self, stack, name, zone) -> None:
+        cfg = stack.enter_context(processes.settings(self.store, name, zone))
+        links = self.folder / f"{name}.links"
+        write_links(links, Cut.NONE, self.addresses())
+        launch = ("-m", "cardamomloft_standins.cutlinks", str(links))
+        stack.enter_context(processes.gateway(self.folder, cfg, launch))
+        self.settings.append(cfg)
+
+    @staticmethod
+    def work(endpoint, handler) -> None:
+        time.sleep(WORK_S)
+        handler.answer()
+
+    def has_converged(self) -> bool:
+        pages = [processes.status(cfg) for cfg in self.settings]
+        return all(
+            page["state"] == "ready"
+            and len(page["entries"]) == len(self.settings)
+            and page["upstreams"] == len(self.endpoints)
+            for page in pages
+        )
+
+    def addresses(self) -> list[str]:
+        return [endpoint.address for endpoint in self.endpoints]
+
+    def cut(self, cut: Cut, settings=None) -> None:
+        for cfg in self.cut_off if settings is None else settings:
+            write_links(self.folder / f"{cfg['name']}.links", cut, self.addresses())
+
+    def runs(self) -> Counter[str]:
+        return Counter(arrival.path for arrival in self.arrivals)
+
+
+class Callers:
+    """Callers that send one request in each interval to every gateway, whatever is answered."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.pool = concurrent.futures.ThreadPoolExecutor(200)
+        self.started = time.monotonic()
+        self.rounds = 0
+
+    def now(self) -> float:
+        return time.monotonic() - self.started
+
+    def send(self, cfg, path) -> Sent:
+        at = self.now()
+        try:
+            answer = endpoints.send_request(cfg["callers"], path, key=f"{at}")
+            status, retry_after = answer.status, answer.headers.get("Retry-After")
+        except OSError:
+            status, retry_after = 0, None
+        return Sent(cfg["name"], path, at, self.now() - at, status, retry_after)
+
+    def run(self, duration: float) -> list[Sent]:
+        """Send for a time in seconds, and return all requests once they are answered."""
+        futs = []
+        end = self.now() + duration
+        while self.now() < end:
+            self.rounds += 1
+            for cfg in self.fleet.settings:
+                path = f"{ONCE}/{self.rounds}/{cfg['name']}" if self.rounds % 2 else IDEMPOTENT
+                futs.append(self.pool.submit(self.send, cfg, path))
+            time.sleep(SEND_INTERVAL_S)
+        return [fut.result() for fut in futs]
+
+
+def fraction_served(sent: list[Sent]) -> float:
+    assert sent
+    return sum(one.status == 200 for one in sent) / len(sent)
+
+
+@pytest.fixture(params=[(4, 2), (9, 5)], ids=["2 of 4", "5 of 9"])
+def fleet(tmp_path, request):
+    with contextlib.ExitStack() as stack:
+        fleet = Fleet(stack, tmp_path, *request.param)
+        assert processes.eventually(fleet.has_converged, 60)
+        yield fleet
+
+
+@pytest.mark.parametrize("cut", [Cut.HANG, Cut.RESET, Cut.REFUSE])
+def test_gateways_without_links_to_endpoints_serve_first_tries(fleet, cut):
+    callers = Callers(fleet)
+    callers.run(1.0)
+    fleet.cut(cut)
+    cut_at = callers.now()
+    sent = [one for one in callers.run(CUT_S) if one.at > cut_at + NOTICE_S]
+    cut_off = {cfg["name"] for cfg in fleet.cut_off}
+    there = fraction_served([one for one in sent if one.gateway in cut_off])
+    elsewhere = fraction_served([one for one in sent if one.gateway not in cut_off])
+    assert there >= SERVED_FRACTION * elsewhere, (there, elsewhere)
+    assert elsewhere >= SERVED_FRACTION
+
+
+@pytest.mark.parametrize("cut", [Cut.HANG, Cut.RESET])
+def test_requests_that_must_not_run_twice_run_at_most_once_while_links_fail(fleet, cut):
+    callers = Callers(fleet)
+    sent = callers.run(0.5)
+    for state in (cut, Cut.NONE, cut, Cut.NONE):
+        fleet.cut(state)
+        sent += callers.run(1.5)
+    runs = fleet.runs()
+    twice = [path for path, count in runs.items() if path.startswith(ONCE) and count > 1]
+    assert not twice
+    refused = {one.path for one in sent if one.status == 503 and one.path.startswith(ONCE)}
+    assert not refused & runs.keys()
+    recovered = [one for one in sent if one.at > callers.now() - 1.0]
+    assert fraction_served(recovered) >= SERVED_FRACTION
+
+
+@pytest.mark.parametrize("cut", [Cut.HANG, Cut.RESET])
+def test_requests_are_refused_at_once_while_no_gateway_reaches_an_endpoint(fleet, cut):
+    callers = Callers(fleet)
+    callers.run(1.0)
+    fleet.cut(cut, fleet.settings)
+    cut_at = callers.now()
+    sent = [one for one in callers.run(3.0) if one.at > cut_at + NOTICE_S]
+    assert {one.status for one in sent} == {503}
+    assert all(float(one.retry_after) > 0 for one in sent)
+    assert statistics.median(one.took for one in sent) < 0.1
+    fleet.cut(Cut.NONE, fleet.settings)
+    opened_at = callers.now()
+    sent = [one for one in callers.run(2.0) if one.at > opened_at + NOTICE_S]
+    assert fraction_served(sent) >= SERVED_FRACTION
