Reproduce gateways that lose their links to all endpoints

What callers saw: 503, 504 or no answer in time for nearly every request at a gateway whose own links to the endpoints are cut, while the other gateways serve all.

The stand-in runs a real gateway process whose links to chosen addresses hang (bytes are held back, and new connections meet a full queue, so the kernel drops their SYN packets), are reset, or refuse new connections.

--- a/standins/src/cardamomloft_standins/cutlinks.py
+++ b/standins/src/cardamomloft_standins/cutlinks.py
@@ -1,6 +1,6 @@
 """Gateway process whose links to upstream endpoints can be cut.
 
-``python -m cardamomloft_standins.cutlinks LINKS ARGUMENTS`` runs a gateway with its usual arguments.
+``python -m cardamomloft_standins.cutlinks LINKS ARGUMENTS`` runs a gateway with the ARGUMENTS.
 The file LINKS states which addresses are cut and how; it is read again whenever it changes.
 """
 
@@ -87,7 +87,12 @@
         self._timer.start(CHECK_INTERVAL_S)
 
     def connect(
-        self, host: str, port: int, factory: t.Any, timeout: float = 30, bindAddress: t.Any = None
+        self,
+        host: str,
+        port: int,
+        factory: t.Any,
+        timeout: float = 30,
+        bindAddress: t.Any = None,  # noqa: N803  (named by Twisted)
     ) -> t.Any:
         """Connect to an address, or fail as the state of its link implies."""
         address = f"{host}:{port}"
@@ -149,8 +154,12 @@
                 super().dataReceived(data)
 
     def makeConnection(self, transport: t.Any) -> None:  # noqa: N802
-        self.factory.links.open.add(self)
+        links = self.factory.links
+        links.open.add(self)
         super().makeConnection(transport)
+        if links.links.cut in (Cut.HANG, Cut.RESET):
+            # The connection was being established when the link was cut.
+            self.apply(links.links.cut)
 
     def write(self, data: bytes) -> None:
         if self._hangs:
