Let an observer see which connections to upstreams work

The logs of the incident can't tell a gateway that reaches no endpoint from one whose keys are led to the endpoints that failed: nothing says which endpoints gave a sign of life lately, and whether connections can be opened at all. The client reports each exchange, new connection, answer and failure to an observer now, can free the exchanges that may be sent elsewhere, and knows whether an idle connection is open.

Nothing uses them yet.

--- a/packages/upstreams/src/cardamomloft/upstreams/client.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/client.py
@@ -21,7 +21,7 @@
 from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer, IResponse
 
 from .body import AnswerBody, BytesProducer
-from .connections import Attempt, ConnectionPool, NumericEndpoints
+from .connections import CONNECT_TIMEOUT, Attempt, ConnectionPool, NumericEndpoints
 from .dialect import DEADLINE_HEADER, REQUEST_ID_HEADER, Dialect
 from .hints import UpstreamLoad, confirms_stopped, parse_load
 
@@ -90,6 +90,43 @@
     cut: bool = False
 
 
+class LinkObserver(t.Protocol):
+    """Observes the exchanges of a client; addresses are ``ip:port``.
+
+    For each exchange `sent` is called at its start and `ended` once its answer has begun or is not
+    awaited any more.
+    """
+
+    def sent(self, address: str) -> None:
+        """Observe the start of an exchange, before a connection is opened."""
+        ...
+
+    def connected(self, address: str) -> None:
+        """Observe that a new connection is established."""
+        ...
+
+    def answered(self, address: str) -> None:
+        """Observe the head of an answer; `ended` follows."""
+        ...
+
+    def failed(self, address: str) -> None:
+        """Observe that a connection was refused, not established in time, or lost."""
+        ...
+
+    def ended(self, address: str) -> None:
+        """Observe the end of the wait for an answer."""
+        ...
+
+
+class UnobservedLinks:
+    """A :class:`LinkObserver` that does nothing."""
+
+    def _ignore(self, address: str) -> None:
+        pass
+
+    sent = connected = answered = failed = ended = _ignore
+
+
 class UpstreamClient:
     """HTTP/1.1 client for all upstream endpoints of one entry.
 
@@ -102,6 +139,13 @@
         It is a safeguard: the endpoint's own limits, which are enforced elsewhere, are lower.
     dialect
         Header names and conventions of the upstreams.
+    connect_timeout
+        Time in which a connection must be established.
+
+    Attributes
+    ----------
+    observer : LinkObserver
+        Observes whether connections work.
     """
 
     def __init__(
@@ -110,11 +154,14 @@
         *,
         max_in_flight: int = MAX_IN_FLIGHT_PER_ENDPOINT,
         dialect: Dialect = _OWN_DIALECT,
+        connect_timeout: timedelta = CONNECT_TIMEOUT,
     ) -> None:
         self.reactor = reactor
         self.dialect = dialect
+        self.observer: LinkObserver = UnobservedLinks()
         self.pool = ConnectionPool(reactor)
-        self.endpoints = NumericEndpoints(reactor)
+        self.endpoints = NumericEndpoints(reactor, connect_timeout)
+        self.exchanges: set[_Exchange] = set()
         self.in_flight: Counter[str] = Counter()
         self._max_in_flight = max_in_flight
         self._control_pool = ConnectionPool(reactor)
@@ -149,6 +196,26 @@
         body = self._control("GET", endpoint, "/-/load", timeout)
         return body.addCallback(lambda raw: raw.bind(parse_load))
 
+    def has_idle(self, address: str) -> bool:
+        """Return whether there is an idle connection to `address`."""
+        return self.pool.has_idle(address)
+
+    def abort_unanswered(self, detail: str, *, connected: bool) -> int:
+        """Abort exchanges without an answer that may be repeated elsewhere; return their number.
+
+        Parameters
+        ----------
+        detail
+            The reason, for the results.
+        connected
+            Whether to abort idempotent requests that may have been sent, besides those of all kinds
+            that have no connection yet.
+        """
+        aborted = [exchange for exchange in self.exchanges if exchange.may_abort(connected)]
+        for exchange in aborted:
+            exchange.abort(detail)
+        return len(aborted)
+
     def close_idle(self, address: str) -> None:
         """Close the idle connections to `address`, because the upstream there was restarted."""
         self.pool.close_idle(address)
@@ -194,8 +261,11 @@
         self._abort_detail: str | None = None
         self._dialect = client.dialect
         fresh = not (req.idempotent or self._dialect.reuse_always)
-        self._attempt = Attempt(client.pool, fresh=fresh)
+        self._attempt = Attempt(client.pool, fresh=fresh, on_connected=self._connected)
+        self._awaited = True
         client.in_flight[req.endpoint.address] += 1
+        client.exchanges.add(self)
+        client.observer.sent(req.endpoint.address)
         self._timer = client.reactor.callLater(req.timeout.total_seconds(), self._timed_out)
         agent = Agent.usingEndpointFactory(client.reactor, client.endpoints, self._attempt)
         self._pending = maybeDeferred(
@@ -207,7 +277,26 @@
         )
         self._pending.addCallbacks(self._answered, self._failed)
 
+    def may_abort(self, connected: bool) -> bool:
+        """Return whether the request can be sent elsewhere; see `abort_unanswered`."""
+        unsent = self._attempt.connection is None
+        return self._awaited and (unsent or (connected and self._req.idempotent))
+
+    def abort(self, detail: str) -> None:
+        """End the exchange without an answer."""
+        self._abort(detail)
+
+    def _connected(self) -> None:
+        self._client.observer.connected(self._req.endpoint.address)
+
+    def _end_wait(self) -> None:
+        if self._awaited:
+            self._awaited = False
+            self._client.observer.ended(self._req.endpoint.address)
+
     def _answered(self, response: IResponse) -> None:
+        self._client.observer.answered(self._req.endpoint.address)
+        self._end_wait()
         headers = _headers_of(response)
         echoed = _value_of(headers, self._dialect.request_id)
         body = AnswerBody(response, self._attempt.abort, self._end, self._closed_cleanly)
@@ -225,6 +314,9 @@
         not_run = self._attempt.connection is None or bool(failure.check(RequestNotSent))
         detail = self._abort_detail or _describe(failure)
         cut = not (not_run or self._abort_detail) and _is_connection_loss(failure)
+        if cut or (self._attempt.connection is None and not self._abort_detail):
+            self._client.observer.failed(self._req.endpoint.address)
+        self._end_wait()
         self._attempt.abort()
         self._end()
         self._settle(Error(SendFailure(not_run, detail, cut)))
@@ -249,6 +341,7 @@
     def _end(self) -> None:
         if self._timer.active():
             self._timer.cancel()
+        self._client.exchanges.discard(self)
         address = self._req.endpoint.address
         self._client.in_flight[address] -= 1
         if not self._client.in_flight[address]:
--- a/packages/upstreams/src/cardamomloft/upstreams/connections.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -3,6 +3,8 @@
 import re
 import socket
 import typing as t
+from collections.abc import Callable
+from datetime import timedelta
 
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -14,7 +16,11 @@
 from twisted.web.iweb import IAgentEndpointFactory, IResponse
 from zope.interface import implementer
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT = timedelta(milliseconds=1000)
+"""Default time in which a connection must be established. It covers several round trips between
+regions. A lost SYN packet is retransmitted only after a second, by which a caller is served sooner
+by another endpoint."""
+
 MAX_IDLE_PER_ENDPOINT = 4
 # Shorter than the keep-alive time of most HTTP servers, so that the client usually closes first.
 IDLE_TIMEOUT_S = 3.0
@@ -138,17 +144,25 @@
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to `address`, which is ``ip:port``."""
-        host, _, port = address.rpartition(":")
-        key = (b"http", host.encode(), int(port))
+        key = _pool_key(address)
         for connection in tuple(self._connections.get(key, ())):
             self._timeouts[connection].cancel()
             self._removeConnection(key, connection)
 
+    def has_idle(self, address: str) -> bool:
+        """Return whether there is an idle connection to `address`, which is ``ip:port``."""
+        return bool(self._connections.get(_pool_key(address)))
+
     def open(self, key: t.Hashable, endpoint: IStreamClientEndpoint) -> "Deferred[t.Any]":
         """Open a new connection, which is added to the pool after its first answer."""
         return self._newConnection(key, endpoint)
 
 
+def _pool_key(address: str) -> tuple[bytes, bytes, int]:
+    host, _, port = address.rpartition(":")
+    return (b"http", host.encode(), int(port))
+
+
 class Attempt:
     """Pool adapter for one request: passes a connection to `Agent` and keeps a reference to it.
 
@@ -158,6 +172,8 @@
         The pool of idle connections.
     fresh
         Whether to open a new connection even if an idle one is available.
+    on_connected
+        Called when a new connection is established.
 
     Attributes
     ----------
@@ -167,10 +183,17 @@
 
     persistent = True
 
-    def __init__(self, pool: ConnectionPool, *, fresh: bool) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        *,
+        fresh: bool,
+        on_connected: Callable[[], None] = lambda: None,
+    ) -> None:
         self.connection: UpstreamConnection | None = None
         self._pool = pool
         self._fresh = fresh
+        self._on_connected = on_connected
         self._exchange = 0
 
     def getConnection(  # noqa: N802  (called by Agent)
@@ -190,6 +213,8 @@
     def _connected(self, conn: UpstreamConnection) -> UpstreamConnection:
         self.connection = conn
         self._exchange = conn.exchange + 1
+        if not conn.exchange:
+            self._on_connected()
         return conn
 
 
@@ -197,9 +222,9 @@
 class NumericEndpoints:
     """Endpoint factory for numeric IPv4 addresses; it bypasses the threaded name resolver."""
 
-    def __init__(self, reactor: t.Any, timeout: float = CONNECT_TIMEOUT_S) -> None:
+    def __init__(self, reactor: t.Any, timeout: timedelta = CONNECT_TIMEOUT) -> None:
         self._reactor = reactor
-        self._timeout = timeout
+        self._timeout = timeout.total_seconds()
 
     def endpointForURI(self, uri: URI) -> IStreamClientEndpoint:  # noqa: N802
         """Return an endpoint for the numeric address in `uri`."""
