Wait half a second for a connection to an endpoint

A connection whose first packet is lost, or whose endpoint has no power, is not established within a second either: the kernel repeats the packet only after one second, by which a caller with a deadline of 1.5 to 3 s has lost most of its time. Half a second is several round trips between regions (70 ms at most here).

--- a/packages/upstreams/src/cardamomloft/upstreams/connections.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -16,7 +16,7 @@
 from twisted.web.iweb import IAgentEndpointFactory, IResponse
 from zope.interface import implementer
 
-CONNECT_TIMEOUT = timedelta(milliseconds=1000)
+CONNECT_TIMEOUT = timedelta(milliseconds=500)
 """Default time in which a connection must be established. It covers several round trips between
 regions. A lost SYN packet is retransmitted only after a second, by which a caller is served sooner
 by another endpoint."""
