--- a/packages/callers/src/cardamomloft/callers/exchange.py
+++ b/packages/callers/src/cardamomloft/callers/exchange.py
@@ -44,6 +44,7 @@
 
 _STATUS_OF_REASON = {
     RefusalReason.RULE: HTTPStatus.FORBIDDEN,
+    RefusalReason.NOT_A_PEER: HTTPStatus.FORBIDDEN,
     RefusalReason.NO_SERVICE: HTTPStatus.NOT_FOUND,
     RefusalReason.EXPIRED: HTTPStatus.GONE,
     RefusalReason.BAD_OPERATION: HTTPStatus.BAD_REQUEST,
--- a/packages/core/src/cardamomloft/core/model.py
+++ b/packages/core/src/cardamomloft/core/model.py
@@ -72,6 +72,8 @@
     DEADLINE = "cannot-finish-in-time"
     STOPPING = "entry-is-stopping"
     NOT_READY = "entry-not-ready"
+    BUSY = "entry-busy"
+    NOT_A_PEER = "not-a-peer"
     EXPIRED = "operation-id-expired"
     BAD_OPERATION = "operation-id-invalid"
     OPERATION_REUSED = "operation-id-reused-for-another-request"
--- a/packages/core/src/cardamomloft/core/notices.py
+++ b/packages/core/src/cardamomloft/core/notices.py
@@ -37,6 +37,10 @@
 """How long a rate limit is kept after it was last published."""
 
 
+LINKS_DOWN_RETENTION = timedelta(seconds=6)
+"""How long a report of an entry about its links is kept. It is repeated while they are down."""
+
+
 # The class names and fields of notices are part of their `repr`, which `NoticeTable` hashes into
 # checksums that entries compare: a rename makes entries of different versions resend everything.
 
@@ -138,7 +142,40 @@
         return RATE_LIMIT_RETENTION
 
 
-Notice = UpstreamLeaving | CrashUnderRequest | UpstreamRateLimit
+class LinksDown(t.NamedTuple):
+    """An entry reports whether its links to all endpoints are down.
+
+    Attributes
+    ----------
+    entry
+        Name of the entry.
+    serial
+        Increases with each report of the entry, also after a restart of its process.
+    down
+        Whether they are down.
+    """
+
+    entry: str
+    serial: int
+    down: bool
+
+    @property
+    def key(self) -> tuple[t.Any, ...]:
+        """Identifies the subject; of notices with the same key one is kept."""
+        return (self.entry,)
+
+    @property
+    def rank(self) -> int:
+        """Of two notices with the same key the one of higher rank is kept."""
+        return self.serial
+
+    @property
+    def retention(self) -> timedelta:
+        """How long the notice is kept after its creation."""
+        return LINKS_DOWN_RETENTION
+
+
+Notice = UpstreamLeaving | CrashUnderRequest | UpstreamRateLimit | LinksDown
 
 
 class DatedNotice(t.NamedTuple):
--- a/packages/core/src/cardamomloft/core/registrations.py
+++ b/packages/core/src/cardamomloft/core/registrations.py
@@ -54,7 +54,8 @@
     """One running entry, as it records itself in the store.
 
     `address` is for callers. `peers` is the address for other entries, empty if it accepts no
-    messages from them.
+    messages from them. `proxy` is the address at which it accepts requests that other entries can't
+    send to endpoints, empty if it doesn't, and `proxy_token` the secret that these must state.
     """
 
     name: str
@@ -62,6 +63,8 @@
     zone: str
     region: str
     peers: str = ""
+    proxy: str = ""
+    proxy_token: str = ""
 
 
 class PlanRead(t.NamedTuple):
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -368,6 +368,12 @@
             ejection = _INITIAL_EJECTION * 2 ** min(upstream.failures - _FAILURES_TO_EJECT, 4)
             upstream.ejected_until = now + min(ejection, _MAX_EJECTION)
 
+    def forget_failures(self) -> None:
+        """Use ejected endpoints again, as their failures had another cause."""
+        for upstream in self._table.all():
+            upstream.failures = 0
+            upstream.ejected_until = _ZERO
+
 
 def _on_hold(service: str, hold: timedelta) -> Refusal:
     """Return the refusal while no endpoint accepts requests; the first does after `hold`."""
--- a/packages/feed/src/cardamomloft/feed/noticecodec.py
+++ b/packages/feed/src/cardamomloft/feed/noticecodec.py
@@ -10,6 +10,7 @@
 from cardamomloft.core.notices import (
     CrashUnderRequest,
     DatedNotice,
+    LinksDown,
     Notice,
     UpstreamLeaving,
     UpstreamRateLimit,
@@ -41,15 +42,21 @@
     notice: UpstreamRateLimit
 
 
-_Row = _Leaving | _Crash | _RateLimit
+class _Links(t.NamedTuple):
+    age_ms: int
+    notice: LinksDown
+
+
+_Row = _Leaving | _Crash | _RateLimit | _Links
 
 _ROW_TYPES = {
     UpstreamLeaving: _Leaving,
     CrashUnderRequest: _Crash,
     UpstreamRateLimit: _RateLimit,
+    LinksDown: _Links,
 }
 
-_codec: TypedCodec[_Row] = TypedCodec((_Leaving, _Crash, _RateLimit))
+_codec: TypedCodec[_Row] = TypedCodec((_Leaving, _Crash, _RateLimit, _Links))
 
 
 def encode_notices(notices: Iterable[DatedNotice], now: timedelta) -> bytes:
--- a/packages/gateway/src/cardamomloft/gateway/entryrecords.py
+++ b/packages/gateway/src/cardamomloft/gateway/entryrecords.py
@@ -13,10 +13,7 @@
 
 def encode_entry(record: EntryRecord) -> bytes:
     """Return the JSON under which an entry is recorded."""
-    fields = record._asdict()
-    if not record.peers:
-        del fields["peers"]
-    return msgspec.json.encode(fields)
+    return msgspec.json.encode({name: text for name, text in record._asdict().items() if text})
 
 
 def read_entry(value: bytes) -> EntryRecord:
@@ -29,8 +26,11 @@
     """
     fields = msgspec.json.decode(value, type=dict[str, str])
     record = EntryRecord(**{name: fields[name] for name in EntryRecord._fields if name in fields})
-    peers = record.peers and address_text(record.peers)
-    return record._replace(address=address_text(record.address), peers=peers)
+    return record._replace(
+        address=address_text(record.address),
+        peers=record.peers and address_text(record.peers),
+        proxy=record.proxy and address_text(record.proxy),
+    )
 
 
 def address_text(text: str) -> str:
--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -20,10 +20,12 @@
 from cardamomloft.core.selection import Selector
 from cardamomloft.core.upstreamtable import UpstreamTable
 from cardamomloft.gateway.calls import Call
+from cardamomloft.gateway.linkmonitor import LinkMonitor
 from cardamomloft.gateway.noticehandler import NoticeHandler
+from cardamomloft.gateway.peerproxy.client import Hop, PeerProxy
 from cardamomloft.gateway.records import RequestLog, SendRecord
 from cardamomloft.gateway.requestqueue import RequestQueue
-from cardamomloft.gateway.requestrun import CallerState, RequestRun
+from cardamomloft.gateway.requestrun import CallerState, Origin, RequestRun
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.upstreams.client import UpstreamClient
 from expression import Result
@@ -67,8 +69,15 @@
         Called with each call that is refused.
     queue
         Holds requests for which no endpoint has capacity, if it is enabled.
+    links
+        Knows whether endpoints can be reached, None if that is not monitored.
+    proxy
+        Sends requests through other gateways, None if there is no way to them.
     """
 
+    links: LinkMonitor | None = None
+    proxy: PeerProxy | None = None
+
     def __init__(
         self,
         reactor: t.Any,
@@ -97,11 +106,19 @@
         self._retry_after_policies: dict[str, RetryAfterPolicy] = {}
 
     async def forward(
-        self, call: Call, head: RequestHead, body: RequestBody, disconnected: "Deferred[None]"
+        self,
+        call: Call,
+        head: RequestHead,
+        body: RequestBody,
+        disconnected: "Deferred[None]",
+        origin: Origin | None = None,
     ) -> Answer:
-        """Return the answer to a call; if the caller disconnects, cancel the attempt."""
+        """Return the answer to a call; if the caller disconnects, cancel the attempt.
+
+        `origin` is the gateway that has sent the request through this one, None for callers.
+        """
         caller = CallerState()
-        attempt = ensureDeferred(self._forward(call, head, body, caller))
+        attempt = ensureDeferred(self._forward(call, head, body, caller, origin))
 
         def on_disconnect(_: None) -> None:
             caller.disconnected = True
@@ -116,18 +133,24 @@
             return self.record_caller_left(call, ())
 
     async def _forward(
-        self, call: Call, head: RequestHead, body: RequestBody, caller: CallerState
+        self,
+        call: Call,
+        head: RequestHead,
+        body: RequestBody,
+        caller: CallerState,
+        origin: Origin | None,
     ) -> Answer:
         payload = await self._payload(body, call.deadline)
         if isinstance(payload, Refusal):
             self.records.write(call, "refused", self.clock.monotonic(), detail=payload.detail)
-            self.on_not_run(call)
+            if origin is None:
+                self.on_not_run(call)
             return self.refuse(payload)
         size = len(payload) if isinstance(payload, bytes) else t.cast(int, payload.length)
         self.selector.body_sizes.record(call.rule.name, size)
-        return await RequestRun(self, call, head, payload, caller).run()
+        return await RequestRun(self, call, head, payload, caller, origin).run()
 
-    def record_caller_left(self, call: Call, sends: Sequence[SendRecord]) -> Answer:
+    def record_caller_left(self, call: Call, sends: Sequence[SendRecord | Hop]) -> Answer:
         """Log and count that the caller has disconnected; return an answer that nobody receives."""
         self.metrics.count("caller-left")
         self.records.write(call, "caller-left", self.clock.monotonic(), sends=sends)
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
@@ -0,0 +1,241 @@
+"""Monitors this gateway's links to the upstream endpoints, and probes them when it hears of none.
+
+While the links are down, failures say nothing about the endpoints, so none is held against them.
+"""
+
+import random
+import typing as t
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+from cardamomloft.core.clock import Clock
+from cardamomloft.core.connectivity.reachability import (
+    PROBE_TIMEOUT,
+    ProbeTarget,
+    Reachability,
+)
+from cardamomloft.runtime.logs import log
+from cardamomloft.runtime.metrics import Metrics
+from cardamomloft.upstreams.client import UpstreamClient
+from cardamomloft.upstreams.probing import probe
+from twisted.internet.defer import Deferred, gatherResults, succeed
+from twisted.internet.interfaces import IDelayedCall
+
+MAX_LATENESS = timedelta(milliseconds=100)
+"""Lateness of a timer above which the process was suspended or busy. Silence until then says
+nothing, so that what has arrived meanwhile is read before links are probed."""
+
+_MS = timedelta(milliseconds=1)
+
+Probe = Callable[[t.Any, str, timedelta], "Deferred[bool]"]
+
+
+class LinkMonitor:
+    """Observes the exchanges of a client, and decides whether its links work.
+
+    Parameters
+    ----------
+    reactor, clock, rng
+        The event loop, and sources of time and randomness.
+    client
+        Sends requests to endpoints; the monitor becomes its observer.
+    targets
+        Returns the endpoints that may be probed.
+    on_changed
+        Called when links went down or work again.
+    metrics
+        Counts probes, failures and aborted exchanges.
+    probe
+        Opens a connection to an address; see :func:`~cardamomloft.upstreams.probing.probe`.
+    """
+
+    def __init__(
+        self,
+        reactor: t.Any,
+        clock: Clock,
+        rng: random.Random,
+        client: UpstreamClient,
+        targets: Callable[[], Iterable[ProbeTarget]],
+        on_changed: Callable[[], None],
+        metrics: Metrics,
+        probe: Probe = probe,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._rng = rng
+        self._client = client
+        self._targets = targets
+        self._on_changed = on_changed
+        self._metrics = metrics
+        self._probe = probe
+        self._reachability = Reachability()
+        self._timer: IDelayedCall | None = None
+        self._due = timedelta(0)
+        self._probing = False
+        self._waiting: list[Deferred[None]] = []
+        self._stopped = False
+        client.observer = self
+
+    # Observations of the client.
+
+    def sent(self, address: str) -> None:
+        """Observe the start of an exchange."""
+        self._reachability.record_sent(self._clock.monotonic())
+        self._schedule()
+
+    def connected(self, address: str) -> None:
+        """Observe that a new connection is established."""
+        self._metrics.count("connections.opened")
+        self._reachability.record_connected(address, self._clock.monotonic())
+
+    def answered(self, address: str) -> None:
+        """Observe the head of an answer."""
+        self._reachability.record_answer(address, self._clock.monotonic())
+
+    def failed(self, address: str) -> None:
+        """Observe that a connection was refused, not established in time, or lost."""
+        self._metrics.count("connections.failed")
+        self._reachability.record_failure(address, self._clock.monotonic())
+        self._schedule()
+
+    def ended(self, address: str) -> None:
+        """Observe the end of the wait for an answer."""
+        self._reachability.record_end()
+
+    # Decisions.
+
+    @property
+    def down(self) -> bool:
+        """Whether no new connection to any endpoint can be established."""
+        return self._reachability.down
+
+    def may_send(self, address: str) -> bool:
+        """Return whether a request may be sent to the endpoint at `address`."""
+        if not self.down:
+            return True
+        now, connected = self._clock.monotonic(), self._client.has_idle(address)
+        return self._reachability.may_send(now, connected=connected)
+
+    def may_send_any(self) -> bool:
+        """Return whether requests may be sent to endpoints with open connections."""
+        return self._reachability.connections_work(self._clock.monotonic())
+
+    def is_suspected(self) -> bool:
+        """Return whether several endpoints have failed and none has given a sign since."""
+        return self.down or self._probing or self._reachability.failed_count > 1
+
+    def verdict(self) -> "Deferred[None]":
+        """Return a Deferred that fires once it is known whether failures are those of the links."""
+        may_probe = self._reachability.may_probe(self._clock.monotonic())
+        if self._stopped or self.down or not (self._probing or may_probe):
+            return succeed(None)
+        waiting: Deferred[None] = Deferred()
+        self._waiting.append(waiting)
+        if not self._probing:
+            self._start_probe()
+        return waiting
+
+    def status(self) -> dict[str, t.Any]:
+        """Return the state of the links for the status page."""
+        now, down_since = self._clock.monotonic(), self._reachability.down_since
+        return {
+            "down": self.down,
+            "down_ms": None if down_since is None else (now - down_since) // _MS,
+            "open_connections_work": self._reachability.connections_work(now),
+            "failed_endpoints": self._reachability.failed_count,
+        }
+
+    def stop(self) -> None:
+        """Stop probing."""
+        self._stopped = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._release()
+
+    # Probes.
+
+    def _schedule(self) -> None:
+        due = self._reachability.next_probe()
+        if due is None or self._probing or self._stopped:
+            return
+        if self._timer is not None and self._timer.active():
+            if self._due <= due:
+                return
+            self._timer.cancel()
+        self._due = due
+        delay = max(timedelta(0), due - self._clock.monotonic())
+        self._timer = self._reactor.callLater(delay.total_seconds(), self._check)
+
+    def _check(self) -> None:
+        self._timer = None
+        now, due = self._clock.monotonic(), self._reachability.next_probe()
+        if now - self._due > MAX_LATENESS and due is not None:
+            self._due = now
+            self._timer = self._reactor.callLater(MAX_LATENESS.total_seconds() / 2, self._check)
+        elif due is not None and due <= now:
+            self._start_probe()
+        else:
+            self._schedule()
+        self._abort_silent()
+
+    def _start_probe(self) -> None:
+        started_at = self._clock.monotonic()
+        targets = self._reachability.targets(self._targets(), self._rng)
+        self._reachability.start_probe(started_at)
+        if not targets:
+            self._release()
+            self._schedule()
+            return
+        self._probing = True
+        probes = [self._probe_one(target.address) for target in targets]
+        gatherResults(probes).addCallback(self._end_probe, started_at, targets)
+
+    def _probe_one(self, address: str) -> "Deferred[bool]":
+        self._metrics.count("probes")
+
+        def record(connected: bool) -> bool:
+            if connected:
+                self._reachability.record_connected(address, self._clock.monotonic())
+            return connected
+
+        return self._probe(self._reactor, address, PROBE_TIMEOUT).addCallback(record)
+
+    def _end_probe(
+        self, results: list[bool], started_at: timedelta, targets: list[ProbeTarget]
+    ) -> None:
+        self._probing = False
+        if self._stopped:
+            return
+        now, down_since = self._clock.monotonic(), self._reachability.down_since
+        if self._reachability.end_probe(started_at, connected=any(results)):
+            if self.down:
+                self._log_down(targets, now)
+            else:
+                down = now - (down_since or now)
+                log("endpoints-reachable", down_ms=down // _MS)
+            self._on_changed()
+        self._abort_silent()
+        self._release()
+        self._schedule()
+
+    def _log_down(self, targets: list[ProbeTarget], now: timedelta) -> None:
+        self._metrics.count("links_down")
+        log(
+            "endpoints-unreachable",
+            probed=[target.address for target in targets],
+            failed_endpoints=self._reachability.failed_count,
+            silence_ms=self._reachability.silence(now) // _MS,
+        )
+
+    def _abort_silent(self) -> None:
+        """Free the requests that can be sent elsewhere from connections that don't work."""
+        if not self.down:
+            return
+        silent = not self._reachability.connections_work(self._clock.monotonic())
+        aborted = self._client.abort_unanswered("links are down", connected=silent)
+        self._metrics.count("aborted_sends", aborted)
+
+    def _release(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for deferred in waiting:
+            deferred.callback(None)
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -15,19 +15,22 @@
 from cardamomloft.core.naming import EntryLookup
 from cardamomloft.core.recordlease import LAPSED_SHARE_TIME
 from cardamomloft.core.registrations import EntryRecord
-from cardamomloft.core.routes import ClientAccount, RoutePlan, RouteRule
+from cardamomloft.core.routes import RoutePlan
 from cardamomloft.core.selection import Preferences, Selector
 from cardamomloft.core.timekeeping import ClockMonitor
 from cardamomloft.core.upstreamtable import UpstreamTable
 from cardamomloft.gateway.accountaccess import AccountAccess
-from cardamomloft.gateway.calls import Call, CallerHeaders, RequestReader
+from cardamomloft.gateway.calls import Call, CallerHeaders
 from cardamomloft.gateway.changefeed import ChangeFeed
 from cardamomloft.gateway.control import Control, Listing
 from cardamomloft.gateway.following import Follower, PollTiming
 from cardamomloft.gateway.forwarding import Forwarder
 from cardamomloft.gateway.gossip import COMPARE_INTERVAL
+from cardamomloft.gateway.inforce import PlanInForce
 from cardamomloft.gateway.loadstatus import log_loads
 from cardamomloft.gateway.noticehandler import NoticeHandler
+from cardamomloft.gateway.peerproxy.fallback import PeerFallback
+from cardamomloft.gateway.peerproxy.listener import HEADER_BYTES, RequestAccess
 from cardamomloft.gateway.presence import Presence
 from cardamomloft.gateway.records import RequestLog
 from cardamomloft.gateway.settings import (
@@ -47,7 +50,7 @@
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.runtime.timers import Timers
 from cardamomloft.upstreams.client import UpstreamClient
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred, gatherResults
 from twisted.internet.interfaces import IDelayedCall, IListeningPort
 from twisted.python.failure import Failure
 
@@ -135,18 +138,19 @@
         self._port: IListeningPort | None = None
         self.pages: IListeningPort | None = None
         self._hard_stop: IDelayedCall | None = None
-        self._reader: RequestReader | None = None
         self._logged_counters: Counter[str] = Counter()
         self._timekeeper = ClockMonitor(clock, _TICK)
         self._build()
 
     def _build(self) -> None:
         cfg, clock, bounds = self._cfg, self._clock, self._bounds
+        self.plan = PlanInForce(
+            clock, self._rng, self.headers, lambda: self.account_access.keys_verified()
+        )
         peers = cfg.get("peers", "")
         own = EntryRecord(cfg["name"], cfg["callers"], cfg["zone"], cfg["region"], peers)
         self.upstream_table = UpstreamTable(cfg["zones"])
         self.entries = EntryTable(own, _count_window(bounds))
-        self._names = EntryLookup(self.entries)
         self.selector = Selector(
             self.upstream_table,
             cfg["name"],
@@ -160,6 +164,7 @@
         self.notice_handler = NoticeHandler(
             clock, self.upstream_table, self.selector.rate_limits, self.metrics
         )
+        self._names = EntryLookup(self.entries, self.notice_handler.cut_off)
         self.forwarder = Forwarder(
             self._reactor,
             clock,
@@ -172,8 +177,27 @@
             self.records,
             self.notice_handler,
         )
+        self.fallback = PeerFallback(
+            self._reactor,
+            clock,
+            self._rng,
+            own,
+            self.entries,
+            self.upstream_table,
+            self._client,
+            self.forwarder,
+            self.notice_handler,
+            self.headers,
+            RequestAccess(
+                self.read,
+                lambda: self.lifecycle.admits() and bool(self.plan),
+                lambda: self.configuration,
+                self.plan.is_idempotent,
+                self._on_fault,
+            ),
+        )
         self.app = CallersApp(
-            None, self.handle, self._on_fault, may_overlap=self._may_overlap, meter=self.metrics
+            None, self.handle, self._on_fault, self.plan.is_idempotent, self.metrics
         )
         self.presence = Presence(
             clock, self._control, own, bounds.record_ttl, lambda: self.follower.poll_now()
@@ -210,7 +234,7 @@
         self._set_features()
         self.forwarder.on_not_run = self.account_access.return_token
         self.notice_handler.publish = gossip.publish
-        gossip.plan = lambda: self._reader and self._reader.plan
+        gossip.plan = lambda: self.plan.plan
         gossip.on_plan = self._apply_plan
         self.follower = Follower(
             self._reactor,
@@ -284,6 +308,9 @@
         pages.log = lambda request: None
         self.pages = self._reactor.listenTCP(int(port), pages, interface=host)
         self.feed.start(self._on_fault)
+        if "proxy" in self._cfg:
+            # After the other listeners, whose ports may be in the range.
+            self.presence.set_proxy(*self.fallback.listener.start(self._cfg["proxy"]))
         self.follower.start(self._on_fault)
         self._timers.every(_TICK, self._tick)
         if self.feed.usage is not None:
@@ -307,9 +334,10 @@
 
     def on_leaving(self) -> None:
         """Remove this entry from look-ups, and continue to serve callers that know its address."""
-        log("leaving", in_flight=self.app.in_flight)
+        log("leaving", in_flight=self._in_flight())
         self.presence.withdraw()
         self.app.start_closing()
+        self.fallback.app.start_closing()
         end = self._clock.monotonic() + self._bounds.stop_time * QUEUE_STOP_FRACTION
         self.forwarder.queue.finish_by(end)
         stop_time = self._bounds.stop_time.total_seconds()
@@ -320,12 +348,14 @@
 
     def on_closing(self) -> None:
         """Close the listener, and finish the requests in flight."""
-        log("closing", in_flight=self.app.in_flight)
+        log("closing", in_flight=self._in_flight())
         if self._port is not None:
             self._port.stopListening()
-        finished = self.app.drained()
+        self.fallback.listener.stop_listening()
+        apps = (self.app, self.fallback.app)
+        finished = gatherResults([app.drained() for app in apps])
         # The last answers may still be in send buffers: wait until their connections are closed.
-        finished.addCallback(lambda _: self.app.disconnect())
+        finished.addCallback(lambda _: gatherResults([app.disconnect() for app in apps]))
         finished.addCallback(lambda _: self._reactor.callLater(0, self.lifecycle.drained))
 
     def on_stopped(self) -> None:
@@ -336,10 +366,14 @@
         self.forwarder.queue.close()
         self.feed.stop()
         self.follower.stop()
-        log("stopped", in_flight=self.app.in_flight)
+        self.fallback.stop()
+        log("stopped", in_flight=self._in_flight())
         if not self.stopped.called:
             self.stopped.callback(None)
 
+    def _in_flight(self) -> int:
+        return self.app.in_flight + self.fallback.app.in_flight
+
     # Requests of callers.
 
     def handle(
@@ -364,11 +398,8 @@
             return self.forwarder.refuse(beyond_quota)
         return await self.forwarder.forward(call, head, body, disconnected)
 
-    def _may_overlap(self, head: RequestHead) -> bool:
-        return self._reader is not None and self._reader.is_idempotent(head)
-
     def _admit(self, head: RequestHead) -> Call | Refusal:
-        if self.lifecycle.admits() and self._reader is not None:
+        if self.lifecycle.admits() and self.plan:
             return self.read(head)
         starting = self.lifecycle.state() == "starting"
         reason = RefusalReason.NOT_READY if starting else RefusalReason.STOPPING
@@ -376,32 +407,19 @@
 
     def read(self, head: RequestHead) -> Call | Refusal:
         """Parse a request according to the configuration in force."""
-        if self._reader is None:
-            return Refusal(RefusalReason.NOT_READY, "no configuration yet")
-        verified = self.account_access.keys_verified()
-        return self._reader.read(head, self._clock.monotonic(), verified=verified)
-
-    def find_account(self, key: str) -> ClientAccount | None:
-        """Return the account that a key belongs to according to the configuration in force."""
-        return None if self._reader is None else self._reader.find_account(key)
-
-    def match(self, host: str, path: str) -> RouteRule | Refusal:
-        """Return the rule for a host and a path according to the configuration in force."""
-        if self._reader is None:
-            return Refusal(RefusalReason.NOT_READY, "no configuration yet")
-        return self._reader.match(host, path)
+        return self.plan.read(head)
 
     @property
     def configuration(self) -> int:
         """The number of the configuration in force, 0 before the first."""
-        return self._reader.plan.number if self._reader else 0
+        return self.plan.number
 
     def lookup(self, host: str, zone: str, region: str) -> LookupResult | Refusal:
         """Return the entries that a client in this zone and region should use for `host`."""
         self.metrics.count("lookups")
-        if self._reader is None:
+        if not self.plan:
             return Refusal(RefusalReason.NOT_READY, "no configuration yet")
-        homes = self._reader.home_regions.get(host, frozenset())
+        homes = self.plan.home_regions(host)
         zones, ready = self._cfg["zones"], self.ready()
         named = self._names.find(zone, region, homes, zones, with_own=ready)
         if not named:
@@ -419,21 +437,19 @@
         self._check_prepared()
 
     def _apply_plan(self, plan: RoutePlan) -> None:
-        held = self.configuration
-        if plan.number <= held:
-            if plan.number < held:
-                log("configuration-older", offered=plan.number, held=held)
+        if not self.plan.replace(plan):
             return
-        self._reader = RequestReader(plan, self.headers, self._rng)
         self.selector.policies = plan.services
         self.account_access.set_accounts(plan.accounts or ())
         self.app.set_idle_timeout(plan.limits.idle_timeout)
         self.app.set_head_limits(plan.limits.head_bytes, plan.limits.head_timeout)
-        log("in-force", configuration=plan.number, rules=len(plan.rules))
+        self.fallback.app.set_head_limits(
+            plan.limits.head_bytes + HEADER_BYTES, plan.limits.head_timeout
+        )
         self._check_prepared()
 
     def _check_prepared(self) -> None:
-        if self.view.listed and self._reader is not None:
+        if self.view.listed and self.plan:
             self.lifecycle.prepared()
 
     # Timers.
@@ -443,6 +459,7 @@
         self.account_access.log_verification()
         self.view.tick()
         self.notice_handler.tick()
+        self.fallback.report()
 
     def _log_clock_irregularity(self) -> None:
         found = self._timekeeper.check()
--- a/packages/gateway/src/cardamomloft/gateway/noticehandler.py
+++ b/packages/gateway/src/cardamomloft/gateway/noticehandler.py
@@ -4,9 +4,11 @@
 from datetime import timedelta
 
 from cardamomloft.core.clock import Clock
+from cardamomloft.core.connectivity.cutoff import CutOffEntries
 from cardamomloft.core.notices import (
     CrashUnderRequest,
     DatedNotice,
+    LinksDown,
     Notice,
     UpstreamLeaving,
     UpstreamRateLimit,
@@ -37,6 +39,8 @@
     ----------
     publish
         Sends notices to all gateways and applies them here.
+    cut_off : CutOffEntries
+        The gateways that have lost their links to the endpoints.
     """
 
     def __init__(
@@ -51,6 +55,7 @@
         self._rate_limits = rate_limits
         self._metrics = metrics
         self._quarantine = Quarantine()
+        self.cut_off = CutOffEntries()
         self.publish: Callable[[Iterable[Notice]], None] = self._apply_own
 
     def refused_until(self, fingerprint: Callable[[], str]) -> timedelta | None:
@@ -100,14 +105,17 @@
                 self._apply_leaving(UpstreamIncarnation(upstream_id, started_ms))
             case UpstreamRateLimit():
                 self._apply_rate_limit(notice, at)
+            case LinksDown():
+                self._apply_links(notice, at)
 
     def quarantined(self) -> list[str]:
         """Return the fingerprints of the quarantined requests."""
         return self._quarantine.quarantined(self._clock.monotonic())
 
     def tick(self) -> None:
-        """Discard expired crashes and rate limits; call it periodically."""
+        """Discard expired notices; call it periodically."""
         now = self._clock.monotonic()
+        self.cut_off.expire(now)
         self._quarantine.expire(now)
         self._rate_limits.expire(now)
 
@@ -124,6 +132,10 @@
         if self._rate_limits.apply(notice, at, self._clock.monotonic()):
             log("upstream-rate-limit", id=notice.id, per_s=notice.per_s)
 
+    def _apply_links(self, notice: LinksDown, at: timedelta) -> None:
+        if self.cut_off.apply(notice, at):
+            log("entry-links", entry=notice.entry, down=notice.down)
+
     def _apply_leaving(self, incarnation: UpstreamIncarnation) -> None:
         if self._upstream_table.leave(incarnation):
             log("upstream-leaving", id=incarnation.upstream_id, started_ms=incarnation.started_ms)
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
@@ -0,0 +1,335 @@
+"""Sends requests through other gateways while this gateway's links to the endpoints are down."""
+
+import random
+import typing as t
+from collections.abc import Callable
+from datetime import timedelta
+
+from cardamomloft.callers.body import RequestBody
+from cardamomloft.callers.exchange import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    REFUSED,
+    Answer,
+    RequestHead,
+    Source,
+    end_to_end,
+)
+from cardamomloft.core.clock import Clock
+from cardamomloft.core.connectivity.cutoff import CutOffEntries
+from cardamomloft.core.connectivity.helpers import Helpers
+from cardamomloft.core.entrytable import EntryTable
+from cardamomloft.core.model import Endpoint, Refusal, RefusalReason
+from cardamomloft.core.registrations import EntryRecord
+from cardamomloft.gateway.calls import Call, CallerHeaders
+from cardamomloft.gateway.outcomes import MAX_BUFFERED_ANSWER_BYTES
+from cardamomloft.gateway.peerproxy.header import PROXY_HEADER, ProxyHeader
+from cardamomloft.runtime.metrics import Metrics
+from cardamomloft.upstreams.client import (
+    SendFailure,
+    UpstreamAnswer,
+    UpstreamClient,
+    UpstreamRequest,
+)
+from cardamomloft.upstreams.dialect import Dialect
+from expression import Result
+
+MAX_HELPERS = 6
+"""Maximum number of gateways tried for one request. Those that can't help say so at once."""
+
+CONNECT_TIMEOUT = timedelta(milliseconds=300)
+"""Time in which another gateway must accept a connection."""
+
+MAX_IN_FLIGHT = 256
+"""Maximum number of requests at one other gateway, a safeguard; it refuses excess ones itself."""
+
+_MS = timedelta(milliseconds=1)
+
+_HELPER_REASONS = frozenset(
+    {
+        RefusalReason.NOT_READY,
+        RefusalReason.STOPPING,
+        RefusalReason.UNREACHABLE,
+        RefusalReason.BUSY,
+        RefusalReason.NOT_A_PEER,
+        RefusalReason.UNVERIFIED,
+    }
+)
+"""Refusals for a reason that another gateway may not have."""
+
+
+class ProxiedCall(t.NamedTuple):
+    """A request that is to be sent through another gateway.
+
+    `deliveries` endpoints may have got it already, and `may_have_run` tells whether any of them may
+    have run it. `counted` tells whether it was counted for this gateway's retry budget.
+    """
+
+    call: Call
+    head: RequestHead
+    payload: bytes | RequestBody
+    deliveries: int
+    may_have_run: bool
+    counted: bool
+    max_helpers: int = MAX_HELPERS
+
+
+class Hop(t.NamedTuple):
+    """One request to another gateway and its outcome, for the log."""
+
+    peer: str
+    duration: timedelta
+    outcome: str
+    detail: str
+
+    def fields(self) -> dict[str, t.Any]:
+        """Return the values for a log line."""
+        return {
+            "peer": self.peer,
+            "ms": round(self.duration / _MS, 1),
+            "outcome": self.outcome,
+            "detail": self.detail,
+        }
+
+
+class ProxyOutcome(t.NamedTuple):
+    """Outcome of a request that was sent through other gateways.
+
+    Attributes
+    ----------
+    answer
+        The answer for the caller, None without one.
+    refused
+        Whether the request was not run by the gateways that got it.
+    may_have_run
+        Whether any endpoint may have run it, those that this gateway sent it to included.
+    detail
+        Why there is no answer.
+    hops
+        The gateways that were tried.
+    """
+
+    answer: Answer | None
+    refused: bool
+    may_have_run: bool
+    detail: str
+    hops: list[Hop]
+
+
+class PeerProxy:
+    """Sends requests through other gateways.
+
+    Parameters
+    ----------
+    reactor, clock, rng
+        The event loop, and sources of time and randomness.
+    own
+        This gateway's record.
+    entries
+        The recorded gateways.
+    cut_off
+        Those that have lost their links too.
+    headers
+        The names of the callers' request headers.
+    configuration
+        Returns the number of the configuration in force.
+    metrics
+        Counts requests.
+    """
+
+    def __init__(
+        self,
+        reactor: t.Any,
+        clock: Clock,
+        rng: random.Random,
+        own: EntryRecord,
+        entries: EntryTable,
+        cut_off: CutOffEntries,
+        headers: CallerHeaders,
+        configuration: Callable[[], int],
+        metrics: Metrics,
+    ) -> None:
+        self._clock = clock
+        self._own = own
+        self._configuration = configuration
+        self._metrics = metrics
+        self._helpers = Helpers(own, entries, cut_off, rng)
+        dialect = Dialect(
+            request_id=headers.request_id,
+            deadline_ms=headers.deadline_ms,
+            refusal_statuses=frozenset(),
+            reuse_always=True,
+        )
+        self._client = UpstreamClient(
+            reactor, max_in_flight=MAX_IN_FLIGHT, dialect=dialect, connect_timeout=CONNECT_TIMEOUT
+        )
+
+    def may_reach(self, call: Call) -> bool:
+        """Return whether another gateway may reach a service of which this one reaches nothing."""
+        now = self._clock.monotonic()
+        if self._helpers.is_unreachable(call.service, now):
+            return False
+        return self._helpers.choose(call.service, call.rule.homes, (), now) is not None
+
+    async def send(self, req: ProxiedCall) -> ProxyOutcome:
+        """Send a request through another gateway, or through further ones if it can't help."""
+        return await _ProxiedRun(self, req).run()
+
+    async def send_to(self, peer: EntryRecord, req: ProxiedCall) -> "HopOutcome":
+        """Send a request to one gateway, and return its answer."""
+        now, call = self._clock.monotonic(), req.call
+        header = ProxyHeader(
+            peer.proxy_token,
+            self._own.name,
+            req.head.client,
+            call.service,
+            self._configuration(),
+            req.deliveries,
+            req.counted,
+        )
+        headers = tuple(pair for pair in req.head.headers if pair[0] != PROXY_HEADER)
+        upstream_request = UpstreamRequest(
+            endpoint=Endpoint(peer.name, call.service, peer.zone, peer.region, peer.proxy, 0, 0),
+            method=req.head.method,
+            path=call.target,
+            headers=(*headers, (PROXY_HEADER, header.encode())),
+            body=req.payload,
+            timeout=call.deadline - now,
+            request_id=call.id,
+            idempotent=call.rule.idempotent,
+        )
+        self._metrics.count("proxied.sent")
+        self._helpers.record_sent(peer.name)
+        try:
+            return await _read_hop(await self._client.send(upstream_request))
+        finally:
+            self._helpers.record_end(peer.name)
+
+    def choose(self, call: Call, tried: list[str]) -> EntryRecord | None:
+        """Return the gateway to try next, None if there is none."""
+        now = self._clock.monotonic()
+        return self._helpers.choose(call.service, call.rule.homes, tried, now)
+
+    def record_unavailable(self, peer: EntryRecord, reason: str, service: str) -> None:
+        """Record that a gateway could not help."""
+        now = self._clock.monotonic()
+        of_service = service if reason == RefusalReason.UNREACHABLE else ""
+        self._helpers.record_unavailable(peer.name, now, of_service)
+
+    def monotonic(self) -> timedelta:
+        """Return the present instant."""
+        return self._clock.monotonic()
+
+    def close(self) -> None:
+        """Close the idle connections to other gateways."""
+        self._client.close()
+
+
+class HopOutcome(t.NamedTuple):
+    """What another gateway has answered.
+
+    Attributes
+    ----------
+    answer
+        The answer, None without a complete one.
+    not_run
+        Whether the request was not run there.
+    reason
+        The reason of its refusal, empty without one.
+    detail
+        Why there is no answer.
+    lost
+        Whether there was no connection to it, or the connection was lost.
+    """
+
+    answer: Answer | None
+    not_run: bool
+    reason: str = ""
+    detail: str = ""
+    lost: bool = False
+
+    @property
+    def unable(self) -> bool:
+        """Whether another gateway may be able to help where this one isn't."""
+        return self.lost or self.reason in _HELPER_REASONS
+
+
+class _ProxiedRun:
+    """One request on its way through other gateways."""
+
+    def __init__(self, proxy: PeerProxy, req: ProxiedCall) -> None:
+        self._proxy = proxy
+        self._req = req
+        self._tried: list[str] = []
+        self._hops: list[Hop] = []
+
+    async def run(self) -> ProxyOutcome:
+        detail = "no other entry can be asked"
+        while (peer := self._next_peer()) is not None:
+            self._tried.append(peer.name)
+            sent_at = self._proxy.monotonic()
+            hop = await self._proxy.send_to(peer, self._req)
+            self._record(peer, hop, sent_at)
+            if hop.unable:
+                self._proxy.record_unavailable(peer, hop.reason, self._req.call.service)
+            elif hop.answer is not None:
+                return self._outcome(hop.answer, hop.not_run, hop.detail)
+            detail = hop.detail
+            if not hop.not_run:
+                deliveries = self._req.deliveries + 1
+                self._req = self._req._replace(deliveries=deliveries, may_have_run=True)
+        return self._outcome(None, not self._req.may_have_run, detail)
+
+    def _next_peer(self) -> EntryRecord | None:
+        req = self._req
+        if req.may_have_run and not req.call.rule.idempotent:
+            return None
+        if req.deliveries >= req.call.rule.attempts or len(self._tried) >= req.max_helpers:
+            return None
+        if not isinstance(req.payload, bytes) and not req.payload.unconsumed:
+            return None
+        if req.call.deadline <= self._proxy.monotonic():
+            return None
+        return self._proxy.choose(req.call, self._tried)
+
+    def _record(self, peer: EntryRecord, hop: HopOutcome, sent_at: timedelta) -> None:
+        outcome = "refused" if hop.not_run else "failed" if hop.answer is None else "served"
+        duration = self._proxy.monotonic() - sent_at
+        self._hops.append(Hop(peer.name, duration, outcome, hop.detail or hop.reason))
+
+    def _outcome(self, answer: Answer | None, not_run: bool, detail: str) -> ProxyOutcome:
+        may_have_run = self._req.may_have_run or not not_run
+        return ProxyOutcome(answer, not_run, may_have_run, detail, self._hops)
+
+
+async def _read_hop(result: Result[UpstreamAnswer, SendFailure]) -> HopOutcome:
+    match result:
+        case Result(tag="error", error=failure):
+            lost = failure.not_run or failure.cut
+            return HopOutcome(None, failure.not_run, detail=failure.detail, lost=lost)
+        case Result(ok=answer):
+            pass
+    headers = dict(answer.headers)
+    outcome = headers.get(OUTCOME_HEADER.lower())
+    if outcome is None:
+        answer.body.abort()
+        return HopOutcome(None, False, detail="the answer is not that of a gateway")
+    reason = headers.get(REASON_HEADER.lower(), "") if outcome == REFUSED else ""
+    for_caller = tuple(pair for pair in end_to_end(answer.headers) if pair[0] != "content-length")
+    if answer.length is not None:
+        for_caller = (*for_caller, ("content-length", str(answer.length)))
+    if answer.length is not None and answer.length > MAX_BUFFERED_ANSWER_BYTES:
+        whole = Answer(answer.status, for_caller, t.cast(Source, answer.body))
+        return HopOutcome(whole, False)
+    match await answer.body.collect(MAX_BUFFERED_ANSWER_BYTES):
+        case Result(tag="ok", ok=content):
+            whole = Answer(answer.status, for_caller, content)
+            return HopOutcome(whole, outcome == REFUSED, reason, reason)
+        case Result(error=detail):
+            return HopOutcome(None, outcome == REFUSED, reason, detail)
+
+
+def unreachable(outcome: ProxyOutcome) -> Refusal:
+    """Return the refusal of a request that no gateway could send to an endpoint."""
+    detail = f"this entry reaches no endpoint, and others can't help: {outcome.detail}"
+    return Refusal(RefusalReason.UNREACHABLE, detail)
--- a/packages/gateway/src/cardamomloft/gateway/presence.py
+++ b/packages/gateway/src/cardamomloft/gateway/presence.py
@@ -62,6 +62,10 @@
         """Interval at which `refresh` must be called."""
         return self._ttl / RENEWALS_PER_TTL
 
+    def set_proxy(self, address: str, token: str) -> None:
+        """Record where requests of other entries are accepted, and the secret that they state."""
+        self._record = self._record._replace(proxy=address, proxy_token=token)
+
     def refresh(self) -> "Deferred[None]":
         """Record the entry, or renew its lease."""
         return ensureDeferred(self._refresh())
--- a/packages/gateway/src/cardamomloft/gateway/records.py
+++ b/packages/gateway/src/cardamomloft/gateway/records.py
@@ -62,6 +62,14 @@
         }
 
 
+class Logged(t.Protocol):
+    """One attempt to get a request run."""
+
+    def fields(self) -> dict[str, t.Any]:
+        """Return the values for a log line."""
+        ...
+
+
 class RequestLog:
     """Writes log lines about requests.
 
@@ -79,12 +87,14 @@
         self._served_count = 0
 
     def served(
-        self, call: Call, status: int, sends: Sequence[SendRecord], now: timedelta, **fields: t.Any
+        self, call: Call, status: int, sends: Sequence[Logged], now: timedelta, **fields: t.Any
     ) -> None:
-        """Log an answered request if it was slow, retried, a 5xx, or is in the sample."""
+        """Log an answered request if it was slow, retried, a 5xx, proxied, or is in the sample."""
         self._served_count += 1
         slow = now - call.arrived > call.rule.target
-        if slow or len(sends) > 1 or status >= 500 or self._served_count % SAMPLE_INTERVAL == 0:
+        notable = slow or len(sends) > 1 or status >= 500 or fields
+        direct = all(isinstance(one, SendRecord) for one in sends)
+        if notable or not direct or self._served_count % SAMPLE_INTERVAL == 0:
             self.write(call, "served", now, status=status, sends=sends, **fields)
 
     def write(self, call: Call, outcome: str, now: timedelta, **fields: t.Any) -> None:
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -26,6 +26,7 @@
     endpoint_status,
     read_outcome,
 )
+from cardamomloft.gateway.peerproxy.client import MAX_HELPERS, Hop, ProxiedCall, unreachable
 from cardamomloft.gateway.records import SendRecord
 from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer, UpstreamRequest
 from expression import Result
@@ -41,6 +42,28 @@
 connection is opened."""
 
 
+MAX_UNSENT_TIME = timedelta(milliseconds=600)
+"""Time spent on connections that could not be established after which another gateway is asked."""
+
+
+class Origin(t.NamedTuple):
+    """The gateway that has sent a request through this one, and what it did with it before.
+
+    Attributes
+    ----------
+    name
+        Name of the gateway.
+    deliveries
+        Number of endpoints that may have got the request from it.
+    counted
+        Whether it has counted the request for its retry budget.
+    """
+
+    name: str
+    deliveries: int
+    counted: bool
+
+
 class CallerState:
     """Whether the caller has disconnected, after which its request is not sent again."""
 
@@ -58,15 +81,19 @@
         head: RequestHead,
         payload: bytes | RequestBody,
         caller: CallerState,
+        origin: Origin | None = None,
     ) -> None:
         self._forwarder = forwarder
         self._call = call
         self._head = head
         self._payload = payload
         self._caller = caller
-        self._sends: list[SendRecord] = []
+        self._origin = origin
+        self._sends: list[SendRecord | Hop] = []
         self._tried: list[str] = []
-        self._deliveries = 0
+        self._deliveries = 0 if origin is None else origin.deliveries
+        self._counted = origin is not None and origin.counted
+        self._unsent_time = timedelta(0)
         self._may_have_run = False
         self._answer: Served | None = None
         self._connection_lost = False
@@ -78,13 +105,19 @@
 
     async def run(self) -> Answer:
         """Send the request until it is answered or no further attempt is allowed."""
-        self._budget.on_request(self._now())
         self._returning = self._forwarder.queue.is_returning(self._call, self._head.client)
         last: Outcome | None = None
         while True:
+            if self._links_are_down():
+                return await self._send_through_peer(last)
+            self._count_request()
             chosen = await self._choose_or_wait()
             if not isinstance(chosen, Choice):
-                return self._finish(last, chosen)
+                if last is not None and await self._needs_peer(last):
+                    return await self._send_through_peer(last)
+                return self._finish(last, self._refusal_after(last, chosen))
+            if self._links_are_down(chosen.upstream):
+                return await self._send_through_peer(last)
             sent_at = self._now()
             last = await self._send(chosen.upstream, chosen.reason)
             self._record_end(last, self._now() - sent_at)
@@ -93,13 +126,81 @@
             if isinstance(last, Served):
                 self._answer = last
             if self._is_final(last):
+                if await self._needs_peer(last):
+                    return await self._send_through_peer(last)
                 return self._finish(last, None)
 
     def _is_final(self, outcome: Outcome) -> bool:
         if isinstance(outcome, Served) and not outcome.faulty:
             return True
+        if self._unsent_time > MAX_UNSENT_TIME and self._peer_may_reach():
+            return True
         return not self._may_retry(outcome)
 
+    def _count_request(self) -> None:
+        """Count the request for the retry budget, once at all gateways together."""
+        if not self._counted:
+            self._counted = True
+            self._budget.on_request(self._now())
+
+    # Other gateways.
+
+    def _links_are_down(self, upstream: Upstream | None = None) -> bool:
+        """Return whether no endpoint can be reached, or not the one that was chosen."""
+        links = self._forwarder.links
+        if links is None:
+            return False
+        if upstream is None:
+            return not links.may_send_any()
+        return not links.may_send(upstream.registration.address)
+
+    async def _needs_peer(self, outcome: Outcome) -> bool:
+        """Return whether another gateway may reach an endpoint where this one could not."""
+        links = self._forwarder.links
+        unsent = isinstance(outcome, Failed) and outcome.not_run
+        if links is None or not unsent or self._may_have_run:
+            return False
+        await links.verdict()
+        if self._caller.disconnected:
+            return False
+        return links.down or self._peer_may_reach()
+
+    def _peer_may_reach(self) -> bool:
+        """Return whether another gateway may reach the service although this one does not."""
+        proxy = self._forwarder.proxy
+        return proxy is not None and self._origin is None and proxy.may_reach(self._call)
+
+    async def _send_through_peer(self, last: Outcome | None) -> Answer:
+        """Send the request through another gateway, unless it came from one; return the answer."""
+        forwarder = self._forwarder
+        if self._origin is not None or forwarder.proxy is None:
+            detail = "this entry reaches no endpoint"
+            return self._finish(last, Refusal(RefusalReason.UNREACHABLE, detail))
+        # With working links the endpoints have most likely failed, also for the other gateways.
+        links_down = forwarder.links is not None and forwarder.links.down
+        outcome = await forwarder.proxy.send(
+            ProxiedCall(
+                self._call,
+                self._head,
+                self._payload,
+                self._deliveries,
+                self._may_have_run,
+                self._counted,
+                MAX_HELPERS if links_down else 1,
+            )
+        )
+        self._sends.extend(outcome.hops)
+        if self._caller.disconnected:
+            return forwarder.record_caller_left(self._call, self._sends)
+        self._may_have_run = outcome.may_have_run
+        answer = outcome.answer
+        if answer is None or (outcome.refused and self._may_have_run):
+            failure = Failed(not self._may_have_run, outcome.detail, self._is_late())
+            return self._finish(failure, None if self._may_have_run else unreachable(outcome))
+        if outcome.refused:
+            return self._finish_refused_by_peer(answer, outcome.detail)
+        return self._finish_served(answer)
+
     def _now(self) -> timedelta:
         return self._forwarder.clock.monotonic()
 
@@ -271,9 +372,27 @@
                 self._connection_lost = self._connection_lost or outcome.cut
                 self._deliveries -= outcome.not_run
                 self._may_have_run = self._may_have_run or not outcome.not_run
-                self._selector.record_failure(upstream, now)
-                if outcome.cut:
-                    self._forwarder.notice_handler.record_crash(self._fingerprint, upstream)
+                if outcome.not_run:
+                    self._unsent_time += now - sent_at
+                self._record_failure(upstream, cut=outcome.cut)
+
+    def _record_failure(self, upstream: Upstream, *, cut: bool) -> None:
+        """Record a failure of an endpoint, unless this gateway's own links are the cause."""
+        links = self._forwarder.links
+        if links is None or not links.is_suspected():
+            self._record_endpoint_failure(upstream, cut)
+            return
+
+        def record(_: None) -> None:
+            if not links.down:
+                self._record_endpoint_failure(upstream, cut)
+
+        links.verdict().addCallback(record)
+
+    def _record_endpoint_failure(self, upstream: Upstream, cut: bool) -> None:
+        self._selector.record_failure(upstream, self._now())
+        if cut:
+            self._forwarder.notice_handler.record_crash(self._fingerprint, upstream)
 
     def _record_end(self, outcome: Outcome, duration: timedelta) -> None:
         self._rejected_with_room = isinstance(outcome, Refused) and outcome.had_room
@@ -295,20 +414,36 @@
 
     # Final answer.
 
+    def _refusal_after(self, last: Outcome | None, refusal: Refusal) -> Refusal:
+        """Return why the request is refused if no other endpoint has room after the last send."""
+        if isinstance(last, Failed) and last.not_run:
+            return refusal._replace(reason=RefusalReason.UNREACHABLE)
+        return refusal
+
     def _finish(self, last: Outcome | None, refusal: Refusal | None) -> Answer:
         """Return the last answer of an endpoint, if any; else an error or a refusal."""
         if self._answer is not None:
-            return self._finish_served(self._answer)
+            return self._finish_served(self._answer.answer)
         return self._finish_unserved(last, refusal)
 
-    def _finish_served(self, outcome: Served) -> Answer:
+    def _finish_served(self, answer: Answer) -> Answer:
         forwarder, now = self._forwarder, self._now()
         forwarder.retry_after_policy(self._call.service).record(False)
         forwarder.metrics.count("complete")
         forwarder.metrics.observe(self._call.service, now - self._call.arrived)
-        status = outcome.answer.status
-        forwarder.records.served(self._call, status, self._sends, now, **self._cut_request_fields())
-        return outcome.answer
+        forwarder.records.served(self._call, answer.status, self._sends, now, **self._log_fields())
+        return answer
+
+    def _finish_refused_by_peer(self, answer: Answer, detail: str) -> Answer:
+        """Return the refusal of a gateway that reaches endpoints, with its retry-after time."""
+        forwarder, now = self._forwarder, self._now()
+        forwarder.retry_after_policy(self._call.service).record(True)
+        forwarder.metrics.count("proxied.refused-there")
+        forwarder.records.write(
+            self._call, "refused", now, detail=detail, sends=self._sends, **self._log_fields()
+        )
+        forwarder.on_not_run(self._call)
+        return answer
 
     def _finish_unserved(self, last: Outcome | None, refusal: Refusal | None) -> Answer:
         forwarder, now = self._forwarder, self._now()
@@ -318,13 +453,15 @@
         outcome = "refused"
         if self._may_have_run:
             outcome = "late" if isinstance(last, Failed) and last.late else "failed"
-        cut_fields = self._cut_request_fields()
         forwarder.records.write(
-            self._call, outcome, now, detail=detail, sends=self._sends, **cut_fields
+            self._call, outcome, now, detail=detail, sends=self._sends, **self._log_fields()
         )
         if not self._may_have_run:
-            forwarder.on_not_run(self._call)
-            refusal = refusal or Refusal(RefusalReason.SHED, detail)
+            if self._origin is None:
+                forwarder.on_not_run(self._call)
+            unsent = isinstance(last, Failed) and last.not_run
+            reason = RefusalReason.UNREACHABLE if unsent else RefusalReason.SHED
+            refusal = refusal or Refusal(reason, detail)
             wait = forwarder.retry_after_for(self._call, now)
             if refusal.retry_after is None:
                 rejected = self._rejected_with_room and refusal.reason is RefusalReason.SHED
@@ -333,11 +470,12 @@
         forwarder.metrics.count(outcome)
         return deadline_exceeded(detail) if outcome == "late" else failed(detail)
 
-    def _cut_request_fields(self) -> dict[str, str]:
-        """Return log fields that identify a request whose connection was cut."""
-        if not self._connection_lost:
-            return {}
-        return {"fingerprint": self._fingerprint, "caller": self._head.client}
+    def _log_fields(self) -> dict[str, str]:
+        """Return further log fields: the origin, and what identifies a request that was cut."""
+        fields = {} if self._origin is None else {"origin": self._origin.name}
+        if self._connection_lost:
+            fields |= {"fingerprint": self._fingerprint, "caller": self._head.client}
+        return fields
 
     def _get_fingerprint(self) -> str:
         return self._fingerprint
--- a/packages/gateway/src/cardamomloft/gateway/settings.py
+++ b/packages/gateway/src/cardamomloft/gateway/settings.py
@@ -17,6 +17,7 @@
 Label = t.Annotated[str, Limits(min_length=1, max_length=200)]
 DurationText = t.Annotated[str, Limits(pattern=PATTERN)]
 Ratio = t.Annotated[float, Limits(ge=0, le=100)]
+Port = t.Annotated[int, Limits(ge=0, le=65_535)]
 
 
 @strict
@@ -55,6 +56,17 @@
     slack: t.Annotated[float, Limits(ge=0)]
 
 
+@strict
+class ProxySettings(TypedDict):
+    """Where a gateway accepts requests that other gateways can't send to endpoints.
+
+    It listens on the first free port of `ports`, which are the first and the last of a range.
+    """
+
+    ip: t.Annotated[str, Limits(pattern=r"^\d{1,3}(\.\d{1,3}){3}$")]
+    ports: t.Annotated[list[Port], Limits(min_length=2, max_length=2)]
+
+
 @strict
 class GatewaySettings(TypedDict):
     """Settings of one gateway.
@@ -62,7 +74,8 @@
     `zones` gives the region of each zone. `stop_time` is the time between the signal to stop and
     the end of the process by force, `drain_time` the time within which a leaving endpoint gets no
     more requests, and `lookup_life` the time for which callers may cache a look-up. `peers` is the
-    address for other gateways; without it the gateway takes changes from the store only.
+    address for other gateways; without it the gateway takes changes from the store only. Without
+    `proxy` it serves no requests of other gateways, though they may serve its own.
     `record_life` is how long the record of a failed entry stays in the store; stores have a minimum
     for it. Within `revocation_time` after a key was withdrawn, no gateway accepts it, even without
     contact to the store; if it is missing, such a gateway accepts the keys that it knows. Without
@@ -79,6 +92,7 @@
     lookups: Address
     operators: Address
     peers: NotRequired[Address]
+    proxy: NotRequired[ProxySettings]
     store: Address
     stop_time: DurationText
     drain_time: DurationText
@@ -124,6 +138,7 @@
     "lookups",
     "operators",
     "peers",
+    "proxy",
     "store",
 )
 """Settings that take effect only after a restart: the identity of the process, and its
--- a/packages/gateway/src/cardamomloft/gateway/status.py
+++ b/packages/gateway/src/cardamomloft/gateway/status.py
@@ -79,6 +79,7 @@
             "store_silence_ms": gateway.follower.time_since_answer // timedelta(milliseconds=1),
             **gateway.feed.status(),
             "in_flight": gateway.app.in_flight,
+            **gateway.fallback.status(),
             "entries": sorted(row.name for row in gateway.entries.records(with_own=True)),
             "drained_zones": sorted(gateway.upstream_table.drained_zones),
             "upstreams": len(gateway.upstream_table),
@@ -116,12 +117,12 @@
 
         With a `key` in `query`, the account that it belongs to is returned too.
         """
-        rule = self._gateway.match(str(query.get("host", "")), str(query.get("path", "/")))
+        rule = self._gateway.plan.match(str(query.get("host", "")), str(query.get("path", "/")))
         if isinstance(rule, Refusal):
             return {"refused": str(rule.reason), "detail": rule.detail}
         account = {}
         if "key" in query:
-            found = self._gateway.find_account(str(query["key"]))
+            found = self._gateway.plan.find_account(str(query["key"]))
             account = {"account": None if found is None else found.name}
         services = {share.service: share.weight for share in rule.services}
         return {
--- a/packages/gateway/tests/test_authentication.py
+++ b/packages/gateway/tests/test_authentication.py
@@ -209,7 +209,7 @@
 
 
 def test_call_has_the_priority_of_the_account():
-    reader = Harness().gateway._reader
+    reader = Harness().gateway.plan.reader
     pairs = (("host", "a.example"), ("x-request-id", "id-1"), bearer("key-h"))
     call = reader.read(RequestHead("GET", "/menus/1", "", pairs, "", 0, False), kit.MS)
     assert isinstance(call, Call)
--- /dev/null
+++ b/packages/gateway/tests/test_link_monitor.py
@@ -0,0 +1,169 @@
+"""The monitor of a gateway's links, with exchanges and probes set by the test."""
+
+from cardamomloft.core.connectivity.reachability import (
+    PROBE_INTERVAL,
+    PROBE_TIMEOUT,
+    ProbeTarget,
+)
+from cardamomloft.gateway.linkmonitor import LinkMonitor
+from cardamomloft.runtime.metrics import Metrics
+from cardamomloft_standins import gateway as kit
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import Clock
+
+MS = kit.MS
+ADDRESSES = [f"10.0.0.{number}:80" for number in range(1, 5)]
+
+
+class Client:
+    """Counts what the monitor aborts."""
+
+    def __init__(self) -> None:
+        self.idle = set()
+        self.aborted = []
+
+    def has_idle(self, address):
+        return address in self.idle
+
+    def abort_unanswered(self, detail, *, connected):
+        self.aborted.append(connected)
+        return 1
+
+
+class Run:
+    """A monitor whose probes have the outcome `reachable`; None leaves them pending."""
+
+    def __init__(self) -> None:
+        self.time = kit.Time(Clock())
+        self.client = Client()
+        self.reachable = True
+        self.probed = []
+        self.pending = []
+        self.changes = []
+        targets = [ProbeTarget(address, "abab"[at]) for at, address in enumerate(ADDRESSES)]
+        self.monitor = LinkMonitor(
+            self.time.reactor,
+            self.time.clock,
+            kit.rng(),
+            self.client,
+            lambda: targets,
+            lambda: self.changes.append(self.monitor.down),
+            Metrics(),
+            self.probe,
+        )
+
+    def probe(self, reactor, address, timeout):
+        self.probed.append(address)
+        if self.reachable is None:
+            self.pending.append(Deferred())
+            return self.pending[-1]
+        return succeed(self.reachable)
+
+    def fail(self, *addresses) -> None:
+        for address in addresses:
+            self.monitor.failed(address)
+
+    def lose_links(self) -> None:
+        self.reachable = False
+        self.fail(*ADDRESSES[:2])
+        self.time.advance(100 * MS)
+        assert self.monitor.down
+
+
+def test_silent_exchanges_take_the_links_down_and_are_freed():
+    run = Run()
+    run.reachable = False
+    for address in ADDRESSES:
+        run.monitor.sent(address)
+    run.time.advance(1000 * MS)
+    assert run.changes == [True]
+    assert run.client.aborted[0]
+    assert not run.monitor.may_send(ADDRESSES[0])
+
+
+def test_slow_endpoints_that_accept_connections_do_not_take_the_links_down():
+    run = Run()
+    for address in ADDRESSES:
+        run.monitor.sent(address)
+    run.time.advance(10_000 * MS)
+    assert run.probed
+    assert not run.changes
+    assert not run.client.aborted
+
+
+def test_links_come_back_by_themselves():
+    run = Run()
+    run.lose_links()
+    run.time.advance(5000 * MS)
+    run.reachable = True
+    run.time.advance(PROBE_INTERVAL + 20 * MS)
+    assert run.changes == [True, False]
+    assert run.monitor.may_send(ADDRESSES[0])
+    count = len(run.probed)
+    run.time.advance(5000 * MS)
+    assert len(run.probed) == count
+
+
+def test_verdict_on_failures_is_known_after_one_probe():
+    run = Run()
+    run.reachable = False
+    run.fail(ADDRESSES[0])
+    results = []
+    run.monitor.verdict().addCallback(lambda _: results.append(run.monitor.down))
+    assert results == [True]
+    run.monitor.verdict().addCallback(lambda _: results.append(run.monitor.down))
+    assert results == [True, True]
+
+
+def test_failures_of_a_dead_endpoint_cause_few_probes():
+    run = Run()
+    for _ in range(100):
+        run.fail(ADDRESSES[0])
+        run.monitor.verdict()
+        run.time.advance(10 * MS)
+    assert len(run.probed) <= 4 * (1000 * MS // PROBE_INTERVAL + 1)
+    assert not run.changes
+
+
+def test_process_that_was_suspended_reads_its_sockets_before_it_probes():
+    run = Run()
+    run.reachable = False
+    run.monitor.sent(ADDRESSES[0])
+    run.time.clock.advance(3000 * MS)
+    run.time.reactor.advance(3.0)
+    assert not run.probed
+    run.monitor.answered(ADDRESSES[0])
+    run.monitor.ended(ADDRESSES[0])
+    run.time.advance(1000 * MS)
+    assert not run.probed
+
+
+def test_open_connections_are_used_while_only_new_ones_are_refused():
+    run = Run()
+    run.lose_links()
+    run.client.idle.add(ADDRESSES[0])
+    assert not run.monitor.may_send(ADDRESSES[0])
+    run.monitor.sent(ADDRESSES[0])
+    run.monitor.answered(ADDRESSES[0])
+    run.monitor.ended(ADDRESSES[0])
+    assert run.monitor.may_send(ADDRESSES[0])
+    assert not run.monitor.may_send(ADDRESSES[1])
+    run.time.advance(250 * MS)
+    assert run.client.aborted[-1] is False
+
+
+def test_stopped_monitor_probes_no_more_and_keeps_nobody_waiting():
+    run = Run()
+    run.reachable = None
+    run.fail(*ADDRESSES[:2])
+    released = []
+    run.monitor.verdict().addCallback(released.append)
+    assert not released
+    run.monitor.stop()
+    assert released
+    count = len(run.probed)
+    for pending in run.pending:
+        pending.callback(False)
+    run.time.advance(PROBE_TIMEOUT * 5)
+    assert len(run.probed) == count
+    assert not run.changes
--- /dev/null
+++ b/packages/gateway/tests/test_peer_proxy.py
@@ -0,0 +1,301 @@
+"""Requests that a gateway sends through another one: what both state, and who may run them."""
+
+from datetime import timedelta
+
+import pytest
+from cardamomloft.callers.body import RequestBody
+from cardamomloft.callers.exchange import RequestHead
+from cardamomloft.core.connectivity.cutoff import CutOffEntries
+from cardamomloft.core.entrytable import EntryTable
+from cardamomloft.core.model import Refusal
+from cardamomloft.core.registrations import EntryRecord
+from cardamomloft.core.routes import RoutePlan
+from cardamomloft.gateway.calls import RequestReader
+from cardamomloft.gateway.peerproxy.client import PeerProxy, ProxiedCall
+from cardamomloft.gateway.peerproxy.header import (
+    PROXY_HEADER,
+    ProxyHeader,
+    read_proxy_header,
+    without_proxy_header,
+)
+from cardamomloft.runtime.metrics import Metrics
+from cardamomloft.upstreams.client import SendFailure
+from cardamomloft_standins import gateway as kit
+from cardamomloft_standins.gatewayharness import GatewayHarness
+from expression import Error, Ok
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import Clock
+
+MS = kit.MS
+OWN = EntryRecord("e-0", "10.0.0.10:80", "a", "east")
+NOT_CONNECTED = Error(SendFailure(True, "refused"))
+LOST = Error(SendFailure(False, "lost", cut=True))
+LATE = Error(SendFailure(False, "deadline passed"))
+SERVED = kit.answer(200, b"menu", cardamomloft_outcome="complete", x_stamp="1")
+HOMES = frozenset({"west"})
+
+
+def refused(reason: str, status: int = 503):
+    headers = {"cardamomloft_outcome": "refused", "cardamomloft_reason": reason}
+    return kit.answer(status, b"{}", retry_after="0.7", **headers)
+
+
+def head(path="/menus/7", *headers) -> RequestHead:
+    pairs = (("host", "a.example"), ("x-request-id", "id-1"), ("x-object", "17"), *headers)
+    return RequestHead("GET", path, "", pairs, "10.0.0.9", 0, False)
+
+
+class Run:
+    """A gateway without links, and the answers of the others in order."""
+
+    def __init__(self, *outcomes, rules=(kit.RULE, kit.ORDERS), helpers=4) -> None:
+        self.clock = kit.Time(Clock()).clock
+        self.entries = EntryTable(OWN, timedelta(seconds=1))
+        for number in range(1, helpers + 1):
+            region = "west" if number == helpers else "east"
+            address = f"10.0.0.{number}"
+            record = EntryRecord(f"e-{number}", f"{address}:80", "b", region)
+            proxied = record._replace(proxy=f"{address}:81", proxy_token=f"secret-{number}")
+            self.entries.add(proxied, 0 * MS)
+        self.proxy = PeerProxy(
+            Clock(),
+            self.clock,
+            kit.rng(),
+            OWN,
+            self.entries,
+            CutOffEntries(),
+            kit.HEADERS,
+            lambda: 3,
+            Metrics(),
+        )
+        self.client = self.proxy._client = kit.FakeClient(*outcomes)
+        self.reader = RequestReader(kit.plan(3, rules), kit.HEADERS, kit.rng())
+
+    def send(self, path="/menus/7", **state):
+        request_head = head(path, (PROXY_HEADER, "of the caller"))
+        call = self.reader.read(request_head, self.clock.monotonic())
+        values = {"deliveries": 0, "may_have_run": False, "counted": True, **state}
+        results = []
+        req = ProxiedCall(call, request_head, b"body", **values)
+        ensureDeferred(self.proxy.send(req)).addCallback(results.append)
+        return results[0]
+
+    def peers(self) -> list[str]:
+        return [req.endpoint.name for req in self.client.sent]
+
+    def header(self, at: int = 0) -> ProxyHeader:
+        values = [value for name, value in self.client.sent[at].headers if name == PROXY_HEADER]
+        assert len(values) == 1
+        return read_proxy_header(head("/", (PROXY_HEADER, values[0])))
+
+
+def test_answer_of_another_gateway_is_returned_whole():
+    run = Run(SERVED)
+    outcome = run.send()
+    assert (outcome.answer.status, outcome.answer.body) == (200, b"menu")
+    assert ("x-stamp", "1") in outcome.answer.headers
+    sent = run.client.sent[0]
+    assert (sent.path, sent.body, sent.request_id) == ("/menus/7", b"body", "id-1")
+    assert sent.timeout == kit.RULE.timeout
+
+
+def test_request_states_the_secret_of_the_gateway_that_gets_it_and_what_was_done_before():
+    run = Run(SERVED)
+    run.send(deliveries=1, may_have_run=True, counted=True)
+    number = run.peers()[0].removeprefix("e-")
+    expected = ProxyHeader(f"secret-{number}", "e-0", "10.0.0.9", "menus", 3, 1, True)
+    assert run.header() == expected
+
+
+@pytest.mark.parametrize("reason", ["entry-not-ready", "entry-is-stopping", "not-a-peer"])
+def test_gateway_that_cannot_help_is_replaced_by_another_and_left_alone(reason):
+    run = Run(refused(reason), SERVED)
+    assert run.send("/orders/1").answer.status == 200
+    first, second = run.peers()
+    assert first != second
+    run.send()
+    assert first not in run.peers()[2:]
+
+
+def test_refusal_for_lack_of_capacity_is_passed_on_with_its_retry_after():
+    run = Run(refused("overloaded"))
+    outcome = run.send("/orders/1")
+    assert outcome.refused
+    assert not outcome.may_have_run
+    assert ("retry-after", "0.7") in outcome.answer.headers
+    assert len(run.peers()) == 1
+
+
+def test_request_that_must_not_run_twice_is_not_repeated_after_a_lost_connection():
+    run = Run(LOST, SERVED)
+    outcome = run.send("/orders/1")
+    assert outcome.answer is None
+    assert outcome.may_have_run
+    assert len(run.peers()) == 1
+
+
+def test_request_that_may_run_twice_is_repeated_within_its_attempts():
+    run = Run(LOST, SERVED)
+    assert run.send().answer.status == 200
+    assert run.header(1).deliveries == 1
+    run = Run(LOST, LOST, SERVED)
+    assert run.send().may_have_run
+    assert len(run.peers()) == kit.RULE.attempts
+
+
+def test_request_that_no_gateway_got_was_not_run():
+    run = Run(NOT_CONNECTED)
+    outcome = run.send("/orders/1")
+    assert outcome.answer is None
+    assert not outcome.may_have_run
+    assert len(set(run.peers())) == 4
+
+
+def test_request_that_may_have_run_before_is_not_refused_as_not_run():
+    outcome = Run(NOT_CONNECTED).send(deliveries=1, may_have_run=True)
+    assert outcome.may_have_run
+
+
+def test_slow_endpoint_is_not_held_against_the_gateway_that_asked_it():
+    run = Run(LATE, SERVED, helpers=1)
+    run.send("/orders/1")
+    assert run.send("/orders/2").answer.status == 200
+
+
+def test_answer_that_no_gateway_made_is_not_passed_on():
+    outcome = Run(kit.answer(200, b"other")).send("/orders/1")
+    assert outcome.answer is None
+    assert outcome.may_have_run
+
+
+def test_truncated_answer_is_not_passed_on():
+    outcome = Run(kit.answer(200, "cut short", cardamomloft_outcome="complete")).send("/orders/1")
+    assert outcome.answer is None
+    assert outcome.may_have_run
+
+
+def test_body_of_a_request_with_homes_is_sent_only_there():
+    rules = (kit.RULE._replace(homes=HOMES), kit.ORDERS._replace(homes=frozenset({"south"})))
+    run = Run(SERVED, rules=rules)
+    assert run.send().answer.status == 200
+    assert run.peers() == ["e-4"]
+    assert run.send("/orders/1").answer is None
+    assert run.peers() == ["e-4"]
+
+
+# The gateway that is asked.
+
+
+class Asked:
+    """A gateway that gets requests of others."""
+
+    def __init__(self, plan: RoutePlan | None = None) -> None:
+        listing = kit.listing(kit.registration(1))
+        self.run = GatewayHarness(kit.FakeControl(Ok(listing)))
+        if plan is not None:
+            self.run.gateway.plan.replace(plan)
+        self.listener = self.run.gateway.fallback.listener
+
+    def ask(self, path="/menus/7", *, result=None, **changes):
+        token = self.listener._token
+        header = ProxyHeader(token, "e-0", "10.0.0.9", "menus", 1, 0, False)
+        header = header._replace(**changes)
+        request_head = head(path, (PROXY_HEADER, header.encode()))
+        self.left: Deferred[None] = Deferred()
+        results = []
+        answered = self.listener.handle(request_head, RequestBody(0, self), self.left)
+        answered.addBoth(results.append)
+        return results[0] if results else None
+
+    @property
+    def sent(self):
+        return self.run.client.sent
+
+
+def reason_of(answer) -> str:
+    return dict(answer.headers).get("Cardamomloft-Reason", "")
+
+
+def test_endpoint_gets_the_request_of_another_gateway_without_its_header():
+    asked = Asked()
+    assert asked.ask().status == 200
+    assert PROXY_HEADER not in dict(asked.sent[0].headers)
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        ({"token": "wrong"}, "not-a-peer"),
+        ({"token": ""}, "not-a-peer"),
+        ({"configuration": 2}, "entry-not-ready"),
+    ],
+)
+def test_request_is_refused_and_nothing_sent(changes, reason):
+    asked = Asked()
+    assert reason_of(asked.ask(**changes)) == reason
+    assert not asked.sent
+
+
+def test_header_that_is_missing_malformed_or_repeated_is_refused():
+    for pairs in ([], [(PROXY_HEADER, "nonsense")], [(PROXY_HEADER, "token=a")] * 2):
+        assert isinstance(read_proxy_header(head("/", *pairs)), Refusal)
+    stripped = without_proxy_header(head("/", (PROXY_HEADER, "x"), ("x-other", "y")))
+    assert dict(stripped.headers)["x-other"] == "y"
+    assert PROXY_HEADER not in dict(stripped.headers)
+
+
+def test_request_is_refused_outside_of_its_home_regions():
+    asked = Asked(kit.plan(2, [kit.RULE._replace(homes=HOMES)]))
+    assert reason_of(asked.ask(configuration=2)) == "entry-not-ready"
+    assert not asked.sent
+
+
+def test_gateway_without_links_of_its_own_refuses_and_asks_no_third_one():
+    asked = Asked()
+    record = EntryRecord("e-9", "10.0.0.9:80", "a", "east", "", "10.0.0.9:81", "secret")
+    asked.run.gateway.entries.add(record, 0 * MS)
+    asked.run.client.outcomes[0] = NOT_CONNECTED
+    answer = asked.ask("/orders/1")
+    assert reason_of(answer) == "upstream-unreachable"
+    assert len(asked.sent) == 1
+    assert not asked.run.gateway.metrics.counters["proxied.sent"]
+
+
+def test_stopping_gateway_serves_until_it_closes():
+    asked = Asked()
+    asked.run.gateway.stop()
+    asked.run.time.advance(20 * MS)
+    assert asked.ask().status == 200
+    asked.run.time.advance(4000 * MS)
+    assert reason_of(asked.ask()) == "entry-is-stopping"
+
+
+def test_request_counts_once_for_the_retry_budget_and_a_repeat_is_charged():
+    asked = Asked()
+    budget = asked.run.gateway._budget_for("menus")
+    asked.ask()
+    assert len(budget._requests) == 1
+    asked.ask(counted=True)
+    assert len(budget._requests) == 1
+    assert not budget._retries
+    asked.run.time.advance(10_000 * MS)
+    asked.ask(deliveries=1, counted=True)
+    assert len(budget._retries) == 1
+
+
+def test_endpoint_is_released_when_the_asking_gateway_leaves():
+    asked = Asked()
+    asked.run.client.outcomes[0] = None
+    assert asked.ask() is None
+    asked.left.callback(None)
+    assert asked.run.client.cancelled == 1
+
+
+def test_cut_off_gateway_is_not_asked_and_not_named():
+    asked = Asked()
+    gateway = asked.run.gateway
+    gateway.fallback.links._reachability.end_probe(0 * MS, connected=False)
+    gateway.fallback.report()
+    assert gateway.notice_handler.cut_off.names() == {"e-1"}
+    assert reason_of(asked.ask()) == "upstream-unreachable"
+    assert not asked.sent
--- a/standins/src/cardamomloft_standins/gateway.py
+++ b/standins/src/cardamomloft_standins/gateway.py
@@ -122,6 +122,14 @@
         """Record that the idle connections to an address are to be closed."""
         self.forgotten_addresses.append(address)
 
+    def has_idle(self, address):
+        """Return that there is no idle connection."""
+        return False
+
+    def abort_unanswered(self, detail, *, connected):
+        """Abort nothing."""
+        return 0
+
     def send(self, req):
         """Record the request and return the next outcome."""
         self.sent.append(req)
--- a/standins/src/cardamomloft_standins/processes.py
+++ b/standins/src/cardamomloft_standins/processes.py
@@ -83,6 +83,7 @@
             "region": "east",
             "zones": {"a": "east", "b": "east"},
             **{key: f"127.0.0.1:{port}" for key, port in zip(_ADDRESS_KEYS, ports, strict=True)},
+            "proxy": {"ip": "127.0.0.1", "ports": [0, 0]},
             "store": store_address,
             "stop_time": "6s",
             "drain_time": "2500ms",
