--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/endpointfeedback.py
@@ -0,0 +1,116 @@
+"""What a gateway learns about endpoints from the requests that it sends."""
+
+import typing as t
+from collections.abc import Callable
+from datetime import timedelta
+
+from cardamomloft.core.cachestate import CacheState
+from cardamomloft.core.selection import Reason
+from cardamomloft.core.upstreamtable import LoadReport, Upstream
+from cardamomloft.gateway.calls import Call
+from cardamomloft.gateway.outcomes import EndpointStatus, Outcome, Served, endpoint_status
+from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer
+from expression import Result
+
+if t.TYPE_CHECKING:
+    from cardamomloft.gateway.forwarding import Forwarder
+
+
+class EndpointFeedback:
+    """Records what the sends of one request tell about endpoints.
+
+    Parameters
+    ----------
+    forwarder
+        Has the components that use it.
+    call
+        The request.
+    """
+
+    def __init__(self, forwarder: "Forwarder", call: Call) -> None:
+        self._forwarder = forwarder
+        self._call = call
+        self._selector = forwarder.selector
+        self._dialect = forwarder.client.dialect
+
+    def _now(self) -> timedelta:
+        return self._forwarder.clock.monotonic()
+
+    def record_sent(self, upstream: Upstream, reason: Reason) -> CacheState:
+        """Record that the request is sent; return whether the endpoint has its key cached."""
+        forwarder, call = self._forwarder, self._call
+        cache_state = CacheState.NONE
+        if call.rule.keyed:
+            cache_state = forwarder.selector.cache_states.state_of(upstream, call.key)
+            forwarder.selector.cache_states.record_sent(upstream, call.key)
+        forwarder.metrics.count(f"sends.{reason}.{call.service}")
+        forwarder.metrics.count(f"touch.{cache_state}.{call.service}")
+        return cache_state
+
+    def record_cache_outcome(
+        self, upstream: Upstream, cache_state: CacheState, outcome: Outcome, duration: timedelta
+    ) -> None:
+        """Record whether the endpoint has the key cached now."""
+        forwarder, call = self._forwarder, self._call
+        if isinstance(outcome, Served):
+            forwarder.metrics.observe(f"{call.service}.{cache_state}", duration)
+        if cache_state is CacheState.NONE:
+            return
+        cache_states = forwarder.selector.cache_states
+        if not isinstance(outcome, Served):
+            cache_states.record_failure(upstream, call.key)
+            return
+        is_new = cache_states.state_of(upstream, call.key) is not CacheState.HIT
+        cache_states.record_answer(upstream, call.key)
+        if is_new and not outcome.faulty:
+            forwarder.selector.shared_loads.record_cached(upstream, call.key)
+
+    def apply_status(
+        self, upstream: Upstream, result: Result[UpstreamAnswer, SendFailure], sent_at: timedelta
+    ) -> EndpointStatus:
+        """Apply what an endpoint reports about itself, before the body of its answer is read."""
+        if result.is_error():
+            return EndpointStatus()
+        status = endpoint_status(result.ok, self._dialect)
+        notice_handler = self._forwarder.notice_handler
+        if status.leaving:
+            notice_handler.record_leaving(upstream)
+        if result.ok.status != self._dialect.misdirected:
+            notice_handler.record_rate_limit(upstream, status.rate_limit, sent_at)
+        if status.pause is not None:
+            upstream.paused_until = max(upstream.paused_until, self._now() + status.pause)
+        if status.load is not None:
+            # This request still counts as in flight here, but no longer at the endpoint.
+            own = max(0, upstream.in_flight - 1)
+            load = status.load
+            report = LoadReport(
+                load.running, load.waiting, load.slots, own, self._now(), load.work_percent
+            )
+            self._selector.record_report(upstream, report)
+            if not status.elsewhere:
+                self._selector.shared_loads.record_statement(
+                    upstream, report, states_work=status.states_work
+                )
+        return status
+
+    def record_failure(
+        self, upstream: Upstream, fingerprint: Callable[[], str], *, cut: bool
+    ) -> None:
+        """Record a failure of an endpoint, unless this gateway's own links are the cause."""
+        links = self._forwarder.links
+        if links is None or not links.is_suspected():
+            self._record_endpoint_failure(upstream, fingerprint, cut)
+            return
+
+        def record(_: None) -> None:
+            if not links.down:
+                self._record_endpoint_failure(upstream, fingerprint, cut)
+
+        links.verdict().addCallback(record)
+
+    def _record_endpoint_failure(
+        self, upstream: Upstream, fingerprint: Callable[[], str], cut: bool
+    ) -> None:
+        self._selector.record_failure(upstream, self._now())
+        if cut:
+            self._forwarder.notice_handler.record_crash(fingerprint(), upstream)
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -2,13 +2,12 @@
 
 import random
 import typing as t
-from collections import Counter
 from datetime import timedelta
 
 from cardamomloft.callers.app import CallersApp, listen
 from cardamomloft.callers.body import RequestBody
 from cardamomloft.callers.exchange import Answer, RequestHead
-from cardamomloft.core.budgets import ColdLimit, RetryBudget
+from cardamomloft.core.budgets import ColdLimit
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.entrytable import EntryTable
 from cardamomloft.core.model import Refusal, RefusalReason
@@ -33,6 +32,7 @@
 from cardamomloft.gateway.peerproxy.listener import HEADER_BYTES, RequestAccess
 from cardamomloft.gateway.presence import Presence
 from cardamomloft.gateway.records import RequestLog
+from cardamomloft.gateway.retrybudgets import RetryBudgets
 from cardamomloft.gateway.settings import (
     PRESSURE_FEATURE,
     QUEUE_FEATURE,
@@ -138,7 +138,6 @@
         self._port: IListeningPort | None = None
         self.pages: IListeningPort | None = None
         self._hard_stop: IDelayedCall | None = None
-        self._logged_counters: Counter[str] = Counter()
         self._timekeeper = ClockMonitor(clock, _TICK)
         self._build()
 
@@ -159,7 +158,7 @@
             Preferences(),
             self._rng,
         )
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budgets = RetryBudgets(cfg["retries"])
         self.records = RequestLog(lambda: self.configuration)
         self.notice_handler = NoticeHandler(
             clock, self.upstream_table, self.selector.rate_limits, self.metrics
@@ -172,7 +171,7 @@
             self.selector,
             self.upstream_table,
             self._client,
-            self._budget_for,
+            self._budgets.of_service,
             self.metrics,
             self.records,
             self.notice_handler,
@@ -247,16 +246,6 @@
             self.view.store_recovered,
         )
 
-    def _budget_for(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = RetryBudget(*self._retry_budget_settings())
-        return budget
-
-    def _retry_budget_settings(self) -> tuple[float, float, timedelta]:
-        cfg = self._cfg["retries"]
-        return cfg["ratio"], cfg["slack"], self._bounds.retry_window
-
     def _set_features(self) -> None:
         features = self._cfg.get("features", ())
         self.selector.shared_loads.set_all_services(
@@ -279,8 +268,7 @@
         self._bounds = parse_bounds(self._cfg)
         self._set_features()
         self.selector.cold_limit = _cold_limit(self._cfg)
-        for budget in self._budgets.values():
-            budget.set_limits(*self._retry_budget_settings())
+        self._budgets.set_limits(self._cfg["retries"])
         self.entries.count_window = _count_window(self._bounds)
         self.account_access.set_revocation_time(self._bounds.revocation_time)
         if "quotas" in self._cfg:
@@ -469,10 +457,7 @@
 
     def _log_counters(self) -> None:
         """Log the growth of the counters, since the metrics page is lost if the process crashes."""
-        counted = Counter(self.metrics.counters)
-        counted.subtract(self._logged_counters)
-        self._logged_counters = Counter(self.metrics.counters)
-        grown = {name: value for name, value in sorted(counted.items()) if value}
+        grown = self.metrics.take_growth()
         if grown:
             log("figures", **grown)
         if self.feed.usage is not None:
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -10,20 +10,18 @@
 
 from cardamomloft.callers.body import RequestBody
 from cardamomloft.callers.exchange import Answer, RequestHead, deadline_exceeded, failed
-from cardamomloft.core.cachestate import CacheState
 from cardamomloft.core.fingerprints import fingerprint
 from cardamomloft.core.model import Endpoint, Refusal, RefusalReason
 from cardamomloft.core.retries import may_retry
 from cardamomloft.core.selection import Choice, Reason
-from cardamomloft.core.upstreamtable import LoadReport, Upstream
+from cardamomloft.core.upstreamtable import Upstream
 from cardamomloft.gateway.calls import Call
+from cardamomloft.gateway.endpointfeedback import EndpointFeedback
 from cardamomloft.gateway.outcomes import (
-    EndpointStatus,
     Failed,
     Outcome,
     Refused,
     Served,
-    endpoint_status,
     read_outcome,
 )
 from cardamomloft.gateway.peerproxy.client import MAX_HELPERS, Hop, ProxiedCall, unreachable
@@ -102,6 +100,7 @@
         self._budget = forwarder.budget_for(call.service)
         self._selector = forwarder.selector
         self._dialect = forwarder.client.dialect
+        self._feedback = EndpointFeedback(forwarder, call)
 
     async def run(self) -> Answer:
         """Send the request until it is answered or no further attempt is allowed."""
@@ -231,7 +230,7 @@
 
     async def _send(self, upstream: Upstream, reason: Reason) -> Outcome:
         selector, now = self._selector, self._now()
-        cache_state = self._record_cache_access(upstream, reason)
+        cache_state = self._feedback.record_sent(upstream, reason)
         self._tried.append(upstream.id)
         if self._deliveries:
             self._budget.spend(now)
@@ -243,7 +242,7 @@
         selector.record_sent(upstream, now)
         try:
             result = await self._answer_head(upstream, now)
-            status = self._apply_status(upstream, result, now)
+            status = self._feedback.apply_status(upstream, result, now)
             outcome = await read_outcome(result, status, self._dialect, self._is_late)
         finally:
             selector.record_end(upstream)
@@ -251,7 +250,7 @@
         duration = self._now() - now
         if isinstance(outcome, Served) and not outcome.faulty:
             selector.record_work(upstream, duration, load, cache_state, self._call.rule.target)
-        self._record_cache_outcome(upstream, cache_state, outcome, duration)
+        self._feedback.record_cache_outcome(upstream, cache_state, outcome, duration)
         slots = upstream.registration.slots
         send_record = SendRecord(
             upstream.id, reason, cache_state, load, slots, report_age, duration, outcome, status
@@ -268,33 +267,6 @@
         finally:
             self._selector.shared_loads.record_end(upstream, now, self._now())
 
-    def _record_cache_access(self, upstream: Upstream, reason: Reason) -> CacheState:
-        forwarder, call = self._forwarder, self._call
-        cache_state = CacheState.NONE
-        if call.rule.keyed:
-            cache_state = forwarder.selector.cache_states.state_of(upstream, call.key)
-            forwarder.selector.cache_states.record_sent(upstream, call.key)
-        forwarder.metrics.count(f"sends.{reason}.{call.service}")
-        forwarder.metrics.count(f"touch.{cache_state}.{call.service}")
-        return cache_state
-
-    def _record_cache_outcome(
-        self, upstream: Upstream, cache_state: CacheState, outcome: Outcome, duration: timedelta
-    ) -> None:
-        forwarder, call = self._forwarder, self._call
-        if isinstance(outcome, Served):
-            forwarder.metrics.observe(f"{call.service}.{cache_state}", duration)
-        if cache_state is CacheState.NONE:
-            return
-        cache_states = forwarder.selector.cache_states
-        if not isinstance(outcome, Served):
-            cache_states.record_failure(upstream, call.key)
-            return
-        is_new = cache_states.state_of(upstream, call.key) is not CacheState.HIT
-        cache_states.record_answer(upstream, call.key)
-        if is_new and not outcome.faulty:
-            forwarder.selector.shared_loads.record_cached(upstream, call.key)
-
     def _request_for(self, upstream: Upstream, now: timedelta) -> UpstreamRequest:
         call, row = self._call, upstream.registration
         endpoint = Endpoint(
@@ -317,34 +289,6 @@
 
     # Recording of outcomes.
 
-    def _apply_status(
-        self, upstream: Upstream, result: Result[UpstreamAnswer, SendFailure], sent_at: timedelta
-    ) -> EndpointStatus:
-        """Apply what an endpoint reports about itself, before the body of its answer is read."""
-        if result.is_error():
-            return EndpointStatus()
-        status = endpoint_status(result.ok, self._dialect)
-        notice_handler = self._forwarder.notice_handler
-        if status.leaving:
-            notice_handler.record_leaving(upstream)
-        if result.ok.status != self._dialect.misdirected:
-            notice_handler.record_rate_limit(upstream, status.rate_limit, sent_at)
-        if status.pause is not None:
-            upstream.paused_until = max(upstream.paused_until, self._now() + status.pause)
-        if status.load is not None:
-            # This request still counts as in flight here, but no longer at the endpoint.
-            own = max(0, upstream.in_flight - 1)
-            load = status.load
-            report = LoadReport(
-                load.running, load.waiting, load.slots, own, self._now(), load.work_percent
-            )
-            self._selector.record_report(upstream, report)
-            if not status.elsewhere:
-                self._selector.shared_loads.record_statement(
-                    upstream, report, states_work=status.states_work
-                )
-        return status
-
     def _record_outcome(
         self, upstream: Upstream, outcome: Outcome, sent_at: timedelta, load: float
     ) -> None:
@@ -374,25 +318,7 @@
                 self._may_have_run = self._may_have_run or not outcome.not_run
                 if outcome.not_run:
                     self._unsent_time += now - sent_at
-                self._record_failure(upstream, cut=outcome.cut)
-
-    def _record_failure(self, upstream: Upstream, *, cut: bool) -> None:
-        """Record a failure of an endpoint, unless this gateway's own links are the cause."""
-        links = self._forwarder.links
-        if links is None or not links.is_suspected():
-            self._record_endpoint_failure(upstream, cut)
-            return
-
-        def record(_: None) -> None:
-            if not links.down:
-                self._record_endpoint_failure(upstream, cut)
-
-        links.verdict().addCallback(record)
-
-    def _record_endpoint_failure(self, upstream: Upstream, cut: bool) -> None:
-        self._selector.record_failure(upstream, self._now())
-        if cut:
-            self._forwarder.notice_handler.record_crash(self._fingerprint, upstream)
+                self._feedback.record_failure(upstream, self._get_fingerprint, cut=outcome.cut)
 
     def _record_end(self, outcome: Outcome, duration: timedelta) -> None:
         self._rejected_with_room = isinstance(outcome, Refused) and outcome.had_room
--- a/packages/gateway/tests/test_peer_proxy.py
+++ b/packages/gateway/tests/test_peer_proxy.py
@@ -272,7 +272,7 @@
 
 def test_request_counts_once_for_the_retry_budget_and_a_repeat_is_charged():
     asked = Asked()
-    budget = asked.run.gateway._budget_for("menus")
+    budget = asked.run.gateway._budgets.of_service("menus")
     asked.ask()
     assert len(budget._requests) == 1
     asked.ask(counted=True)
--- a/packages/runtime/src/cardamomloft/runtime/metrics.py
+++ b/packages/runtime/src/cardamomloft/runtime/metrics.py
@@ -17,11 +17,22 @@
     def __init__(self) -> None:
         self.counters: Counter[str] = Counter()
         self._latency: dict[str, HdrHistogram] = {}
+        self._taken: Counter[str] = Counter()
 
     def count(self, name: str, by: int = 1) -> None:
         """Add `by` to the counter `name`."""
         self.counters[name] += by
 
+    def take_growth(self) -> dict[str, int]:
+        """Return the growth of the counters since the last call, of those that have grown."""
+        grown = {
+            name: value - self._taken[name]
+            for name, value in sorted(self.counters.items())
+            if value != self._taken[name]
+        }
+        self._taken = self.counters.copy()
+        return grown
+
     def observe(self, name: str, latency: timedelta) -> None:
         """Record one latency under `name`, which is usually that of a service."""
         histogram = self._latency.get(name)
