Publish a crash only once the own links are known to work

What callers saw: after all nine gateways had their connections to the endpoints reset for three seconds, half of the requests were refused for five minutes more, each with a retry-after time of 296 s.

Cause: a connection that is reset while a request is on it counts as a crash of the endpoint under that request. The first one that a gateway loses looks like the failure of a single endpoint, so it was published before the links were known to be down, and three gateways together quarantined the request that all callers send.

A crash is published once an endpoint has given a sign 20 ms or more after it, or a probe that began after it was answered. If the probe fails, the links are down and the crash is dropped. One that was followed by an answer to the same request is dropped too; it used to be published and excused. The new tests of the monitor bring about the first of several resets, failures without traffic and a probe that began before.

--- a/packages/gateway/src/cardamomloft/gateway/endpointfeedback.py
+++ b/packages/gateway/src/cardamomloft/gateway/endpointfeedback.py
@@ -32,6 +32,7 @@
         self._call = call
         self._selector = forwarder.selector
         self._dialect = forwarder.client.dialect
+        self._answered = False
 
     def _now(self) -> timedelta:
         return self._forwarder.clock.monotonic()
@@ -53,6 +54,7 @@
         """Record whether the endpoint has the key cached now."""
         forwarder, call = self._forwarder, self._call
         if isinstance(outcome, Served):
+            self._answered = True
             forwarder.metrics.observe(f"{call.service}.{cache_state}", duration)
         if cache_state is CacheState.NONE:
             return
@@ -98,19 +100,24 @@
     ) -> None:
         """Record a failure of an endpoint, unless this gateway's own links are the cause."""
         links = self._forwarder.links
-        if links is None or not links.is_suspected():
-            self._record_endpoint_failure(upstream, fingerprint, cut)
+        if links is None:
+            self._selector.record_failure(upstream, self._now())
+            self._record_crash(cut, upstream, fingerprint)
+            return
+        if cut:
+            links.confirm().addCallback(self._record_crash, upstream, fingerprint)
+        if not links.is_suspected():
+            self._selector.record_failure(upstream, self._now())
             return
 
         def record(_: None) -> None:
             if not links.down:
-                self._record_endpoint_failure(upstream, fingerprint, cut)
+                self._selector.record_failure(upstream, self._now())
 
         links.verdict().addCallback(record)
 
-    def _record_endpoint_failure(
-        self, upstream: Upstream, fingerprint: Callable[[], str], cut: bool
+    def _record_crash(
+        self, confirmed: bool, upstream: Upstream, fingerprint: Callable[[], str]
     ) -> None:
-        self._selector.record_failure(upstream, self._now())
-        if cut:
+        if confirmed and not self._answered:
             self._forwarder.notice_handler.record_crash(fingerprint(), upstream)
--- a/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
+++ b/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
@@ -10,6 +10,7 @@
 
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.connectivity.reachability import (
+    ONE_FAILED_TIME,
     PROBE_TIMEOUT,
     ProbeTarget,
     Reachability,
@@ -25,11 +26,20 @@
 """Lateness of a timer above which the process was suspended or busy. Silence until then says
 nothing, so that what has arrived meanwhile is read before links are probed."""
 
+SIGN_DELAY = timedelta(milliseconds=20)
+"""Time after a failure from which an answer shows that links work. One that is read earlier may
+have arrived before they failed."""
+
 _MS = timedelta(milliseconds=1)
 
 Probe = Callable[[t.Any, str, timedelta], "Deferred[bool]"]
 
 
+class _UnconfirmedFailure(t.NamedTuple):
+    at: timedelta
+    confirmed: "Deferred[bool]"
+
+
 class LinkMonitor:
     """Observes the exchanges of a client, and decides whether its links work.
 
@@ -73,6 +83,7 @@
         self._due = timedelta(0)
         self._probing = False
         self._waiting: list[Deferred[None]] = []
+        self._unconfirmed: list[_UnconfirmedFailure] = []
         self._stopped = False
         client.observer = self
 
@@ -85,12 +96,16 @@
 
     def connected(self, address: str) -> None:
         """Observe that a new connection is established."""
+        now = self._clock.monotonic()
         self._metrics.count("connections.opened")
-        self._reachability.record_connected(address, self._clock.monotonic())
+        self._reachability.record_connected(address, now)
+        self._confirm_failures_before(now - SIGN_DELAY)
 
     def answered(self, address: str) -> None:
         """Observe the head of an answer."""
-        self._reachability.record_answer(address, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._reachability.record_answer(address, now)
+        self._confirm_failures_before(now - SIGN_DELAY)
 
     def failed(self, address: str) -> None:
         """Observe that a connection was refused, not established in time, or lost."""
@@ -135,6 +150,19 @@
             self._start_probe()
         return waiting
 
+    def confirm(self) -> "Deferred[bool]":
+        """Return a Deferred of whether links worked when the last failure was observed.
+
+        It fires once an endpoint gives a sign or a probe has ended. When all connections are reset,
+        the first failure can't be told from that of a single endpoint before.
+        """
+        if self._stopped or self.down:
+            return succeed(False)
+        confirmed: Deferred[bool] = Deferred()
+        self._unconfirmed.append(_UnconfirmedFailure(self._clock.monotonic(), confirmed))
+        self._schedule()
+        return confirmed
+
     def status(self) -> dict[str, t.Any]:
         """Return the state of the links for the status page."""
         now, down_since = self._clock.monotonic(), self._reachability.down_since
@@ -151,11 +179,19 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         self._release()
+        self._end_unconfirmed(self._clock.monotonic(), works=False)
 
     # Probes.
 
-    def _schedule(self) -> None:
+    def _next_probe(self) -> timedelta | None:
         due = self._reachability.next_probe()
+        if not self._unconfirmed:
+            return due
+        confirmed_by = self._unconfirmed[0].at + ONE_FAILED_TIME
+        return confirmed_by if due is None else min(due, confirmed_by)
+
+    def _schedule(self) -> None:
+        due = self._next_probe()
         if due is None or self._probing or self._stopped:
             return
         if self._timer is not None and self._timer.active():
@@ -168,7 +204,7 @@
 
     def _check(self) -> None:
         self._timer = None
-        now, due = self._clock.monotonic(), self._reachability.next_probe()
+        now, due = self._clock.monotonic(), self._next_probe()
         if now - self._due > MAX_LATENESS and due is not None:
             self._due = now
             self._timer = self._reactor.callLater(MAX_LATENESS.total_seconds() / 2, self._check)
@@ -216,6 +252,7 @@
             self._on_changed()
         self._abort_silent()
         self._release()
+        self._end_unconfirmed(started_at, works=not self.down)
         self._schedule()
 
     def _log_down(self, targets: list[ProbeTarget], now: timedelta) -> None:
@@ -235,6 +272,17 @@
         aborted = self._client.abort_unanswered("links are down", connected=silent)
         self._metrics.count("aborted_sends", aborted)
 
+    def _confirm_failures_before(self, instant: timedelta) -> None:
+        if self._unconfirmed and self._unconfirmed[0].at <= instant:
+            self._end_unconfirmed(instant, works=True)
+
+    def _end_unconfirmed(self, until: timedelta, *, works: bool) -> None:
+        """Decide on the failures that were observed until an instant."""
+        decided = [failure for failure in self._unconfirmed if failure.at <= until]
+        self._unconfirmed = self._unconfirmed[len(decided) :]
+        for failure in decided:
+            failure.confirmed.callback(works)
+
     def _release(self) -> None:
         waiting, self._waiting = self._waiting, []
         for deferred in waiting:
--- a/packages/gateway/tests/test_link_monitor.py
+++ b/packages/gateway/tests/test_link_monitor.py
@@ -167,3 +167,60 @@
     run.time.advance(PROBE_TIMEOUT * 5)
     assert len(run.probed) == count
     assert not run.changes
+
+
+def confirmation(run) -> list[bool]:
+    results = []
+    run.monitor.confirm().addCallback(results.append)
+    return results
+
+
+def test_failure_is_confirmed_by_the_next_answer_of_another_endpoint():
+    run = Run()
+    run.fail(ADDRESSES[0])
+    results = confirmation(run)
+    run.time.advance(10 * MS)
+    run.monitor.answered(ADDRESSES[1])
+    assert not results
+    run.time.advance(15 * MS)
+    run.monitor.answered(ADDRESSES[2])
+    assert results == [True]
+    assert not run.probed
+
+
+def test_first_of_the_connections_that_are_reset_together_is_no_crash():
+    run = Run()
+    run.reachable = False
+    run.fail(ADDRESSES[0])
+    first = confirmation(run)
+    run.fail(*ADDRESSES[1:])
+    second = confirmation(run)
+    run.time.advance(200 * MS)
+    assert run.monitor.down
+    assert first == second == [False]
+    assert confirmation(run) == [False]
+
+
+def test_failure_without_further_traffic_is_confirmed_by_a_probe():
+    run = Run()
+    run.fail(ADDRESSES[0])
+    results = confirmation(run)
+    run.time.advance(400 * MS)
+    assert results == [True]
+
+
+def test_failures_are_not_confirmed_by_a_probe_that_began_before():
+    run = Run()
+    run.reachable = None
+    run.fail(*ADDRESSES[:2])
+    run.time.advance(60 * MS)
+    run.fail(ADDRESSES[2])
+    results = confirmation(run)
+    for pending in run.pending:
+        pending.callback(True)
+    run.reachable = False
+    run.time.advance(10 * MS)
+    assert not results
+    run.time.advance(400 * MS)
+    assert results == [False]
+    assert run.monitor.down
