--- a/packages/gateway/tests/test_unreachable_endpoints.py
+++ b/packages/gateway/tests/test_unreachable_endpoints.py
@@ -2,39 +2,23 @@
 
 import concurrent.futures
 import contextlib
-import json
 import statistics
 import time
 import typing as t
-from collections import Counter
 
 import pytest
 from cardamomloft_standins import endpoints, processes
-from cardamomloft_standins.cutlinks import Cut, write_links
+from cardamomloft_standins.cutlinks import Cut
+from cardamomloft_standins.linkfleet import IDEMPOTENT, ONCE, LinkFleet
 
 NOTICE_S = 1.0
 """Time after a cut within which the requests of new callers are served, in seconds."""
 
 CUT_S = 5.0
 SEND_INTERVAL_S = 0.1
-WORK_S = 0.05
 SERVED_FRACTION = 0.95
 """Fraction of the requests at cut-off gateways that is served, of the others' fraction."""
 
-IDEMPOTENT, ONCE = "/menus/7", "/stamps"
-
-STAMPS = {
-    "name": "stamps",
-    "when": {"host": endpoints.HOST, "path": "/stamps/"},
-    "then": {
-        "services": [{"service": "menus", "weight": 1}],
-        "timeout": "1s",
-        "target": "400ms",
-        "attempts": 2,
-        "priority": 1,
-    },
-}
-
 
 class Sent(t.NamedTuple):
     """A request that was sent `at` seconds after the start of the callers, and its status."""
@@ -47,60 +31,10 @@
     retry_after: str | None
 
 
-class Fleet:
-    """Gateways in two zones with links to six endpoints that can be cut."""
-
-    def __init__(self, stack, folder, gateways: int, cut_off: int) -> None:
-        self.folder = folder
-        self.store = stack.enter_context(processes.store())
-        document = json.loads(processes.ROUTES.read_text())
-        document["rules"].append(STAMPS)
-        endpoints.put(f"http://{self.store}/v1/kv/gateway/routes/current", document)
-        service = endpoints.service(self.store, 6, self.work)
-        self.endpoints, self.arrivals = stack.enter_context(service)
-        self.settings = []
-        for number in range(gateways):
-            zone = "b" if number < cut_off else "a"
-            self._add(stack, f"e-{number}", zone)
-        self.cut_off = self.settings[:cut_off]
-
-    def _add(self, stack, name, zone) -> None:
-        cfg = stack.enter_context(processes.settings(self.store, name, zone))
-        links = self.folder / f"{name}.links"
-        write_links(links, Cut.NONE, self.addresses())
-        launch = ("-m", "cardamomloft_standins.cutlinks", str(links))
-        stack.enter_context(processes.gateway(self.folder, cfg, launch))
-        self.settings.append(cfg)
-
-    @staticmethod
-    def work(endpoint, handler) -> None:
-        time.sleep(WORK_S)
-        handler.answer()
-
-    def has_converged(self) -> bool:
-        pages = [processes.status(cfg) for cfg in self.settings]
-        return all(
-            page["state"] == "ready"
-            and len(page["entries"]) == len(self.settings)
-            and page["upstreams"] == len(self.endpoints)
-            for page in pages
-        )
-
-    def addresses(self) -> list[str]:
-        return [endpoint.address for endpoint in self.endpoints]
-
-    def cut(self, cut: Cut, settings=None) -> None:
-        for cfg in self.cut_off if settings is None else settings:
-            write_links(self.folder / f"{cfg['name']}.links", cut, self.addresses())
-
-    def runs(self) -> Counter[str]:
-        return Counter(arrival.path for arrival in self.arrivals)
-
-
 class Callers:
     """Callers that send one request in each interval to every gateway, whatever is answered."""
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: LinkFleet) -> None:
         self.fleet = fleet
         self.pool = concurrent.futures.ThreadPoolExecutor(200)
         self.started = time.monotonic()
@@ -139,7 +73,7 @@
 @pytest.fixture(params=[(4, 2), (9, 5)], ids=["2 of 4", "5 of 9"])
 def fleet(tmp_path, request):
     with contextlib.ExitStack() as stack:
-        fleet = Fleet(stack, tmp_path, *request.param)
+        fleet = LinkFleet(stack, tmp_path, *request.param)
         assert processes.eventually(fleet.has_converged, 60)
         yield fleet
 
--- /dev/null
+++ b/standins/src/cardamomloft_standins/linkfleet.py
@@ -0,0 +1,122 @@
+"""Real gateway processes whose links to a service of endpoints can be cut."""
+
+import contextlib
+import json
+import pathlib
+import signal
+import subprocess
+import time
+import typing as t
+from collections import Counter
+from collections.abc import Iterable
+
+from cardamomloft_standins import endpoints, processes
+from cardamomloft_standins.cutlinks import Cut, write_links
+
+IDEMPOTENT = "/menus/7"
+"""Path of requests that may run more than once."""
+
+ONCE = "/stamps"
+"""Prefix of the paths of requests that must run at most once."""
+
+ENDPOINTS = 6
+
+WORK_S = 0.05
+"""Time that an endpoint takes for a request, in seconds."""
+
+_ONCE_RULE = {
+    "name": "stamps",
+    "when": {"host": endpoints.HOST, "path": f"{ONCE}/"},
+    "then": {
+        "services": [{"service": "menus", "weight": 1}],
+        "timeout": "1s",
+        "target": "400ms",
+        "attempts": 2,
+        "priority": 1,
+    },
+}
+
+
+class LinkFleet:
+    """Gateways in two zones, and the endpoints of one service.
+
+    Parameters
+    ----------
+    stack
+        Ends the processes.
+    folder
+        For settings, logs and the state of the links.
+    gateways
+        Number of gateways.
+    cut_off
+        Number of gateways, all in one zone, whose links `cut` cuts by default.
+    """
+
+    def __init__(
+        self, stack: contextlib.ExitStack, folder: pathlib.Path, gateways: int, cut_off: int
+    ) -> None:
+        self.folder = folder
+        self.store = stack.enter_context(processes.store())
+        self.configure(1000)
+        service = endpoints.service(self.store, ENDPOINTS, _work)
+        self.endpoints, self.arrivals = stack.enter_context(service)
+        self.settings: list[dict[str, t.Any]] = []
+        self._stack = stack
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+        for number in range(gateways):
+            name, zone = f"e-{number}", "b" if number < cut_off else "a"
+            cfg = stack.enter_context(processes.settings(self.store, name, zone))
+            write_links(self._links_path(cfg), Cut.NONE, self._addresses())
+            self.settings.append(cfg)
+            self.start(cfg)
+        self.cut_off = self.settings[:cut_off]
+
+    def configure(self, timeout_ms: int) -> None:
+        """Put a configuration in force with a timeout of the requests that must not run twice."""
+        document = json.loads(processes.ROUTES.read_text())
+        rule = json.loads(json.dumps(_ONCE_RULE))
+        rule["then"]["timeout"] = f"{timeout_ms}ms"
+        document["rules"].append(rule)
+        endpoints.put(f"http://{self.store}/v1/kv/gateway/routes/current", document)
+
+    def start(self, cfg: dict[str, t.Any]) -> None:
+        """Start a gateway."""
+        launch = ("-m", "cardamomloft_standins.cutlinks", str(self._links_path(cfg)))
+        process = processes.gateway(self.folder, cfg, launch)
+        self._running[cfg["name"]] = self._stack.enter_context(process)
+
+    def signal(self, cfg: dict[str, t.Any], number: signal.Signals) -> "subprocess.Popen[bytes]":
+        """Send a signal to a gateway, and return its process."""
+        proc = self._running[cfg["name"]]
+        proc.send_signal(number)
+        return proc
+
+    def has_converged(self) -> bool:
+        """Return whether all gateways know each other and all endpoints."""
+        pages = [processes.status(cfg) for cfg in self.settings]
+        return all(
+            page["state"] == "ready"
+            and len(page["entries"]) == len(self.settings)
+            and page["upstreams"] == len(self.endpoints)
+            for page in pages
+        )
+
+    def cut(self, cut: Cut, settings: Iterable[dict[str, t.Any]] | None = None) -> None:
+        """Change the links of some gateways, by default of those to be cut off."""
+        for cfg in self.cut_off if settings is None else settings:
+            write_links(self._links_path(cfg), cut, self._addresses())
+
+    def runs(self) -> Counter[str]:
+        """Return how often each path was run."""
+        return Counter(arrival.path for arrival in self.arrivals)
+
+    def _links_path(self, cfg: dict[str, t.Any]) -> pathlib.Path:
+        return self.folder / f"{cfg['name']}.links"
+
+    def _addresses(self) -> list[str]:
+        return [endpoint.address for endpoint in self.endpoints]
+
+
+def _work(endpoint: t.Any, handler: t.Any) -> None:
+    time.sleep(WORK_S)
+    handler.answer()
