Decide on waiting requests at once when links go down

A request that waits for capacity in the queue of its service (feature queue, used by no platform yet) was tried again only when capacity changed, or refused after 2 s, though no endpoint could be reached: seen by reading. The attempt itself now says that links are down, which ends the wait, and all queues are tried when links go down or come back.

--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/fallback.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/fallback.py
@@ -68,6 +68,7 @@
         self._clock = clock
         self._upstream_table = upstream_table
         self._selector = forwarder.selector
+        self._queue = forwarder.queue
         self._notice_handler = notice_handler
         self._reports = LinkReports(own.name)
         metrics = forwarder.metrics
@@ -115,6 +116,7 @@
     def _on_changed(self) -> None:
         if not self.links.down:
             self._selector.forget_failures()
+        self._queue.retry_all()
         self.report()
 
     def _probe_targets(self) -> list[ProbeTarget]:
--- a/packages/gateway/src/cardamomloft/gateway/requestqueue.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestqueue.py
@@ -207,6 +207,11 @@
 
     # Attempts to send.
 
+    def retry_all(self) -> None:
+        """Try the waiting requests of all services, as endpoints can or can't be reached now."""
+        for service in self._services:
+            self.capacity_changed(service)
+
     def capacity_changed(self, service: str) -> None:
         """Try the waiting requests of a service in the next iteration of the event loop.
 
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -44,6 +44,9 @@
 """Time spent on connections that could not be established after which another gateway is asked."""
 
 
+_NO_ENDPOINT = Refusal(RefusalReason.UNREACHABLE, "this entry reaches no endpoint")
+
+
 class Origin(t.NamedTuple):
     """The gateway that has sent a request through this one, and what it did with it before.
 
@@ -112,7 +115,7 @@
             self._count_request()
             chosen = await self._choose_or_wait()
             if not isinstance(chosen, Choice):
-                if last is not None and await self._needs_peer(last):
+                if self._links_are_down() or (last is not None and await self._needs_peer(last)):
                     return await self._send_through_peer(last)
                 return self._finish(last, self._refusal_after(last, chosen))
             if self._links_are_down(chosen.upstream):
@@ -173,8 +176,7 @@
         """Send the request through another gateway, unless it came from one; return the answer."""
         forwarder = self._forwarder
         if self._origin is not None or forwarder.proxy is None:
-            detail = "this entry reaches no endpoint"
-            return self._finish(last, Refusal(RefusalReason.UNREACHABLE, detail))
+            return self._finish(last, _NO_ENDPOINT)
         # With working links the endpoints have most likely failed, also for the other gateways.
         links_down = forwarder.links is not None and forwarder.links.down
         outcome = await forwarder.proxy.send(
@@ -213,6 +215,8 @@
 
     def _choose(self) -> Choice | Refusal:
         call, now = self._call, self._now()
+        if self._links_are_down():
+            return _NO_ENDPOINT
         if call.deadline - now < MIN_TIME_LEFT:
             return Refusal(RefusalReason.DEADLINE, "the deadline is too close to send the request")
         refused_until = self._forwarder.notice_handler.refused_until(self._get_fingerprint)
--- a/packages/gateway/tests/test_peer_proxy.py
+++ b/packages/gateway/tests/test_peer_proxy.py
@@ -11,6 +11,7 @@
 from cardamomloft.core.registrations import EntryRecord
 from cardamomloft.core.routes import RoutePlan
 from cardamomloft.gateway.calls import RequestReader
+from cardamomloft.gateway.peerproxy import listener
 from cardamomloft.gateway.peerproxy.client import PeerProxy, ProxiedCall
 from cardamomloft.gateway.peerproxy.header import (
     PROXY_HEADER,
@@ -236,6 +237,16 @@
     assert not asked.sent
 
 
+def test_requests_of_others_are_refused_beyond_a_number_and_a_size():
+    asked = Asked()
+    asked.listener.app.in_flight = listener.MAX_IN_FLIGHT + 1
+    assert reason_of(asked.ask()) == "entry-busy"
+    asked.listener.app.in_flight = 0
+    asked.listener._body_bytes = listener.MAX_BODY_BYTES + 1
+    assert reason_of(asked.ask()) == "entry-busy"
+    assert not asked.sent
+
+
 def test_header_that_is_missing_malformed_or_repeated_is_refused():
     for pairs in ([], [(PROXY_HEADER, "nonsense")], [(PROXY_HEADER, "token=a")] * 2):
         assert isinstance(read_proxy_header(head("/", *pairs)), Refusal)
--- a/packages/gateway/tests/test_unreachable_endpoints.py
+++ b/packages/gateway/tests/test_unreachable_endpoints.py
@@ -2,12 +2,13 @@
 
 import concurrent.futures
 import contextlib
+import http.client
 import statistics
 import time
 import typing as t
 
 import pytest
-from cardamomloft_standins import endpoints, processes
+from cardamomloft_standins import endpoints, linkfleet, processes
 from cardamomloft_standins.cutlinks import Cut
 from cardamomloft_standins.linkfleet import IDEMPOTENT, ONCE, LinkFleet
 
@@ -92,6 +93,33 @@
     assert elsewhere >= SERVED_FRACTION
 
 
+def fraction_served_with_a_partial_cut(fleet: LinkFleet, cut: Cut) -> float:
+    callers = Callers(fleet)
+    callers.run(1.0)
+    fleet.cut(cut, endpoints=4)
+    cut_at = callers.now()
+    return fraction_served([one for one in callers.run(3.0) if one.at > cut_at + NOTICE_S])
+
+
+def test_gateways_whose_connections_to_some_endpoints_are_reset_serve_first_tries(fleet):
+    assert fraction_served_with_a_partial_cut(fleet, Cut.RESET) >= SERVED_FRACTION
+
+
+def test_gateways_whose_links_to_some_endpoints_hang_serve_first_tries(fleet):
+    assert fraction_served_with_a_partial_cut(fleet, Cut.HANG) >= SERVED_FRACTION
+
+
+def test_answers_of_any_form_are_whole_or_broken_off_over_another_gateway(fleet):
+    fleet.cut(Cut.RESET)
+    address = fleet.cut_off[0]["callers"]
+    for _ in range(3):
+        endpoints.send_request(address, IDEMPOTENT)
+    assert endpoints.send_request(address, linkfleet.LARGE).body == linkfleet.LARGE_BODY
+    assert endpoints.send_request(address, linkfleet.CHUNKED).body == linkfleet.CHUNKED_BODY
+    with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+        endpoints.send_request(address, linkfleet.TRUNCATED)
+
+
 @pytest.mark.parametrize("cut", [Cut.HANG, Cut.RESET])
 def test_requests_that_must_not_run_twice_run_at_most_once_while_links_fail(fleet, cut):
     callers = Callers(fleet)
--- a/standins/src/cardamomloft_standins/linkfleet.py
+++ b/standins/src/cardamomloft_standins/linkfleet.py
@@ -19,6 +19,13 @@
 ONCE = "/stamps"
 """Prefix of the paths of requests that must run at most once."""
 
+LARGE, CHUNKED, TRUNCATED = "/menus/large", "/menus/chunked", "/menus/truncated"
+"""Paths with an answer that is streamed, one without a length, and one that ends early."""
+
+LARGE_BODY = b"0123456789" * 100_000
+
+CHUNKED_BODY = b"without length"
+
 ENDPOINTS = 6
 
 WORK_S = 0.05
@@ -101,10 +108,18 @@
             for page in pages
         )
 
-    def cut(self, cut: Cut, settings: Iterable[dict[str, t.Any]] | None = None) -> None:
-        """Change the links of some gateways, by default of those to be cut off."""
+    def cut(
+        self,
+        cut: Cut,
+        settings: Iterable[dict[str, t.Any]] | None = None,
+        endpoints: int = ENDPOINTS,
+    ) -> None:
+        """Change the links of some gateways, by default of those to be cut off.
+
+        `endpoints` is the number of endpoints whose links change.
+        """
         for cfg in self.cut_off if settings is None else settings:
-            write_links(self._links_path(cfg), cut, self._addresses())
+            write_links(self._links_path(cfg), cut, self._addresses()[:endpoints])
 
     def runs(self) -> Counter[str]:
         """Return how often each path was run."""
@@ -119,4 +134,21 @@
 
 def _work(endpoint: t.Any, handler: t.Any) -> None:
     time.sleep(WORK_S)
-    handler.answer()
+    if handler.path == LARGE:
+        handler.send_response(200)
+        handler.send_header("Content-Length", str(len(LARGE_BODY)))
+        handler.end_headers()
+        handler.wfile.write(LARGE_BODY)
+    elif handler.path == CHUNKED:
+        handler.send_response(200)
+        handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+        handler.wfile.write(b"6\r\nwithou\r\n8\r\nt length\r\n0\r\n\r\n")
+    elif handler.path == TRUNCATED:
+        handler.send_response(200)
+        handler.send_header("Content-Length", str(len(LARGE_BODY)))
+        handler.end_headers()
+        handler.wfile.write(LARGE_BODY[: len(LARGE_BODY) // 2])
+        handler.close_connection = True
+    else:
+        handler.answer()
