Ask another gateway only after failed connections

A failure says now whether no connection could be established, and without endpoints to probe a failure counts as confirmed.

--- a/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
+++ b/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
@@ -220,6 +220,8 @@
         self._reachability.start_probe(started_at)
         if not targets:
             self._release()
+            # Without other endpoints nothing speaks against a failure of this one.
+            self._end_unconfirmed(started_at, works=True)
             self._schedule()
             return
         self._probing = True
--- a/packages/gateway/src/cardamomloft/gateway/outcomes.py
+++ b/packages/gateway/src/cardamomloft/gateway/outcomes.py
@@ -85,13 +85,15 @@
 class Failed(t.NamedTuple):
     """There is no complete answer; `not_run` only if nothing was sent.
 
-    `cut` is set if the connection ended before an answer began, as when the endpoint crashes.
+    `cut` is set if the connection ended before an answer began, as when the endpoint crashes, and
+    `unreachable` if no connection could be established.
     """
 
     not_run: bool
     detail: str
     late: bool
     cut: bool = False
+    unreachable: bool = False
 
 
 Outcome = Served | Refused | Failed
@@ -131,7 +133,9 @@
     """
     match result:
         case Result(tag="error", error=failure):
-            return Failed(failure.not_run, failure.detail, is_late(), failure.cut)
+            return Failed(
+                failure.not_run, failure.detail, is_late(), failure.cut, failure.unreachable
+            )
         case Result(ok=answer):
             pass
     if answer.not_run:
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -159,8 +159,8 @@
     async def _needs_peer(self, outcome: Outcome) -> bool:
         """Return whether another gateway may reach an endpoint where this one could not."""
         links = self._forwarder.links
-        unsent = isinstance(outcome, Failed) and outcome.not_run
-        if links is None or not unsent or self._may_have_run:
+        unreachable = isinstance(outcome, Failed) and outcome.unreachable
+        if links is None or not unreachable or self._may_have_run:
             return False
         await links.verdict()
         if self._caller.disconnected:
@@ -320,7 +320,7 @@
                 self._connection_lost = self._connection_lost or outcome.cut
                 self._deliveries -= outcome.not_run
                 self._may_have_run = self._may_have_run or not outcome.not_run
-                if outcome.not_run:
+                if outcome.unreachable:
                     self._unsent_time += now - sent_at
                 self._feedback.record_failure(upstream, self._get_fingerprint, cut=outcome.cut)
 
@@ -346,7 +346,7 @@
 
     def _refusal_after(self, last: Outcome | None, refusal: Refusal) -> Refusal:
         """Return why the request is refused if no other endpoint has room after the last send."""
-        if isinstance(last, Failed) and last.not_run:
+        if isinstance(last, Failed) and last.unreachable:
             return refusal._replace(reason=RefusalReason.UNREACHABLE)
         return refusal
 
@@ -389,8 +389,8 @@
         if not self._may_have_run:
             if self._origin is None:
                 forwarder.on_not_run(self._call)
-            unsent = isinstance(last, Failed) and last.not_run
-            reason = RefusalReason.UNREACHABLE if unsent else RefusalReason.SHED
+            unreachable = isinstance(last, Failed) and last.unreachable
+            reason = RefusalReason.UNREACHABLE if unreachable else RefusalReason.SHED
             refusal = refusal or Refusal(reason, detail)
             wait = forwarder.retry_after_for(self._call, now)
             if refusal.retry_after is None:
--- a/packages/gateway/tests/test_link_monitor.py
+++ b/packages/gateway/tests/test_link_monitor.py
@@ -40,13 +40,13 @@
         self.probed = []
         self.pending = []
         self.changes = []
-        targets = [ProbeTarget(address, "abab"[at]) for at, address in enumerate(ADDRESSES)]
+        self.targets = [ProbeTarget(address, "abab"[at]) for at, address in enumerate(ADDRESSES)]
         self.monitor = LinkMonitor(
             self.time.reactor,
             self.time.clock,
             kit.rng(),
             self.client,
-            lambda: targets,
+            lambda: self.targets,
             lambda: self.changes.append(self.monitor.down),
             Metrics(),
             self.probe,
@@ -224,3 +224,13 @@
     run.time.advance(400 * MS)
     assert results == [False]
     assert run.monitor.down
+
+
+def test_failure_of_the_last_endpoint_is_confirmed_and_the_monitor_comes_to_rest():
+    run = Run()
+    run.targets = []
+    run.fail(ADDRESSES[0])
+    results = confirmation(run)
+    run.time.advance(1000 * MS)
+    assert results == [True]
+    assert len(run.time.reactor.getDelayedCalls()) <= 1
--- a/packages/gateway/tests/test_peer_proxy.py
+++ b/packages/gateway/tests/test_peer_proxy.py
@@ -29,7 +29,8 @@
 
 MS = kit.MS
 OWN = EntryRecord("e-0", "10.0.0.10:80", "a", "east")
-NOT_CONNECTED = Error(SendFailure(True, "refused"))
+NOT_CONNECTED = Error(SendFailure(True, "refused", unreachable=True))
+LIMIT_REACHED = Error(SendFailure(True, "limit of requests in flight reached"))
 LOST = Error(SendFailure(False, "lost", cut=True))
 LATE = Error(SendFailure(False, "deadline passed"))
 SERVED = kit.answer(200, b"menu", cardamomloft_outcome="complete", x_stamp="1")
@@ -272,6 +273,15 @@
     assert not asked.run.gateway.metrics.counters["proxied.sent"]
 
 
+def test_request_is_not_sent_through_another_gateway_because_an_endpoint_is_at_its_limit():
+    asked = Asked()
+    record = EntryRecord("e-9", "10.0.0.9:80", "a", "east", "", "10.0.0.9:81", "secret")
+    asked.run.gateway.entries.add(record, 0 * MS)
+    asked.run.client.outcomes[0] = LIMIT_REACHED
+    assert asked.run.send_request().status == 503
+    assert not asked.run.gateway.metrics.counters["proxied.sent"]
+
+
 def test_stopping_gateway_serves_until_it_closes():
     asked = Asked()
     asked.run.gateway.stop()
--- a/packages/upstreams/src/cardamomloft/upstreams/client.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/client.py
@@ -83,11 +83,13 @@
 
     `not_run` is True only if no byte of the request can have been sent. `cut` is True if the
     connection was lost after that and before an answer began, as when the upstream crashes.
+    `unreachable` is True if no connection could be established.
     """
 
     not_run: bool
     detail: str
     cut: bool = False
+    unreachable: bool = False
 
 
 class LinkObserver(t.Protocol):
@@ -263,6 +265,7 @@
         fresh = not (req.idempotent or self._dialect.reuse_always)
         self._attempt = Attempt(client.pool, fresh=fresh, on_connected=self._connected)
         self._awaited = True
+        self._freed = False
         client.in_flight[req.endpoint.address] += 1
         client.exchanges.add(self)
         client.observer.sent(req.endpoint.address)
@@ -283,7 +286,8 @@
         return self._awaited and (unsent or (connected and self._req.idempotent))
 
     def abort(self, detail: str) -> None:
-        """End the exchange without an answer."""
+        """End the exchange without an answer, so that the request can be sent elsewhere."""
+        self._freed = True
         self._abort(detail)
 
     def _connected(self) -> None:
@@ -319,7 +323,9 @@
         self._end_wait()
         self._attempt.abort()
         self._end()
-        self._settle(Error(SendFailure(not_run, detail, cut)))
+        ended_here = self._abort_detail is not None and not self._freed
+        unreachable = self._attempt.connection is None and not ended_here
+        self._settle(Error(SendFailure(not_run, detail, cut, unreachable)))
 
     def _closed_cleanly(self) -> bool:
         conn = self._attempt.connection
