Leave out every endpoint that accepts no connections

Cause: a lost endpoint was ejected like one that answers with errors. That is a guess, so at most half of a service is ejected; beyond it all were tried again, at half a second a connection, and an endpoint that accepts nothing was believed to be back after each ejection. Sends on idle connections to endpoints that had gone silent were noticed by their timeouts only.

Now the fact is kept apart from the guess. An endpoint that refuses or does not establish a connection gets nothing, whatever their number, until a probe reaches it; an answer that is due leads to a probe after twice the mean time to an answer; while an endpoint is silent, others have to accept a new connection before anything is sent to them; a connection that is slow is given up for another endpoint, as nothing was sent; an endpoint that is back gets one request of each gateway, in turns, until it has stated its load; while endpoints are lost, the others count as loaded as the service. If none is left, or no room, up to three gateways are asked, in other zones first; a refusal of all three keeps the service from them for a second, that of one no longer does (test_helpers says so; the check that a service counts as unreachable stays, after the record of it). Links that are down still decide first, and then all endpoints are forgotten.

--- a/packages/core/src/cardamomloft/core/connectivity/helpers.py
+++ b/packages/core/src/cardamomloft/core/connectivity/helpers.py
@@ -74,6 +74,7 @@
             Monotonic instant.
         """
         self._refresh(now)
+        zones = {record.zone for record in self._near if record.name in tried}
 
         def is_able(record: EntryRecord) -> bool:
             return (
@@ -84,7 +85,7 @@
                 and (record.name, service) not in self._unavailable
             )
 
-        near = self._cheapest(filter(is_able, self._near))
+        near = self._cheapest(filter(is_able, self._near), zones)
         if near is not None and self._cost(near) <= OTHER_REGION_COST:
             return near
         far = self._cheapest(filter(is_able, self._sample_far(homes)))
@@ -105,15 +106,23 @@
     def record_unavailable(self, name: str, now: timedelta, service: str = "") -> None:
         """Record that an entry can't help, or can't help with requests to `service`."""
         self._unavailable[name, service] = now + UNAVAILABLE_TIME
-        if service:
-            self._unreachable[service] = now + UNAVAILABLE_TIME
+
+    def record_unreachable(self, service: str, now: timedelta) -> None:
+        """Record that the entries that were asked could not send a request to a service."""
+        self._unreachable[service] = now + UNAVAILABLE_TIME
 
     def is_unreachable(self, service: str, now: timedelta) -> bool:
-        """Return whether another entry could not reach a service either, a short time ago."""
+        """Return whether other entries could not reach a service either, a short time ago."""
         return self._unreachable.get(service, now) > now
 
-    def _cheapest(self, records: Iterable[EntryRecord]) -> EntryRecord | None:
-        ranked = [(self._cost(record), self._rng.random(), record) for record in records]
+    def _cheapest(
+        self, records: Iterable[EntryRecord], tried_zones: Collection[str] = ()
+    ) -> EntryRecord | None:
+        """Return the cheapest entry, preferably of a zone in which none was tried."""
+        ranked = [
+            (record.zone in tried_zones, self._cost(record), self._rng.random(), record)
+            for record in records
+        ]
         return min(ranked)[-1] if ranked else None
 
     def _cost(self, record: EntryRecord) -> int:
--- /dev/null
+++ b/packages/core/src/cardamomloft/core/connectivity/outages.py
@@ -0,0 +1,323 @@
+"""Endpoints that accept no connections from an entry, and when they may be used again.
+
+An endpoint that answers with errors or slowly is bad only by a guess, so the number of endpoints
+that are ejected for it is bounded. That an endpoint accepts no connection is a fact, which holds
+for any number of them. That the links of the entry itself are the cause is decided elsewhere, by
+:mod:`cardamomloft.core.connectivity.reachability`.
+"""
+
+from collections import Counter
+from collections.abc import Container
+from datetime import timedelta
+
+MIN_PATIENCE = timedelta(milliseconds=100)
+"""Minimum time in which a connection must be established while other endpoints can be tried."""
+
+MAX_PATIENCE = timedelta(milliseconds=500)
+"""Maximum of that time, which covers several round trips between regions."""
+
+DEFAULT_PATIENCE = timedelta(milliseconds=250)
+"""That time for an endpoint to which no connection was opened yet."""
+
+PATIENCE_FACTOR = 4
+"""That time as a multiple of the usual time to establish a connection."""
+
+PROBE_INTERVAL = timedelta(milliseconds=200)
+"""Interval after which an endpoint that accepted no connection is probed again, at first."""
+
+MAX_PROBE_INTERVAL = timedelta(milliseconds=800)
+"""Upper bound of that interval, which doubles with each failed probe. An endpoint that returns is
+used again within a second."""
+
+MAX_PROBES_PER_TICK = 2
+"""Maximum number of lost endpoints that are probed at a time, which bounds the load of probes."""
+
+MAX_SILENCE = timedelta(milliseconds=150)
+"""Maximum time without a sign of an endpoint, while an answer is due, until it may be probed."""
+
+MIN_SILENCE = timedelta(milliseconds=50)
+"""Minimum of that time, which holds during an alarm."""
+
+SILENCE_FACTOR = 2
+"""That time as a multiple of the mean time to an answer."""
+
+SUSPECT_INTERVAL = timedelta(seconds=1)
+"""Minimum interval of probes of an endpoint that is slow to answer."""
+
+PROBES_PER_EXCHANGE = 0.1
+"""Probes of endpoints that are slow to answer, as a fraction of the requests sent."""
+
+MAX_SAVED_PROBES = 4.0
+"""Number of such probes that may be made at a time, unless there is an alarm."""
+
+EARLY_ALARM_TIME = timedelta(milliseconds=30)
+"""Time after which a probe without a result causes an alarm."""
+
+EARLY_ALARM_FACTOR = 2
+"""Minimum of that time as a multiple of the usual time to establish a connection."""
+
+ALARM_TIME = timedelta(seconds=2)
+"""Duration of an alarm. An endpoint that has gone silent may not be the only one, so others must
+prove that they can be reached before a request is sent to them on a connection that was idle."""
+
+RETURN_STEP = timedelta(milliseconds=100)
+"""Interval in which successive entries send their first request to an endpoint that is back, as
+many at a time as it has slots."""
+
+MAX_RETURN_DELAY = timedelta(seconds=1)
+"""Upper bound of the time after which an entry sends its first request there."""
+
+MAX_RETURN_TIME = timedelta(seconds=3)
+"""Time after which an endpoint that is back is used as before, even without an answer."""
+
+_SMOOTHING = 0.2
+
+
+class _Outage:
+    """The state of an endpoint that accepts no connections."""
+
+    def __init__(self, since: timedelta) -> None:
+        self.since = since
+        self.probe_at = since + PROBE_INTERVAL
+        self.interval = PROBE_INTERVAL
+        self.heard = False
+
+    def record_failed_probe(self, now: timedelta) -> None:
+        self.interval = min(self.interval * 2, MAX_PROBE_INTERVAL)
+        self.probe_at = now + self.interval
+
+
+class EndpointOutages:
+    """Knows which endpoints accept no connections from one entry.
+
+    Endpoints are identified by their addresses, and all instants are monotonic. The user observes
+    exchanges and connections, probes the endpoints that `suspects` and `due_probes` return, and
+    records the results.
+    """
+
+    def __init__(self) -> None:
+        self._lost: dict[str, _Outage] = {}
+        self._returned: dict[str, timedelta] = {}
+        self._heard: dict[str, timedelta] = {}
+        self._awaited: Counter[str] = Counter()
+        self._silent_since: dict[str, timedelta] = {}
+        self._connect_times: dict[str, timedelta] = {}
+        self._probed_at: dict[str, timedelta] = {}
+        self._probing: dict[str, timedelta] = {}
+        self._mean_answer: timedelta | None = None
+        self._saved_probes = MAX_SAVED_PROBES
+        self._alarm_at: timedelta | None = None
+
+    def __bool__(self) -> bool:
+        return bool(self._lost or self._returned)
+
+    # Observations.
+
+    def record_sent(self, address: str, now: timedelta) -> None:
+        """Record that an answer of an endpoint is awaited."""
+        if not self._awaited[address]:
+            self._silent_since[address] = now
+        self._awaited[address] += 1
+        self._saved_probes = min(MAX_SAVED_PROBES, self._saved_probes + PROBES_PER_EXCHANGE)
+
+    def record_end(self, address: str) -> None:
+        """Record that an answer is not awaited any more."""
+        self._awaited[address] -= 1
+        if self._awaited[address] <= 0:
+            del self._awaited[address]
+            self._silent_since.pop(address, None)
+
+    def record_answer(self, address: str, now: timedelta) -> None:
+        """Record that an endpoint has begun to answer on an open connection."""
+        took = now - self._silent_since.get(address, now)
+        mean = self._mean_answer
+        self._mean_answer = took if mean is None else mean + (took - mean) * _SMOOTHING
+        self._record_sign(address, now)
+        self._returned.pop(address, None)
+        if address in self._lost:
+            self._lost[address].heard = True
+
+    def record_connected(self, address: str, took: timedelta, now: timedelta) -> bool:
+        """Record that an endpoint has accepted a connection; return whether it was lost before."""
+        self._record_sign(address, now)
+        usual = self._connect_times.get(address)
+        self._connect_times[address] = (
+            took if usual is None else usual + (took - usual) * _SMOOTHING
+        )
+        if self._lost.pop(address, None) is None:
+            return False
+        self._returned[address] = now
+        return True
+
+    def record_lost(self, address: str, now: timedelta, *, silent: bool) -> bool:
+        """Record that an endpoint accepts no connection; return whether this is new.
+
+        Parameters
+        ----------
+        address
+            The endpoint.
+        now
+            The present instant.
+        silent
+            Whether it gave no answer. After that other endpoints may be silent as well; one that
+            refuses connections has closed the open ones too, so that nothing is sent on these.
+        """
+        self._returned.pop(address, None)
+        if silent:
+            self._alarm_at = now
+        outage = self._lost.get(address)
+        if outage is None:
+            self._lost[address] = _Outage(now)
+            return True
+        outage.record_failed_probe(now)
+        return False
+
+    def forget(self) -> None:
+        """Use all endpoints again, as failures had another cause."""
+        self._lost.clear()
+        self._returned.clear()
+        self._alarm_at = None
+
+    def retain(self, addresses: Container[str]) -> None:
+        """Forget the endpoints that are not in `addresses`; call it periodically."""
+        for known in (
+            self._lost,
+            self._returned,
+            self._heard,
+            self._connect_times,
+            self._probed_at,
+        ):
+            for address in [address for address in known if address not in addresses]:
+                del known[address]
+
+    def _record_sign(self, address: str, now: timedelta) -> None:
+        self._heard[address] = now
+        if address in self._silent_since:
+            self._silent_since[address] = now
+
+    # Decisions about requests.
+
+    def is_lost(self, address: str, *, connected: bool = False) -> bool:
+        """Return whether an endpoint accepts no connections.
+
+        With `connected`, an open connection to it is enough if it has answered on one since.
+        """
+        outage = self._lost.get(address)
+        return outage is not None and not (connected and outage.heard)
+
+    def lost(self) -> list[str]:
+        """Return the addresses of the endpoints that accept no connections."""
+        return list(self._lost)
+
+    @property
+    def returning_count(self) -> int:
+        """Number of endpoints that are back and have not answered yet."""
+        return len(self._returned)
+
+    def is_returning(
+        self, address: str, in_flight: int, rank: int, slots: int, now: timedelta
+    ) -> bool:
+        """Return whether an endpoint that is back can't take another request of this entry yet.
+
+        All entries find it empty, and what they know of its load is old. Each sends one request,
+        in turns, and continues once that is answered with the present load.
+
+        Parameters
+        ----------
+        address
+            The endpoint.
+        in_flight
+            Number of requests of this entry in progress there.
+        rank
+            This entry's rank among all for the endpoint, from 0.
+        slots
+            Number of requests that the endpoint runs at the same time.
+        now
+            The present instant.
+        """
+        since = self._returned.get(address)
+        if since is None:
+            return False
+        if now >= since + MAX_RETURN_TIME:
+            del self._returned[address]
+            return False
+        turn = since + min(RETURN_STEP * (rank // max(1, slots)), MAX_RETURN_DELAY)
+        return in_flight > 0 or now < turn
+
+    def patience(self, address: str) -> timedelta:
+        """Return how long a connection may take while another endpoint can be tried."""
+        usual = self._connect_times.get(address)
+        if usual is None:
+            return DEFAULT_PATIENCE
+        return min(max(usual * PATIENCE_FACTOR, MIN_PATIENCE), MAX_PATIENCE)
+
+    def needs_new_connection(self, address: str, now: timedelta) -> bool:
+        """Return whether an endpoint must accept a connection before a request is sent to it.
+
+        Nothing is sent to an endpoint that has gone silent then, so that the request can be sent
+        to another one, whether it may run twice or not.
+        """
+        alarm_at = self._alarm_since(now)
+        if alarm_at is None:
+            return False
+        heard_at = self._heard.get(address)
+        return heard_at is None or heard_at < alarm_at
+
+    def _alarm_since(self, now: timedelta) -> timedelta | None:
+        """Return when the last endpoint went silent, or seems to have; None without an alarm."""
+        if self._alarm_at is not None and now - self._alarm_at < ALARM_TIME:
+            return self._alarm_at
+        for address, since in self._probing.items():
+            usual = self._connect_times.get(address, DEFAULT_PATIENCE / EARLY_ALARM_FACTOR)
+            if now - since >= max(EARLY_ALARM_TIME, usual * EARLY_ALARM_FACTOR):
+                return since
+        return None
+
+    # Probes.
+
+    def suspects(self, now: timedelta) -> list[str]:
+        """Return the endpoints to probe because their answers are due; call it at each tick."""
+        alarm = self._alarm_since(now) is not None
+        silence = MIN_SILENCE if alarm else self._silence()
+        latest = now - SUSPECT_INTERVAL
+        found = [
+            (since, address)
+            for address, since in self._silent_since.items()
+            if now - since >= silence
+            and address not in self._lost
+            and self._probed_at.get(address, latest) <= latest
+        ]
+        found.sort()
+        if not alarm:
+            found = found[: int(self._saved_probes)]
+            self._saved_probes -= len(found)
+        return [address for _, address in found]
+
+    def _silence(self) -> timedelta:
+        if self._mean_answer is None:
+            return MAX_SILENCE
+        return min(max(self._mean_answer * SILENCE_FACTOR, MIN_SILENCE), MAX_SILENCE)
+
+    def due_probes(self, now: timedelta) -> list[str]:
+        """Return the lost endpoints to probe now, those that were due first."""
+        due = [
+            (outage.probe_at, address)
+            for address, outage in self._lost.items()
+            if outage.probe_at <= now
+        ]
+        return [address for _, address in sorted(due)[:MAX_PROBES_PER_TICK]]
+
+    def start_probe(self, address: str, now: timedelta) -> None:
+        """Record the start of a probe."""
+        self._probed_at[address] = self._probing[address] = now
+        if address in self._lost:
+            self._lost[address].probe_at = now + MAX_PATIENCE
+
+    def end_probe(self, address: str) -> None:
+        """Record the end of a probe; its result is recorded besides."""
+        self._probing.pop(address, None)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no answer is awaited and no endpoint is lost, so that nothing can be due."""
+        return not (self._awaited or self._lost)
--- a/packages/core/src/cardamomloft/core/placement/loadbounds.py
+++ b/packages/core/src/cardamomloft/core/placement/loadbounds.py
@@ -58,15 +58,24 @@
         rule: RouteRule,
         until: timedelta,
         now: timedelta,
+        *,
+        endpoints_lost: bool = False,
     ) -> Upstream | None:
-        """Return the first endpoint in order that has room and is expected to answer in time."""
+        """Return the first endpoint in order that has room and is expected to answer in time.
+
+        While endpoints are lost, the requests of all entries move to the others, so that one which
+        is the first for a key is as busy as the service, even without a recent report.
+        """
         preferences = self._preferences
         other = preferences.retry_load if is_retry else preferences.secondary_load
         for place, upstream in enumerate(warm):
             if upstream.full_until > now:
                 continue
             is_primary = not rule.keyed or not (place or is_retry)
-            assumed = 0.0 if is_primary else self._assumed_load(upstream)
+            if endpoints_lost:
+                assumed = self._average_loads.get(upstream.registration.service, 0.0)
+            else:
+                assumed = 0.0 if is_primary else self._assumed_load(upstream)
             load = expected_load(upstream, now, assumed)
             bound = self._primary_bound(upstream, rule) if is_primary else other
             has_room = load < bound * upstream.registration.slots
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -15,6 +15,7 @@
 from cardamomloft.core.budgets import ColdLimit, Division, cold_allowance, may_send_cold
 from cardamomloft.core.cachestate import CacheState, CacheTracker
 from cardamomloft.core.choices import Choice, Preferences, Reason
+from cardamomloft.core.connectivity.outages import EndpointOutages
 from cardamomloft.core.estimates import (
     SMOOTHING_FACTOR,
     describe_load,
@@ -34,7 +35,7 @@
 MAX_EJECTED_FRACTION = 0.5
 """Maximum fraction of a service's endpoints that may be ejected at one time.
 
-When more of them fail, the cause is more likely a network link or this entry than the endpoints.
+Failures are a guess; endpoints that accept no connections are left out whatever their number.
 """
 
 _FAILURES_TO_EJECT = 2
@@ -90,6 +91,10 @@
         Cache states of the keys at the endpoints.
     shared_loads : SharedLoads
         The loads that entries share; by default those of no service.
+    outages : EndpointOutages
+        The endpoints that accept no connections, which get no requests however many they are.
+    has_connection
+        Returns whether there is an idle connection to an address.
     """
 
     def __init__(
@@ -112,6 +117,8 @@
         self.rate_limits = RateLimits()
         self.policies: Mapping[str, ServicePolicy] = {}
         self.entries = 1
+        self.outages = EndpointOutages()
+        self.has_connection: Callable[[str], bool] = lambda address: False
         self.record_age: Callable[[timedelta], timedelta] = lambda now: timedelta.max
         self._bounds = LoadBounds(preferences, self.cache_states)
         self._ranks = EntryRanks(name)
@@ -165,9 +172,18 @@
         order = self.ranker.first(rule, service, key)
         if not order:
             return Refusal(RefusalReason.NO_PLACE, f"{service} has no endpoint")
-        if all(up.cold_until > now or up.id in tried or self._hold(up, now) for up in order):
+        if all(self._is_out(up, tried, now) for up in order):
             order = self.ranker.all(rule, service, key)
         primary = order[0]
+        if self.outages:
+            order = [up for up in order if not self._is_lost(up)]
+            if not order:
+                detail = f"no endpoint of {service} accepts connections"
+                return Refusal(RefusalReason.UNREACHABLE, detail)
+            order = [up for up in order if not self._is_returning(up, now)]
+            if not order:
+                detail = f"the endpoints of {service} were unreachable a moment ago"
+                return Refusal(RefusalReason.OVERLOAD, detail)
         holds = [self._hold(up, now) for up in order]
         if min(holds):
             return _on_hold(service, min(holds))
@@ -186,7 +202,14 @@
         if rule.keyed and not tried and len(untried) > 1:
             chosen = self._bounds.faster_secondary(untried[0], untried[1], key, until, now)
         if chosen is None:
-            chosen = self._bounds.with_room(untried, bool(tried), rule, until, now)
+            chosen = self._bounds.with_room(
+                untried,
+                bool(tried),
+                rule,
+                until,
+                now,
+                endpoints_lost=self.lost_count(service) > 0,
+            )
         if chosen is not None:
             return Choice(chosen, _reason(chosen, primary, untried[0], bool(tried)))
         cold = [up for up in eligible if up.cold_until > now and up.id not in tried]
@@ -251,10 +274,7 @@
         found = [
             up
             for up in self.ranker.in_region(rule, first.registration.service, key, region)
-            if up.cold_until <= now
-            and up.ejected_until <= now
-            and up.id not in tried
-            and not self._hold(up, now)
+            if up.ejected_until <= now and not self._is_out(up, tried, now)
         ]
         return found[: self._preferences.shared_endpoints_per_key]
 
@@ -269,6 +289,37 @@
         """Return the shares of keys that are moved, by the regions that they leave and go to."""
         return self._placement.regions.shares(service)
 
+    def has_alternative(self, service: str, tried: Collection[str]) -> bool:
+        """Return whether an endpoint that was not tried accepts connections, as far as is known."""
+        return any(
+            up.id not in tried and not self._is_lost(up) for up in self._table.of_service(service)
+        )
+
+    def lost_count(self, service: str) -> int:
+        """Return the number of endpoints of a service that accept no connections."""
+        if not self.outages:
+            return 0
+        return sum(self._is_lost(up) for up in self._table.of_service(service))
+
+    def _is_out(self, upstream: Upstream, tried: Collection[str], now: timedelta) -> bool:
+        """Return whether an endpoint is cold, or can't get this request now."""
+        if upstream.cold_until > now or upstream.id in tried or self._hold(upstream, now):
+            return True
+        if not self.outages:
+            return False
+        return self._is_lost(upstream) or self._is_returning(upstream, now)
+
+    def _is_lost(self, upstream: Upstream) -> bool:
+        address = upstream.registration.address
+        return self.outages.is_lost(address) and self.outages.is_lost(
+            address, connected=self.has_connection(address)
+        )
+
+    def _is_returning(self, upstream: Upstream, now: timedelta) -> bool:
+        row = upstream.registration
+        rank = self._ranks.rank_for(upstream.id, upstream.seed)
+        return self.outages.is_returning(row.address, upstream.in_flight, rank, row.slots, now)
+
     def _hold(self, upstream: Upstream, now: timedelta) -> timedelta:
         """Return the time until an endpoint accepts a request of this entry.
 
--- a/packages/core/tests/test_helpers.py
+++ b/packages/core/tests/test_helpers.py
@@ -111,6 +111,8 @@
     fleet.helpers.record_unavailable(name, NOW, "orders")
     assert fleet.choose().name == name
     assert fleet.helpers.choose("orders", HOMES, (), NOW) is None
+    assert not fleet.helpers.is_unreachable("orders", NOW)
+    fleet.helpers.record_unreachable("orders", NOW)
     assert fleet.helpers.is_unreachable("orders", NOW)
     assert not fleet.helpers.is_unreachable("orders", NOW + UNAVAILABLE_TIME)
 
--- a/packages/core/tests/test_selection.py
+++ b/packages/core/tests/test_selection.py
@@ -7,7 +7,7 @@
 from cardamomloft.core.affinity import Candidate, first_ranked, text_hash, unit_hash
 from cardamomloft.core.budgets import ColdLimit
 from cardamomloft.core.estimates import REPORT_MAX_AGE, expected_load
-from cardamomloft.core.model import Refusal
+from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.notices import UpstreamRateLimit
 from cardamomloft.core.registrations import Registration
 from cardamomloft.core.routes import ServicePolicy
@@ -506,3 +506,43 @@
     selector.body_sizes.record(RULE.name, 60_000)
     chosen = [_choose(selector, str(key)) for key in range(100)]
     assert {up.registration.zone for up in chosen} == {"a"}
+
+
+def _lose(selector: Selector, numbers) -> None:
+    for number in numbers:
+        selector.outages.record_lost(f"10.0.0.{number}:80", NOW, silent=True)
+
+
+@pytest.mark.parametrize("count", [1, 4, 5, 7, 19])
+def test_endpoints_that_accept_no_connections_get_nothing_whatever_their_number(count):
+    selector = _selector(near=20, far=0)
+    _lose(selector, range(count))
+    chosen = Counter(_choose(selector, str(key)).id for key in range(400))
+    assert not chosen.keys() & {f"i-{number}" for number in range(count)}
+    assert max(chosen.values()) < 3 * 400 / (20 - count)
+
+
+def test_request_is_refused_at_once_if_no_endpoint_accepts_connections():
+    selector = _selector()
+    _lose(selector, range(8))
+    assert _choose(selector).reason is RefusalReason.UNREACHABLE
+
+
+def test_endpoint_that_refuses_new_connections_is_used_over_open_ones():
+    selector = _selector(near=1, far=0)
+    selector.outages.record_lost("10.0.0.0:80", NOW, silent=False)
+    selector.outages.record_answer("10.0.0.0:80", NOW)
+    assert isinstance(_choose(selector), Refusal)
+    selector.has_connection = lambda address: True
+    assert _choose(selector).id == "i-0"
+
+
+def test_endpoint_that_is_back_gets_one_request_until_it_is_answered():
+    selector = _selector(near=1, far=0)
+    _lose(selector, [0])
+    selector.outages.record_connected("10.0.0.0:80", MS, NOW)
+    upstream = _choose(selector)
+    selector.record_sent(upstream, NOW)
+    assert _choose(selector).reason is RefusalReason.OVERLOAD
+    selector.outages.record_answer("10.0.0.0:80", NOW)
+    assert _choose(selector) is upstream
--- a/packages/gateway/src/cardamomloft/gateway/endpointfeedback.py
+++ b/packages/gateway/src/cardamomloft/gateway/endpointfeedback.py
@@ -8,7 +8,13 @@
 from cardamomloft.core.selection import Reason
 from cardamomloft.core.upstreamtable import LoadReport, Upstream
 from cardamomloft.gateway.calls import Call
-from cardamomloft.gateway.outcomes import EndpointStatus, Outcome, Served, endpoint_status
+from cardamomloft.gateway.outcomes import (
+    EndpointStatus,
+    Failed,
+    Outcome,
+    Served,
+    endpoint_status,
+)
 from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer
 from expression import Result
 
@@ -96,14 +102,20 @@
         return status
 
     def record_failure(
-        self, upstream: Upstream, fingerprint: Callable[[], str], *, cut: bool
+        self, upstream: Upstream, failure: Failed, fingerprint: Callable[[], str]
     ) -> None:
-        """Record a failure of an endpoint, unless this gateway's own links are the cause."""
-        links = self._forwarder.links
+        """Record a failure of an endpoint, unless this gateway's own links are the cause.
+
+        Endpoints that accept no connections are known to the monitor of endpoints, which finds out
+        when they do again, so that they need not be ejected for a time.
+        """
+        links, cut = self._forwarder.links, failure.cut
         if links is None:
             self._selector.record_failure(upstream, self._now())
             self._record_crash(cut, upstream, fingerprint)
             return
+        if failure.unreachable:
+            return
         if cut:
             links.confirm().addCallback(self._record_crash, upstream, fingerprint)
         if not links.is_suspected():
--- a/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
+++ b/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
@@ -17,9 +17,9 @@
 )
 from cardamomloft.runtime.logs import log
 from cardamomloft.runtime.metrics import Metrics
-from cardamomloft.upstreams.client import UpstreamClient
-from cardamomloft.upstreams.probing import probe
-from twisted.internet.defer import Deferred, gatherResults, succeed
+from cardamomloft.upstreams.client import ConnectionFailure, UpstreamClient
+from cardamomloft.upstreams.probing import any_true, probe
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.interfaces import IDelayedCall
 
 MAX_LATENESS = timedelta(milliseconds=100)
@@ -85,7 +85,7 @@
         self._waiting: list[Deferred[None]] = []
         self._unconfirmed: list[_UnconfirmedFailure] = []
         self._stopped = False
-        client.observer = self
+        client.observers.add(self)
 
     # Observations of the client.
 
@@ -94,7 +94,7 @@
         self._reachability.record_sent(self._clock.monotonic())
         self._schedule()
 
-    def connected(self, address: str) -> None:
+    def connected(self, address: str, took: timedelta) -> None:
         """Observe that a new connection is established."""
         now = self._clock.monotonic()
         self._metrics.count("connections.opened")
@@ -107,8 +107,8 @@
         self._reachability.record_answer(address, now)
         self._confirm_failures_before(now - SIGN_DELAY)
 
-    def failed(self, address: str) -> None:
-        """Observe that a connection was refused, not established in time, or lost."""
+    def failed(self, address: str, reason: ConnectionFailure) -> None:
+        """Observe that there is no connection, or that one was lost before an answer began."""
         self._metrics.count("connections.failed")
         self._reachability.record_failure(address, self._clock.monotonic())
         self._schedule()
@@ -226,7 +226,7 @@
             return
         self._probing = True
         probes = [self._probe_one(target.address) for target in targets]
-        gatherResults(probes).addCallback(self._end_probe, started_at, targets)
+        any_true(probes).addCallback(self._end_probe, started_at, targets)
 
     def _probe_one(self, address: str) -> "Deferred[bool]":
         self._metrics.count("probes")
@@ -239,13 +239,13 @@
         return self._probe(self._reactor, address, PROBE_TIMEOUT).addCallback(record)
 
     def _end_probe(
-        self, results: list[bool], started_at: timedelta, targets: list[ProbeTarget]
+        self, connected: bool, started_at: timedelta, targets: list[ProbeTarget]
     ) -> None:
         self._probing = False
         if self._stopped:
             return
         now, down_since = self._clock.monotonic(), self._reachability.down_since
-        if self._reachability.end_probe(started_at, connected=any(results)):
+        if self._reachability.end_probe(started_at, connected=connected):
             if self.down:
                 self._log_down(targets, now)
             else:
--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
@@ -37,6 +37,10 @@
 MAX_HELPERS = 6
 """Maximum number of gateways tried for one request. Those that can't help say so at once."""
 
+MAX_HELPERS_OF_SERVICE = 3
+"""The same where links work but no endpoint of the service can be reached. In other zones other
+endpoints may be reached; if not, the endpoints have most likely failed for all."""
+
 CONNECT_TIMEOUT = timedelta(milliseconds=300)
 """Time in which another gateway must accept a connection."""
 
@@ -216,6 +220,10 @@
         of_service = service if reason == RefusalReason.UNREACHABLE else ""
         self._helpers.record_unavailable(peer.name, now, of_service)
 
+    def record_unreachable(self, service: str) -> None:
+        """Record that the gateways that were asked can't send more requests to a service."""
+        self._helpers.record_unreachable(service, self._clock.monotonic())
+
     def monotonic(self) -> timedelta:
         """Return the present instant."""
         return self._clock.monotonic()
@@ -273,11 +281,15 @@
             if hop.unable:
                 self._proxy.record_unavailable(peer, hop.reason, self._req.call.service)
             elif hop.answer is not None:
+                if hop.reason == RefusalReason.OVERLOAD:
+                    self._proxy.record_unreachable(self._req.call.service)
                 return self._outcome(hop.answer, hop.not_run, hop.detail)
-            detail = hop.detail
+            detail = hop.detail or hop.reason
             if not hop.not_run:
                 deliveries = self._req.deliveries + 1
                 self._req = self._req._replace(deliveries=deliveries, may_have_run=True)
+        if self._tried:
+            self._proxy.record_unreachable(self._req.call.service)
         return self._outcome(None, not self._req.may_have_run, detail)
 
     def _next_peer(self) -> EntryRecord | None:
--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/fallback.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/fallback.py
@@ -11,6 +11,7 @@
 from cardamomloft.core.registrations import EntryRecord
 from cardamomloft.core.upstreamtable import UpstreamTable
 from cardamomloft.gateway.calls import CallerHeaders
+from cardamomloft.gateway.endpointmonitor import EndpointMonitor
 from cardamomloft.gateway.forwarding import Forwarder
 from cardamomloft.gateway.linkmonitor import LinkMonitor
 from cardamomloft.gateway.noticehandler import NoticeHandler
@@ -88,6 +89,16 @@
         )
         self.listener = ProxyListener(reactor, own, forwarder, self.links, access)
         forwarder.links, forwarder.proxy = self.links, self._proxy
+        self._selector.has_connection = client.has_idle
+        self._endpoints = EndpointMonitor(
+            reactor,
+            clock,
+            client,
+            self._selector.outages,
+            upstream_table,
+            lambda: self.links.down,
+            metrics,
+        )
 
     @property
     def app(self) -> CallersApp:
@@ -103,17 +114,20 @@
     def stop(self) -> None:
         """Stop probing, and close the connections to other gateways."""
         self.links.stop()
+        self._endpoints.stop()
         self._proxy.close()
 
     def status(self) -> dict[str, t.Any]:
         """Return the state of the links for the status page."""
         return {
             "links": self.links.status(),
+            "endpoints": self._endpoints.status(),
             "cut_off_entries": sorted(self._notice_handler.cut_off.names()),
             "proxied_in_flight": self.app.in_flight,
         }
 
     def _on_changed(self) -> None:
+        self._endpoints.forget()
         if not self.links.down:
             self._selector.forget_failures()
         self._queue.retry_all()
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -24,7 +24,13 @@
     Served,
     read_outcome,
 )
-from cardamomloft.gateway.peerproxy.client import MAX_HELPERS, Hop, ProxiedCall, unreachable
+from cardamomloft.gateway.peerproxy.client import (
+    MAX_HELPERS,
+    MAX_HELPERS_OF_SERVICE,
+    Hop,
+    ProxiedCall,
+    unreachable,
+)
 from cardamomloft.gateway.records import SendRecord
 from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer, UpstreamRequest
 from expression import Result
@@ -33,7 +39,10 @@
     from cardamomloft.gateway.forwarding import Forwarder
 
 MAX_SENDS = 4
-"""Maximum number of endpoints tried for one request, including failed connections."""
+"""Maximum number of endpoints to which one request is sent."""
+
+MAX_CONNECTIONS = 8
+"""Maximum number of endpoints to which no connection could be established for one request."""
 
 MIN_TIME_LEFT = timedelta(milliseconds=5)
 """Minimum time to the deadline for sending a request; with less, the deadline would pass while the
@@ -95,6 +104,7 @@
         self._deliveries = 0 if origin is None else origin.deliveries
         self._counted = origin is not None and origin.counted
         self._unsent_time = timedelta(0)
+        self._connections_failed = 0
         self._may_have_run = False
         self._answer: Served | None = None
         self._connection_lost = False
@@ -115,7 +125,7 @@
             self._count_request()
             chosen = await self._choose_or_wait()
             if not isinstance(chosen, Choice):
-                if self._links_are_down() or (last is not None and await self._needs_peer(last)):
+                if self._links_are_down() or await self._needs_peer(last, chosen):
                     return await self._send_through_peer(last)
                 return self._finish(last, self._refusal_after(last, chosen))
             if self._links_are_down(chosen.upstream):
@@ -128,7 +138,7 @@
             if isinstance(last, Served):
                 self._answer = last
             if self._is_final(last):
-                if await self._needs_peer(last):
+                if await self._needs_peer(last, None):
                     return await self._send_through_peer(last)
                 return self._finish(last, None)
 
@@ -156,11 +166,23 @@
             return not links.may_send_any()
         return not links.may_send(upstream.registration.address)
 
-    async def _needs_peer(self, outcome: Outcome) -> bool:
-        """Return whether another gateway may reach an endpoint where this one could not."""
+    async def _needs_peer(self, outcome: Outcome | None, refusal: Refusal | None) -> bool:
+        """Return whether another gateway may reach an endpoint where this one could not.
+
+        Parameters
+        ----------
+        outcome
+            That of the last send, None without one.
+        refusal
+            Why no endpoint was chosen, None if the last one was tried.
+        """
         links = self._forwarder.links
-        unreachable = isinstance(outcome, Failed) and outcome.unreachable
-        if links is None or not unreachable or self._may_have_run:
+        if links is None or self._may_have_run:
+            return False
+        if refusal is not None and refusal.reason is RefusalReason.OVERLOAD:
+            return self._selector.lost_count(self._call.service) > 0 and self._peer_may_reach()
+        lost = refusal is not None and refusal.reason is RefusalReason.UNREACHABLE
+        if not lost and not (isinstance(outcome, Failed) and outcome.unreachable):
             return False
         await links.verdict()
         if self._caller.disconnected:
@@ -177,7 +199,6 @@
         forwarder = self._forwarder
         if self._origin is not None or forwarder.proxy is None:
             return self._finish(last, _NO_ENDPOINT)
-        # With working links the endpoints have most likely failed, also for the other gateways.
         links_down = forwarder.links is not None and forwarder.links.down
         outcome = await forwarder.proxy.send(
             ProxiedCall(
@@ -187,7 +208,7 @@
                 self._deliveries,
                 self._may_have_run,
                 self._counted,
-                MAX_HELPERS if links_down else 1,
+                MAX_HELPERS if links_down else MAX_HELPERS_OF_SERVICE,
             )
         )
         self._sends.extend(outcome.hops)
@@ -272,7 +293,7 @@
             self._selector.shared_loads.record_end(upstream, now, self._now())
 
     def _request_for(self, upstream: Upstream, now: timedelta) -> UpstreamRequest:
-        call, row = self._call, upstream.registration
+        call, row, selector = self._call, upstream.registration, self._selector
         endpoint = Endpoint(
             row.id, row.service, row.zone, upstream.region, row.address, row.slots, 0
         )
@@ -286,8 +307,17 @@
             request_id=call.id,
             idempotent=call.rule.idempotent,
             expected=row.id,
+            new_connection=selector.outages.needs_new_connection(row.address, now),
+            patience=self._patience(row.address),
         )
 
+    def _patience(self, address: str) -> timedelta | None:
+        """Return how long a connection may take, None if no other endpoint can be tried."""
+        selector = self._selector
+        if not selector.has_alternative(self._call.service, self._tried):
+            return None
+        return selector.outages.patience(address)
+
     def _is_late(self) -> bool:
         return self._call.deadline - self._now() < MIN_TIME_LEFT
 
@@ -322,7 +352,8 @@
                 self._may_have_run = self._may_have_run or not outcome.not_run
                 if outcome.unreachable:
                     self._unsent_time += now - sent_at
-                self._feedback.record_failure(upstream, self._get_fingerprint, cut=outcome.cut)
+                    self._connections_failed += 1
+                self._feedback.record_failure(upstream, outcome, self._get_fingerprint)
 
     def _record_end(self, outcome: Outcome, duration: timedelta) -> None:
         self._rejected_with_room = isinstance(outcome, Refused) and outcome.had_room
@@ -335,7 +366,12 @@
         if not isinstance(self._payload, bytes) and not self._payload.unconsumed:
             return False
         call, now = self._call, self._now()
-        attempts = min(call.rule.attempts - self._deliveries, MAX_SENDS - len(self._tried))
+        unsent = self._connections_failed
+        attempts = min(
+            call.rule.attempts - self._deliveries,
+            MAX_SENDS - (len(self._tried) - unsent),
+            MAX_CONNECTIONS - unsent,
+        )
         allowed = may_retry(
             call.rule.idempotent, not_run, attempts, call.deadline - now, MIN_TIME_LEFT
         )
--- a/packages/gateway/tests/test_link_monitor.py
+++ b/packages/gateway/tests/test_link_monitor.py
@@ -7,6 +7,7 @@
 )
 from cardamomloft.gateway.linkmonitor import LinkMonitor
 from cardamomloft.runtime.metrics import Metrics
+from cardamomloft.upstreams.client import ConnectionFailure, LinkObservers
 from cardamomloft_standins import gateway as kit
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
@@ -21,6 +22,7 @@
     def __init__(self) -> None:
         self.idle = set()
         self.aborted = []
+        self.observers = LinkObservers()
 
     def has_idle(self, address):
         return address in self.idle
@@ -61,7 +63,7 @@
 
     def fail(self, *addresses) -> None:
         for address in addresses:
-            self.monitor.failed(address)
+            self.monitor.failed(address, ConnectionFailure.REFUSED)
 
     def lose_links(self) -> None:
         self.reachable = False
--- a/packages/upstreams/src/cardamomloft/upstreams/client.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/client.py
@@ -5,8 +5,10 @@
 proves it.
 """
 
+import enum
 import typing as t
 from collections import Counter
+from collections.abc import Container
 from datetime import timedelta
 
 from cardamomloft.core.model import Endpoint
@@ -14,6 +16,8 @@
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred, maybeDeferred, succeed
 from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.error import TimeoutError as ConnectTimeout
+from twisted.internet.interfaces import IDelayedCall
 from twisted.python.failure import Failure
 from twisted.web._newclient import RequestNotSent
 from twisted.web.client import Agent
@@ -28,6 +32,9 @@
 POLL_TIMEOUT = timedelta(milliseconds=500)
 CANCEL_TIMEOUT = timedelta(seconds=2)
 MAX_IN_FLIGHT_PER_ENDPOINT = 64
+READ_DELAY_S = 0.02
+"""Time after a timer in which a connection that is already established is still noticed."""
+
 _CONTROL_BODY_LIMIT = 4096
 
 # Headers that the client sets itself: framing of the body, request id and deadline.
@@ -50,7 +57,9 @@
     `path` is the request target with its query, as the caller sent it. `timeout` covers the whole
     exchange, until the last byte of the answer was delivered. A request that is not `idempotent`
     gets a new connection unless the dialect allows reuse. `expected` identifies the endpoint
-    incarnation that is to run it, if the dialect has a header for that.
+    incarnation that is to run it, if the dialect has a header for that. `new_connection` requires a
+    new connection, and `patience` is the time in which it must be established, if that is shorter
+    than the time of the client.
     """
 
     endpoint: Endpoint
@@ -62,6 +71,8 @@
     request_id: str
     idempotent: bool = False
     expected: str | None = None
+    new_connection: bool = False
+    patience: timedelta | None = None
 
 
 class UpstreamAnswer(t.NamedTuple):
@@ -92,6 +103,19 @@
     unreachable: bool = False
 
 
+class ConnectionFailure(enum.Enum):
+    """Why a request got no answer.
+
+    `REFUSED`: the connection was refused. `TIMEOUT`: it was not established in time. `SLOW`: it was
+    not established within the patience of the request. `LOST`: it was lost, or reset.
+    """
+
+    REFUSED = "refused"
+    TIMEOUT = "timeout"
+    SLOW = "slow"
+    LOST = "lost"
+
+
 class LinkObserver(t.Protocol):
     """Observes the exchanges of a client; addresses are ``ip:port``.
 
@@ -103,16 +127,16 @@
         """Observe the start of an exchange, before a connection is opened."""
         ...
 
-    def connected(self, address: str) -> None:
-        """Observe that a new connection is established."""
+    def connected(self, address: str, took: timedelta) -> None:
+        """Observe that a new connection is established, after a time."""
         ...
 
     def answered(self, address: str) -> None:
         """Observe the head of an answer; `ended` follows."""
         ...
 
-    def failed(self, address: str) -> None:
-        """Observe that a connection was refused, not established in time, or lost."""
+    def failed(self, address: str, reason: "ConnectionFailure") -> None:
+        """Observe that there is no connection, or that one was lost before an answer began."""
         ...
 
     def ended(self, address: str) -> None:
@@ -120,13 +144,40 @@
         ...
 
 
-class UnobservedLinks:
-    """A :class:`LinkObserver` that does nothing."""
+class LinkObservers:
+    """A :class:`LinkObserver` that tells several ones, in the order in which they were added."""
+
+    def __init__(self) -> None:
+        self._observers: list[LinkObserver] = []
 
-    def _ignore(self, address: str) -> None:
-        pass
+    def add(self, observer: LinkObserver) -> None:
+        """Tell another observer from now on."""
+        self._observers.append(observer)
 
-    sent = connected = answered = failed = ended = _ignore
+    def sent(self, address: str) -> None:
+        """Tell of the start of an exchange."""
+        for observer in self._observers:
+            observer.sent(address)
+
+    def connected(self, address: str, took: timedelta) -> None:
+        """Tell of a new connection."""
+        for observer in self._observers:
+            observer.connected(address, took)
+
+    def answered(self, address: str) -> None:
+        """Tell of an answer."""
+        for observer in self._observers:
+            observer.answered(address)
+
+    def failed(self, address: str, reason: ConnectionFailure) -> None:
+        """Tell of a failure."""
+        for observer in self._observers:
+            observer.failed(address, reason)
+
+    def ended(self, address: str) -> None:
+        """Tell of the end of the wait for an answer."""
+        for observer in self._observers:
+            observer.ended(address)
 
 
 class UpstreamClient:
@@ -146,8 +197,8 @@
 
     Attributes
     ----------
-    observer : LinkObserver
-        Observes whether connections work.
+    observers : LinkObservers
+        Observe whether connections work.
     """
 
     def __init__(
@@ -160,7 +211,7 @@
     ) -> None:
         self.reactor = reactor
         self.dialect = dialect
-        self.observer: LinkObserver = UnobservedLinks()
+        self.observers = LinkObservers()
         self.pool = ConnectionPool(reactor)
         self.endpoints = NumericEndpoints(reactor, connect_timeout)
         self.exchanges: set[_Exchange] = set()
@@ -202,7 +253,9 @@
         """Return whether there is an idle connection to `address`."""
         return self.pool.has_idle(address)
 
-    def abort_unanswered(self, detail: str, *, connected: bool) -> int:
+    def abort_unanswered(
+        self, detail: str, *, connected: bool, addresses: Container[str] | None = None
+    ) -> int:
         """Abort exchanges without an answer that may be repeated elsewhere; return their number.
 
         Parameters
@@ -212,8 +265,15 @@
         connected
             Whether to abort idempotent requests that may have been sent, besides those of all kinds
             that have no connection yet.
+        addresses
+            The endpoints concerned, None for all.
         """
-        aborted = [exchange for exchange in self.exchanges if exchange.may_abort(connected)]
+        aborted = [
+            exchange
+            for exchange in self.exchanges
+            if (addresses is None or exchange.address in addresses)
+            and exchange.may_abort(connected)
+        ]
         for exchange in aborted:
             exchange.abort(detail)
         return len(aborted)
@@ -256,19 +316,23 @@
 
     def __init__(self, client: UpstreamClient, req: UpstreamRequest) -> None:
         self.result: Deferred[Result[UpstreamAnswer, SendFailure]] = Deferred(self._cancelled)
+        self.address = req.endpoint.address
         self._client = client
         self._req = req
         self._settled = False
         self._body: AnswerBody | None = None
         self._abort_detail: str | None = None
         self._dialect = client.dialect
-        fresh = not (req.idempotent or self._dialect.reuse_always)
+        fresh = req.new_connection or not (req.idempotent or self._dialect.reuse_always)
+        self._slow = False
+        self._patience_timer: IDelayedCall | None = None
+        self._started_at = client.reactor.seconds()
         self._attempt = Attempt(client.pool, fresh=fresh, on_connected=self._connected)
         self._awaited = True
         self._freed = False
         client.in_flight[req.endpoint.address] += 1
         client.exchanges.add(self)
-        client.observer.sent(req.endpoint.address)
+        client.observers.sent(self.address)
         self._timer = client.reactor.callLater(req.timeout.total_seconds(), self._timed_out)
         agent = Agent.usingEndpointFactory(client.reactor, client.endpoints, self._attempt)
         self._pending = maybeDeferred(
@@ -279,6 +343,10 @@
             _producer_for(req.body),
         )
         self._pending.addCallbacks(self._answered, self._failed)
+        if req.patience is not None and self._attempt.connection is None and not self._settled:
+            self._patience_timer = client.reactor.callLater(
+                req.patience.total_seconds(), self._lose_patience
+            )
 
     def may_abort(self, connected: bool) -> bool:
         """Return whether the request can be sent elsewhere; see `abort_unanswered`."""
@@ -291,15 +359,25 @@
         self._abort(detail)
 
     def _connected(self) -> None:
-        self._client.observer.connected(self._req.endpoint.address)
+        took = timedelta(seconds=self._client.reactor.seconds() - self._started_at)
+        self._client.observers.connected(self.address, took)
+
+    def _lose_patience(self) -> None:
+        """Wait once more until sockets are read: timers run before, also after a suspension."""
+        self._patience_timer = self._client.reactor.callLater(READ_DELAY_S, self._abort_slow)
+
+    def _abort_slow(self) -> None:
+        if self._attempt.connection is None and self._body is None and not self._settled:
+            self._slow = True
+            self.abort("no connection was established in time")
 
     def _end_wait(self) -> None:
         if self._awaited:
             self._awaited = False
-            self._client.observer.ended(self._req.endpoint.address)
+            self._client.observers.ended(self.address)
 
     def _answered(self, response: IResponse) -> None:
-        self._client.observer.answered(self._req.endpoint.address)
+        self._client.observers.answered(self.address)
         self._end_wait()
         headers = _headers_of(response)
         echoed = _value_of(headers, self._dialect.request_id)
@@ -318,8 +396,9 @@
         not_run = self._attempt.connection is None or bool(failure.check(RequestNotSent))
         detail = self._abort_detail or _describe(failure)
         cut = not (not_run or self._abort_detail) and _is_connection_loss(failure)
-        if cut or (self._attempt.connection is None and not self._abort_detail):
-            self._client.observer.failed(self._req.endpoint.address)
+        reason = self._failure_reason(failure, cut)
+        if reason is not None:
+            self._client.observers.failed(self.address, reason)
         self._end_wait()
         self._attempt.abort()
         self._end()
@@ -327,6 +406,17 @@
         unreachable = self._attempt.connection is None and not ended_here
         self._settle(Error(SendFailure(not_run, detail, cut, unreachable)))
 
+    def _failure_reason(self, failure: Failure, cut: bool) -> ConnectionFailure | None:
+        """Return why there is no answer if a connection is the reason."""
+        if self._slow:
+            return ConnectionFailure.SLOW
+        if cut:
+            return ConnectionFailure.LOST
+        if self._attempt.connection is not None or self._abort_detail:
+            return None
+        timed_out = failure.check(ConnectTimeout) is not None
+        return ConnectionFailure.TIMEOUT if timed_out else ConnectionFailure.REFUSED
+
     def _closed_cleanly(self) -> bool:
         conn = self._attempt.connection
         return self._dialect.close_ends_body and conn is not None and conn.closed_cleanly
@@ -345,8 +435,9 @@
         self._pending.cancel()
 
     def _end(self) -> None:
-        if self._timer.active():
-            self._timer.cancel()
+        for timer in (self._timer, self._patience_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
         self._client.exchanges.discard(self)
         address = self._req.endpoint.address
         self._client.in_flight[address] -= 1
--- a/packages/upstreams/src/cardamomloft/upstreams/probing.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/probing.py
@@ -40,6 +40,22 @@
     return factory.result
 
 
+def any_true(outcomes: list["Deferred[bool]"]) -> "Deferred[bool]":
+    """Return a Deferred that fires with True once any outcome is true, else when all are known."""
+    result: Deferred[bool] = Deferred()
+    missing = len(outcomes)
+
+    def record(outcome: bool) -> None:
+        nonlocal missing
+        missing -= 1
+        if not result.called and (outcome or not missing):
+            result.callback(outcome)
+
+    for outcome in outcomes:
+        outcome.addCallback(record)
+    return result
+
+
 class _ProbeFactory(ClientFactory):
     noisy = False
 
--- a/standins/src/cardamomloft_standins/gateway.py
+++ b/standins/src/cardamomloft_standins/gateway.py
@@ -17,7 +17,7 @@
 from cardamomloft.gateway.calls import CallerHeaders
 from cardamomloft.gateway.control import Changes, Listing
 from cardamomloft.store.failures import StoreFailure
-from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer
+from cardamomloft.upstreams.client import LinkObservers, SendFailure, UpstreamAnswer
 from cardamomloft.upstreams.dialect import Dialect
 from expression import Error, Ok
 from twisted.internet.defer import Deferred, succeed
@@ -117,6 +117,7 @@
         self.sent = []
         self.forgotten_addresses = []
         self.cancelled = 0
+        self.observers = LinkObservers()
 
     def close_idle(self, address):
         """Record that the idle connections to an address are to be closed."""
@@ -126,7 +127,7 @@
         """Return that there is no idle connection."""
         return False
 
-    def abort_unanswered(self, detail, *, connected):
+    def abort_unanswered(self, detail, *, connected, addresses=None):
         """Abort nothing."""
         return 0
 
--- a/standins/src/cardamomloft_standins/linkfleet.py
+++ b/standins/src/cardamomloft_standins/linkfleet.py
@@ -5,6 +5,7 @@
 import pathlib
 import signal
 import subprocess
+import threading
 import time
 import typing as t
 from collections import Counter
@@ -31,6 +32,12 @@
 WORK_S = 0.05
 """Time that an endpoint takes for a request, in seconds."""
 
+SLOTS = 4
+"""Requests that an endpoint with limited slots runs at the same time."""
+
+QUEUE = 4
+"""Requests that wait at such an endpoint for a slot."""
+
 _ONCE_RULE = {
     "name": "stamps",
     "when": {"host": endpoints.HOST, "path": f"{ONCE}/"},
@@ -44,6 +51,53 @@
 }
 
 
+class LimitedWork:
+    """Behaviour of endpoints that state their load, and refuse what is beyond their queues.
+
+    Attributes
+    ----------
+    refused
+        The endpoints of the requests that were refused since the last `reset`.
+    durations
+        How long requests have held a slot since then, in seconds; on a busy machine that is longer
+        than `WORK_S`.
+    """
+
+    def __init__(self) -> None:
+        self.refused: list[str] = []
+        self.durations: list[float] = []
+        self._present: Counter[str] = Counter()
+        self._slots: dict[str, threading.Semaphore] = {}
+        self._lock = threading.Lock()
+
+    def reset(self) -> None:
+        """Count from now on."""
+        self.refused, self.durations = [], []
+
+    def __call__(self, endpoint: endpoints.Endpoint, handler: t.Any) -> None:
+        """Run a request, or refuse it."""
+        with self._lock:
+            present = self._present[endpoint.name]
+            accepted = present < SLOTS + QUEUE
+            self._present[endpoint.name] += accepted
+            if not accepted:
+                self.refused.append(endpoint.name)
+            slots = self._slots.setdefault(endpoint.name, threading.Semaphore(SLOTS))
+        if not accepted:
+            handler.answer(503, **{"X-Not-Run": "1", "X-Load": _load(present)})
+            return
+        try:
+            with slots:
+                started = time.monotonic()
+                time.sleep(WORK_S)
+                self.durations.append(time.monotonic() - started)
+        finally:
+            with self._lock:
+                present = self._present[endpoint.name]
+                self._present[endpoint.name] -= 1
+        handler.answer(**{"X-Load": _load(present)})
+
+
 class LinkFleet:
     """Gateways in two zones, and the endpoints of one service.
 
@@ -57,15 +111,22 @@
         Number of gateways.
     cut_off
         Number of gateways, all in one zone, whose links `cut` cuts by default.
+    work
+        Behaviour of the endpoints; by default they have no limit.
     """
 
     def __init__(
-        self, stack: contextlib.ExitStack, folder: pathlib.Path, gateways: int, cut_off: int
+        self,
+        stack: contextlib.ExitStack,
+        folder: pathlib.Path,
+        gateways: int,
+        cut_off: int,
+        work: endpoints.Behaviour | None = None,
     ) -> None:
         self.folder = folder
         self.store = stack.enter_context(processes.store())
         self.configure(1000)
-        service = endpoints.service(self.store, ENDPOINTS, _work)
+        service = endpoints.service(self.store, ENDPOINTS, work or _work)
         self.endpoints, self.arrivals = stack.enter_context(service)
         self.settings: list[dict[str, t.Any]] = []
         self._stack = stack
@@ -132,6 +193,12 @@
         return [endpoint.address for endpoint in self.endpoints]
 
 
+def _load(present: int) -> str:
+    """Return the header value for a number of requests at an endpoint."""
+    running = min(present, SLOTS)
+    return f"{running},{present - running},{SLOTS}"
+
+
 def _work(endpoint: t.Any, handler: t.Any) -> None:
     time.sleep(WORK_S)
     if handler.path == LARGE:
