--- a/packages/gateway/src/cardamomloft/gateway/endpointfeedback.py
+++ b/packages/gateway/src/cardamomloft/gateway/endpointfeedback.py
@@ -1,6 +1,5 @@
 """What a gateway learns about endpoints from the requests that it sends."""
 
-import typing as t
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -15,63 +14,61 @@
     Served,
     endpoint_status,
 )
+from cardamomloft.gateway.requestcontext import RequestContext
 from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer
 from expression import Result
 
-if t.TYPE_CHECKING:
-    from cardamomloft.gateway.forwarding import Forwarder
-
 
 class EndpointFeedback:
     """Records what the sends of one request tell about endpoints.
 
     Parameters
     ----------
-    forwarder
+    context
         Has the components that use it.
     call
         The request.
     """
 
-    def __init__(self, forwarder: "Forwarder", call: Call) -> None:
-        self._forwarder = forwarder
+    def __init__(self, context: RequestContext, call: Call) -> None:
+        self._context = context
         self._call = call
-        self._selector = forwarder.selector
-        self._dialect = forwarder.client.dialect
+        self._selector = context.selector
+        self._dialect = context.client.dialect
         self._answered = False
 
     def _now(self) -> timedelta:
-        return self._forwarder.clock.monotonic()
+        return self._context.clock.monotonic()
 
     def record_sent(self, upstream: Upstream, reason: Reason) -> CacheState:
         """Record that the request is sent; return whether the endpoint has its key cached."""
-        forwarder, call = self._forwarder, self._call
+        context, call = self._context, self._call
         cache_state = CacheState.NONE
         if call.rule.keyed:
-            cache_state = forwarder.selector.cache_states.state_of(upstream, call.key)
-            forwarder.selector.cache_states.record_sent(upstream, call.key)
-        forwarder.metrics.count(f"sends.{reason}.{call.service}")
-        forwarder.metrics.count(f"touch.{cache_state}.{call.service}")
+            cache_state = context.selector.cache_states.state_of(upstream, call.key)
+            context.selector.cache_states.record_sent(upstream, call.key)
+        context.metrics.count(f"sends.{reason}.{call.service}")
+        context.metrics.count(f"touch.{cache_state}.{call.service}")
         return cache_state
 
     def record_cache_outcome(
         self, upstream: Upstream, cache_state: CacheState, outcome: Outcome, duration: timedelta
     ) -> None:
         """Record whether the endpoint has the key cached now."""
-        forwarder, call = self._forwarder, self._call
+        context, call = self._context, self._call
         if isinstance(outcome, Served):
             self._answered = True
-            forwarder.metrics.observe(f"{call.service}.{cache_state}", duration)
+            context.metrics.observe(f"{call.service}.{cache_state}", duration)
         if cache_state is CacheState.NONE:
             return
-        cache_states = forwarder.selector.cache_states
+        cache_states = context.selector.cache_states
         if not isinstance(outcome, Served):
             cache_states.record_failure(upstream, call.key)
             return
         is_new = cache_states.state_of(upstream, call.key) is not CacheState.HIT
         cache_states.record_answer(upstream, call.key)
         if is_new and not outcome.faulty:
-            forwarder.selector.shared_loads.record_cached(upstream, call.key)
+            context.selector.shared_loads.record_cached(upstream, call.key)
 
     def apply_status(
         self, upstream: Upstream, result: Result[UpstreamAnswer, SendFailure], sent_at: timedelta
@@ -80,7 +77,7 @@
         if result.is_error():
             return EndpointStatus()
         status = endpoint_status(result.ok, self._dialect)
-        notice_handler = self._forwarder.notice_handler
+        notice_handler = self._context.notice_handler
         if status.leaving:
             notice_handler.record_leaving(upstream)
         if result.ok.status != self._dialect.misdirected:
@@ -109,7 +106,7 @@
         Endpoints that accept no connections are known to the monitor of endpoints, which finds out
         when they do again, so that they need not be ejected for a time.
         """
-        links, cut = self._forwarder.links, failure.cut
+        links, cut = self._context.links, failure.cut
         if links is None:
             self._selector.record_failure(upstream, self._now())
             self._record_crash(cut, upstream, fingerprint)
@@ -132,4 +129,4 @@
         self, confirmed: bool, upstream: Upstream, fingerprint: Callable[[], str]
     ) -> None:
         if confirmed and not self._answered:
-            self._forwarder.notice_handler.record_crash(fingerprint(), upstream)
+            self._context.notice_handler.record_crash(fingerprint(), upstream)
--- /dev/null
+++ b/packages/gateway/src/cardamomloft/gateway/requestcontext.py
@@ -0,0 +1,141 @@
+"""The components that the requests of a gateway share, and how they are refused."""
+
+import random
+import typing as t
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+from cardamomloft.callers.exchange import (
+    Answer,
+    failed,
+    to_answer,
+    with_fractional_retry_after,
+)
+from cardamomloft.core.budgets import RetryBudget
+from cardamomloft.core.clock import Clock
+from cardamomloft.core.model import Refusal, RefusalReason
+from cardamomloft.core.retryafter import RetryAfterBounds, RetryAfterPolicy
+from cardamomloft.core.selection import Selector
+from cardamomloft.core.upstreamtable import UpstreamTable
+from cardamomloft.gateway.calls import Call
+from cardamomloft.gateway.linkmonitor import LinkMonitor
+from cardamomloft.gateway.noticehandler import NoticeHandler
+from cardamomloft.gateway.peerproxy.client import Hop, PeerProxy
+from cardamomloft.gateway.records import RequestLog, SendRecord
+from cardamomloft.gateway.requestqueue import RequestQueue
+from cardamomloft.runtime.metrics import Metrics
+from cardamomloft.upstreams.client import UpstreamClient
+
+_DEFAULT_CALLER_WAIT = timedelta(minutes=1)
+"""Assumed remaining time of a caller whose deadline was not read, before this entry is ready or
+while it stops."""
+
+
+class RequestContext:
+    """What the requests of one gateway have in common.
+
+    Parameters
+    ----------
+    reactor
+        Schedules timeouts.
+    clock, rng
+        Sources of time and randomness.
+    selector
+        Chooses endpoints.
+    upstream_table
+        The registered endpoints.
+    client
+        Sends requests to endpoints.
+    budget_for
+        Returns the retry budget of a service.
+    metrics
+        Counts outcomes and records latencies.
+    records
+        Writes the log lines of requests.
+    notice_handler
+        Decides which requests are quarantined, and publishes notices about upstreams.
+
+    Attributes
+    ----------
+    on_not_run
+        Called with each call that is refused.
+    queue
+        Holds requests for which no endpoint has capacity, if it is enabled.
+    links
+        Knows whether endpoints can be reached, None if that is not monitored.
+    proxy
+        Sends requests through other gateways, None if there is no way to them.
+    """
+
+    links: LinkMonitor | None = None
+    proxy: PeerProxy | None = None
+
+    def __init__(
+        self,
+        reactor: t.Any,
+        clock: Clock,
+        rng: random.Random,
+        selector: Selector,
+        upstream_table: UpstreamTable,
+        client: UpstreamClient,
+        budget_for: Callable[[str], RetryBudget],
+        metrics: Metrics,
+        records: RequestLog,
+        notice_handler: NoticeHandler,
+    ) -> None:
+        self.reactor = reactor
+        self.clock = clock
+        self.rng = rng
+        self.selector = selector
+        self.upstream_table = upstream_table
+        self.client = client
+        self.budget_for = budget_for
+        self.metrics = metrics
+        self.records = records
+        self.notice_handler = notice_handler
+        self.on_not_run: Callable[[Call], None] = lambda call: None
+        self.queue = RequestQueue(reactor, clock, rng, metrics)
+        self._retry_after_policies: dict[str, RetryAfterPolicy] = {}
+
+    def record_caller_left(self, call: Call, sends: Sequence[SendRecord | Hop]) -> Answer:
+        """Log and count that the caller has disconnected; return an answer that nobody receives."""
+        self.metrics.count("caller-left")
+        self.records.write(call, "caller-left", self.clock.monotonic(), sends=sends)
+        return failed("the caller has disconnected")
+
+    def refuse(self, refusal: Refusal, wait: timedelta | None = None) -> Answer:
+        """Return the answer for a request that was not run, with a retry-after time if useful.
+
+        `wait` is that time; None if the refusal concerns no service.
+        """
+        self.metrics.count(f"refused.{refusal.reason}")
+        if refusal.retry_after is None and refusal.reason not in _NOT_RETRYABLE:
+            if wait is None:
+                wait = RetryAfterPolicy(RetryAfterBounds()).wait(
+                    self.rng.random(), _DEFAULT_CALLER_WAIT
+                )
+            refusal = refusal._replace(retry_after=wait)
+        return with_fractional_retry_after(to_answer(refusal))
+
+    def retry_after_for(self, call: Call, now: timedelta) -> timedelta:
+        """Return how long the caller of a refused request should wait before it retries."""
+        return self.retry_after_policy(call.service).wait(
+            self.rng.random(), call.caller_deadline - now
+        )
+
+    def retry_after_policy(self, service: str) -> RetryAfterPolicy:
+        """Return the retry-after policy of a service."""
+        policy = self._retry_after_policies.get(service)
+        if policy is None:
+            policy = self._retry_after_policies[service] = RetryAfterPolicy(RetryAfterBounds())
+        return policy
+
+
+_NOT_RETRYABLE = frozenset(
+    {
+        RefusalReason.NO_SERVICE,
+        RefusalReason.BAD_REQUEST,
+        RefusalReason.TOO_LARGE,
+        RefusalReason.UNAUTHENTICATED,
+    }
+)
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -32,12 +32,10 @@
     unreachable,
 )
 from cardamomloft.gateway.records import SendRecord
+from cardamomloft.gateway.requestcontext import RequestContext
 from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer, UpstreamRequest
 from expression import Result
 
-if t.TYPE_CHECKING:
-    from cardamomloft.gateway.forwarding import Forwarder
-
 MAX_SENDS = 4
 """Maximum number of endpoints to which one request is sent."""
 
@@ -86,14 +84,14 @@
 
     def __init__(
         self,
-        forwarder: "Forwarder",
+        context: RequestContext,
         call: Call,
         head: RequestHead,
         payload: bytes | RequestBody,
         caller: CallerState,
         origin: Origin | None = None,
     ) -> None:
-        self._forwarder = forwarder
+        self._context = context
         self._call = call
         self._head = head
         self._payload = payload
@@ -110,14 +108,14 @@
         self._connection_lost = False
         self._rejected_with_room = False
         self._returning = False
-        self._budget = forwarder.budget_for(call.service)
-        self._selector = forwarder.selector
-        self._dialect = forwarder.client.dialect
-        self._feedback = EndpointFeedback(forwarder, call)
+        self._budget = context.budget_for(call.service)
+        self._selector = context.selector
+        self._dialect = context.client.dialect
+        self._feedback = EndpointFeedback(context, call)
 
     async def run(self) -> Answer:
         """Send the request until it is answered or no further attempt is allowed."""
-        self._returning = self._forwarder.queue.is_returning(self._call, self._head.client)
+        self._returning = self._context.queue.is_returning(self._call, self._head.client)
         last: Outcome | None = None
         while True:
             if self._links_are_down():
@@ -134,7 +132,7 @@
             last = await self._send(chosen.upstream, chosen.reason)
             self._record_end(last, self._now() - sent_at)
             if self._caller.disconnected:
-                return self._forwarder.record_caller_left(self._call, self._sends)
+                return self._context.record_caller_left(self._call, self._sends)
             if isinstance(last, Served):
                 self._answer = last
             if self._is_final(last):
@@ -159,7 +157,7 @@
 
     def _links_are_down(self, upstream: Upstream | None = None) -> bool:
         """Return whether no endpoint can be reached, or not the one that was chosen."""
-        links = self._forwarder.links
+        links = self._context.links
         if links is None:
             return False
         if upstream is None:
@@ -176,7 +174,7 @@
         refusal
             Why no endpoint was chosen, None if the last one was tried.
         """
-        links = self._forwarder.links
+        links = self._context.links
         if links is None or self._may_have_run:
             return False
         if refusal is not None and refusal.reason is RefusalReason.OVERLOAD:
@@ -191,16 +189,16 @@
 
     def _peer_may_reach(self) -> bool:
         """Return whether another gateway may reach the service although this one does not."""
-        proxy = self._forwarder.proxy
+        proxy = self._context.proxy
         return proxy is not None and self._origin is None and proxy.may_reach(self._call)
 
     async def _send_through_peer(self, last: Outcome | None) -> Answer:
         """Send the request through another gateway, unless it came from one; return the answer."""
-        forwarder = self._forwarder
-        if self._origin is not None or forwarder.proxy is None:
+        context = self._context
+        if self._origin is not None or context.proxy is None:
             return self._finish(last, _NO_ENDPOINT)
-        links_down = forwarder.links is not None and forwarder.links.down
-        outcome = await forwarder.proxy.send(
+        links_down = context.links is not None and context.links.down
+        outcome = await context.proxy.send(
             ProxiedCall(
                 self._call,
                 self._head,
@@ -213,7 +211,7 @@
         )
         self._sends.extend(outcome.hops)
         if self._caller.disconnected:
-            return forwarder.record_caller_left(self._call, self._sends)
+            return context.record_caller_left(self._call, self._sends)
         self._may_have_run = outcome.may_have_run
         answer = outcome.answer
         if answer is None or (outcome.refused and self._may_have_run):
@@ -224,15 +222,15 @@
         return self._finish_served(answer)
 
     def _now(self) -> timedelta:
-        return self._forwarder.clock.monotonic()
+        return self._context.clock.monotonic()
 
     async def _choose_or_wait(self) -> Choice | Refusal:
         """Return an endpoint or a refusal, after a wait if nothing can have run yet."""
         if self._may_have_run:
-            self._forwarder.queue.send_before(self._call.service, self._call.rule.priority)
+            self._context.queue.send_before(self._call.service, self._call.rule.priority)
             return self._choose()
         size = len(self._payload) if isinstance(self._payload, bytes) else 0
-        return await self._forwarder.queue.choose(self._call, size, self._returning, self._choose)
+        return await self._context.queue.choose(self._call, size, self._returning, self._choose)
 
     def _choose(self) -> Choice | Refusal:
         call, now = self._call, self._now()
@@ -240,7 +238,7 @@
             return _NO_ENDPOINT
         if call.deadline - now < MIN_TIME_LEFT:
             return Refusal(RefusalReason.DEADLINE, "the deadline is too close to send the request")
-        refused_until = self._forwarder.notice_handler.refused_until(self._get_fingerprint)
+        refused_until = self._context.notice_handler.refused_until(self._get_fingerprint)
         if refused_until is not None:
             detail = "the request is quarantined because upstreams have crashed while running it"
             return Refusal(RefusalReason.QUARANTINED, detail, refused_until - now)
@@ -259,8 +257,8 @@
         self._tried.append(upstream.id)
         if self._deliveries:
             self._budget.spend(now)
-            self._forwarder.metrics.count("repeats")
-            self._forwarder.metrics.count(f"repeats.{self._call.service}")
+            self._context.metrics.count("repeats")
+            self._context.metrics.count(f"repeats.{self._call.service}")
         self._deliveries += 1
         load = selector.load_of(upstream, now)
         report_age = None if upstream.report is None else now - upstream.report.at
@@ -288,7 +286,7 @@
     ) -> Result[UpstreamAnswer, SendFailure]:
         """Send the request, and return the answer without its body."""
         try:
-            return await self._forwarder.client.send(self._request_for(upstream, now))
+            return await self._context.client.send(self._request_for(upstream, now))
         finally:
             self._selector.shared_loads.record_end(upstream, now, self._now())
 
@@ -331,17 +329,15 @@
             case Served(faulty=True):
                 self._may_have_run = True
                 self._selector.record_failure(upstream, now)
-                self._forwarder.notice_handler.record_answer(self._get_fingerprint)
+                self._context.notice_handler.record_answer(self._get_fingerprint)
             case Served():
-                self._forwarder.notice_handler.record_answer(self._get_fingerprint)
+                self._context.notice_handler.record_answer(self._get_fingerprint)
                 self._selector.record_answer(upstream, now - sent_at, load)
             case Refused(misdirected=True):
-                self._forwarder.upstream_table.mark_leaving(upstream)
-                self._forwarder.records.write(self._call, "misdirected", now, upstream=upstream)
+                self._context.upstream_table.mark_leaving(upstream)
+                self._context.records.write(self._call, "misdirected", now, upstream=upstream)
             case Refused(had_room=had_room):
-                self._forwarder.metrics.count(
-                    f"refused-there.{'with-room' if had_room else 'full'}"
-                )
+                self._context.metrics.count(f"refused-there.{'with-room' if had_room else 'full'}")
                 self._selector.record_refusal(upstream, now, had_room=had_room)
             case Failed() if self._caller.disconnected:
                 # The send was cancelled here, so the failure is not the endpoint's.
@@ -359,7 +355,7 @@
         self._rejected_with_room = isinstance(outcome, Refused) and outcome.had_room
         ran = not isinstance(outcome, Refused) and not getattr(outcome, "not_run", False)
         answered = duration if isinstance(outcome, Served) else None
-        self._forwarder.queue.record_end(self._call, answered, ran=ran)
+        self._context.queue.record_end(self._call, answered, ran=ran)
 
     def _may_retry(self, outcome: Outcome) -> bool:
         not_run = isinstance(outcome, Refused) or (isinstance(outcome, Failed) and outcome.not_run)
@@ -393,47 +389,47 @@
         return self._finish_unserved(last, refusal)
 
     def _finish_served(self, answer: Answer) -> Answer:
-        forwarder, now = self._forwarder, self._now()
-        forwarder.retry_after_policy(self._call.service).record(False)
-        forwarder.metrics.count("complete")
-        forwarder.metrics.observe(self._call.service, now - self._call.arrived)
-        forwarder.records.served(self._call, answer.status, self._sends, now, **self._log_fields())
+        context, now = self._context, self._now()
+        context.retry_after_policy(self._call.service).record(False)
+        context.metrics.count("complete")
+        context.metrics.observe(self._call.service, now - self._call.arrived)
+        context.records.served(self._call, answer.status, self._sends, now, **self._log_fields())
         return answer
 
     def _finish_refused_by_peer(self, answer: Answer, detail: str) -> Answer:
         """Return the refusal of a gateway that reaches endpoints, with its retry-after time."""
-        forwarder, now = self._forwarder, self._now()
-        forwarder.retry_after_policy(self._call.service).record(True)
-        forwarder.metrics.count("proxied.refused-there")
-        forwarder.records.write(
+        context, now = self._context, self._now()
+        context.retry_after_policy(self._call.service).record(True)
+        context.metrics.count("proxied.refused-there")
+        context.records.write(
             self._call, "refused", now, detail=detail, sends=self._sends, **self._log_fields()
         )
-        forwarder.on_not_run(self._call)
+        context.on_not_run(self._call)
         return answer
 
     def _finish_unserved(self, last: Outcome | None, refusal: Refusal | None) -> Answer:
-        forwarder, now = self._forwarder, self._now()
+        context, now = self._context, self._now()
         if refusal is None or refusal.reason is not RefusalReason.QUARANTINED:
-            forwarder.retry_after_policy(self._call.service).record(not self._may_have_run)
+            context.retry_after_policy(self._call.service).record(not self._may_have_run)
         detail = refusal.detail if refusal is not None else getattr(last, "detail", "")
         outcome = "refused"
         if self._may_have_run:
             outcome = "late" if isinstance(last, Failed) and last.late else "failed"
-        forwarder.records.write(
+        context.records.write(
             self._call, outcome, now, detail=detail, sends=self._sends, **self._log_fields()
         )
         if not self._may_have_run:
             if self._origin is None:
-                forwarder.on_not_run(self._call)
+                context.on_not_run(self._call)
             unreachable = isinstance(last, Failed) and last.unreachable
             reason = RefusalReason.UNREACHABLE if unreachable else RefusalReason.SHED
             refusal = refusal or Refusal(reason, detail)
-            wait = forwarder.retry_after_for(self._call, now)
+            wait = context.retry_after_for(self._call, now)
             if refusal.retry_after is None:
                 rejected = self._rejected_with_room and refusal.reason is RefusalReason.SHED
-                wait = forwarder.queue.retry_after(self._call, self._head.client, rejected, wait)
-            return forwarder.refuse(refusal, wait)
-        forwarder.metrics.count(outcome)
+                wait = context.queue.retry_after(self._call, self._head.client, rejected, wait)
+            return context.refuse(refusal, wait)
+        context.metrics.count(outcome)
         return deadline_exceeded(detail) if outcome == "late" else failed(detail)
 
     def _log_fields(self) -> dict[str, str]:
