--- a/tests/soak/test_lost_links.py
+++ b/tests/soak/test_lost_links.py
@@ -1,4 +1,6 @@
-"""Lost links, signals, restarts and changes in random series, with callers that keep connections.
+"""Lost links and endpoints, signals, restarts and changes in series, with open connections.
+
+Callers keep their connections while they can.
 
 ``SOAK_SEEDS=50 python -m pytest tests/soak`` runs more seeds.
 """
@@ -15,7 +17,7 @@
 import pytest
 from cardamomloft_standins import endpoints, processes
 from cardamomloft_standins.cutlinks import Cut
-from cardamomloft_standins.linkfleet import ONCE, LinkFleet
+from cardamomloft_standins.linkfleet import ENDPOINTS, ONCE, LinkFleet
 
 SEEDS = range(int(os.environ.get("SOAK_SEEDS", "2")))
 GATEWAYS = 4
@@ -84,11 +86,15 @@
 
     def disturb(self) -> None:
         cfg = self.rng.choice(self.fleet.settings)
-        kind = self.rng.choice(["cut", "cut", "cut", "restore", "stop", "kill", "configure", "hup"])
+        kind = self.rng.choice(
+            ["cut", "cut", "cut", "lose", "lose", "restore", "stop", "kill", "configure", "hup"]
+        )
         self.log.append(f"{kind} {cfg['name']}")
         if kind == "cut":
-            cut = self.rng.choice([Cut.HANG, Cut.RESET, Cut.REFUSE])
-            self.fleet.cut(cut, [cfg])
+            self.fleet.cut(self.draw_cut(), [cfg], endpoints=self.rng.randint(3, ENDPOINTS))
+        elif kind == "lose":
+            concerned = self.rng.sample(self.fleet.settings, self.rng.randint(1, GATEWAYS))
+            self.fleet.cut(self.draw_cut(), concerned, endpoints=self.rng.randint(1, ENDPOINTS - 1))
         elif kind == "restore":
             self.fleet.cut(Cut.NONE, [cfg])
         elif kind == "configure":
@@ -99,6 +105,9 @@
             else:
                 self.restart(cfg, signal.SIGTERM if kind == "stop" else signal.SIGKILL)
 
+    def draw_cut(self) -> Cut:
+        return self.rng.choice([Cut.HANG, Cut.RESET, Cut.REFUSE])
+
     def restart(self, cfg, number: signal.Signals) -> None:
         proc = self.fleet.signal(cfg, number)
 
