--- a/packages/gateway/src/cardamomloft/gateway/endpointmonitor.py
+++ b/packages/gateway/src/cardamomloft/gateway/endpointmonitor.py
@@ -10,7 +10,8 @@
 from cardamomloft.gateway.linkmonitor import Probe
 from cardamomloft.runtime.logs import log
 from cardamomloft.runtime.metrics import Metrics
-from cardamomloft.upstreams.client import ConnectionFailure, UpstreamClient
+from cardamomloft.upstreams.client import UpstreamClient
+from cardamomloft.upstreams.observers import ConnectionFailure
 from cardamomloft.upstreams.probing import probe
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.interfaces import IDelayedCall
--- a/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
+++ b/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
@@ -17,7 +17,8 @@
 )
 from cardamomloft.runtime.logs import log
 from cardamomloft.runtime.metrics import Metrics
-from cardamomloft.upstreams.client import ConnectionFailure, UpstreamClient
+from cardamomloft.upstreams.client import UpstreamClient
+from cardamomloft.upstreams.observers import ConnectionFailure
 from cardamomloft.upstreams.probing import any_true, probe
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.interfaces import IDelayedCall
--- a/packages/gateway/tests/test_link_monitor.py
+++ b/packages/gateway/tests/test_link_monitor.py
@@ -7,7 +7,7 @@
 )
 from cardamomloft.gateway.linkmonitor import LinkMonitor
 from cardamomloft.runtime.metrics import Metrics
-from cardamomloft.upstreams.client import ConnectionFailure, LinkObservers
+from cardamomloft.upstreams.observers import ConnectionFailure, LinkObservers
 from cardamomloft_standins import gateway as kit
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
