Bound what gateways admit between answers by what is tolerated

A gateway might admit a twentieth of the burst after a report without an answer, 10 of this account; 24 gateways together 240, where 132.8 are tolerated. Beyond that it went by its last rate, whatever fraction its answer had, and each time it lost its answers it got its spare token again.

Now half of what is tolerated is divided among the gateways, and half of the burst besides while that is left; coordinators name an account of whose burst less is left, with the fraction 1, which older gateways read as before. Beyond it both the last rate and the fraction bind. The spare token is given once in a window.

--- a/packages/core/src/cardamomloft/core/clientaccounts/quotagate.py
+++ b/packages/core/src/cardamomloft/core/clientaccounts/quotagate.py
@@ -9,7 +9,13 @@
 from datetime import timedelta
 
 from cardamomloft.core.budgets import DIVIDED_FRACTION, Division
-from cardamomloft.core.clientaccounts.quotas import LAST_RATE_LIFE, MAX_WAIT, Admission, QuotaPolicy
+from cardamomloft.core.clientaccounts.quotas import (
+    LAST_RATE_LIFE,
+    MAX_WAIT,
+    SCARCE_FRACTION,
+    Admission,
+    QuotaPolicy,
+)
 from cardamomloft.core.clientaccounts.rates import admitted_rate, demand_rate
 from cardamomloft.core.clientaccounts.returns import ExpectedReturns
 from cardamomloft.core.clientaccounts.usage import UsageRow
@@ -18,11 +24,13 @@
 ANSWER_LIFE = timedelta(milliseconds=1250)
 """How long an entry goes by its coordinator's last answer, from before it was requested."""
 
-UNANSWERED_FRACTION = 0.05
-MIN_UNANSWERED = 3
-"""Requests of an account that an entry may admit after a report without an answer: this fraction
-of its burst, and at least this number or half of the entry's share. Beyond it the entry acts as if
-it had no answers."""
+UNANSWERED_FRACTION = 0.5
+"""Requests of an account that all entries together may admit after reports without an answer, as a
+fraction of what is tolerated beyond its quota. Beyond its part of them an entry acts as if it had
+no answers, since its coordinator may not know of them."""
+
+MIN_UNANSWERED = 1
+"""Minimum of an entry's part while much of the account's burst is left, which is added then."""
 
 MIN_WAIT = timedelta(milliseconds=100)
 
@@ -45,6 +53,7 @@
         self.unanswered = 0
         self.tokens: float | None = None
         self.refilled_at = now
+        self.spared_at: timedelta | None = None
 
     def admit(self, fraction: float, caller: str, due: timedelta | None, now: timedelta) -> bool:
         """Return whether to admit a request if a fraction of all new requests is.
@@ -193,9 +202,15 @@
         if usage.rated_at != self._answered_at:
             usage.rated_at, usage.last_rate = self._answered_at, usage.admitted.per_s(now)
             usage.unanswered = 0
-        share = account.burst / max(1, self._division(now).entries)
-        limit = max(MIN_UNANSWERED, UNANSWERED_FRACTION * account.burst, share / 2)
-        return usage.unanswered <= limit
+        return True
+
+    def _unanswered_limit(self, account: ClientAccount, now: timedelta) -> float:
+        """Return how many requests this entry may admit after its last report with an answer."""
+        entries = max(1, self._division(now).entries)
+        limit = UNANSWERED_FRACTION * self.policy.spare(account)
+        if account.name in self._admissions:
+            return limit / entries
+        return max(MIN_UNANSWERED, (limit + SCARCE_FRACTION * account.burst) / entries)
 
     def _admit_informed(
         self,
@@ -205,9 +220,14 @@
         due: timedelta | None,
         now: timedelta,
     ) -> timedelta | None:
-        usage.tokens = None
         if due is None:
             usage.demand.add(1, now)
+        if usage.unanswered > self._unanswered_limit(account, now):
+            wait = usage.take_token(self._uninformed_rate(account, usage, now), 0.0, now)
+            if wait is not None:
+                return wait
+        else:
+            usage.tokens = None
         admission = self._admissions.get(account.name)
         if admission is None or usage.admit(admission.fraction, caller, due, now):
             return None
@@ -218,7 +238,16 @@
         self, account: ClientAccount, usage: _AccountHere, now: timedelta
     ) -> timedelta | None:
         rate = self._uninformed_rate(account, usage, now)
-        return usage.take_token(rate, float(self._has_spare_token(account, now)), now)
+        return usage.take_token(rate, self._initial_token(account, usage, now), now)
+
+    def _initial_token(self, account: ClientAccount, usage: _AccountHere, now: timedelta) -> float:
+        """Return the tokens at the start of a time without answers: one at most in each window."""
+        if usage.tokens is not None or not self._has_spare_token(account, now):
+            return 0.0
+        if usage.spared_at is not None and now - usage.spared_at <= self.policy.window:
+            return 0.0
+        usage.spared_at = now
+        return 1.0
 
     def _uninformed_rate(
         self, account: ClientAccount, usage: _AccountHere, now: timedelta
--- a/packages/core/src/cardamomloft/core/clientaccounts/quotas.py
+++ b/packages/core/src/cardamomloft/core/clientaccounts/quotas.py
@@ -34,6 +34,10 @@
 LAST_RATE_LIFE = timedelta(seconds=10)
 """How long an entry without answers may admit at the rate at which it did before."""
 
+SCARCE_FRACTION = 0.5
+"""Fraction of a burst below which entries are told of an account even if all its requests are
+admitted, so that they admit fewer before they hear more."""
+
 SPENDING_TIME = timedelta(seconds=1)
 """Time over which the tokens of a bucket are offered to the requests that are expected."""
 
@@ -194,10 +198,14 @@
                 bucket.credit(min(max(0, row.admitted), entitled * (RECENT_TIME / _SECOND)))
 
     def admissions(self, now: timedelta) -> tuple[Admission, ...]:
-        """Return the accounts of whose requests not all can be admitted."""
+        """Return the accounts of whose requests not all can be admitted, or soon may not be."""
         silent = self._silent(now)
-        found = (self._admission(bucket, silent, now) for bucket in self._active(now))
-        return tuple(admission for admission in found if admission.fraction < 1)
+        found = ((self._admission(bucket, silent, now), bucket) for bucket in self._active(now))
+        return tuple(
+            admission
+            for admission, bucket in found
+            if admission.fraction < 1 or bucket.tokens < SCARCE_FRACTION * bucket.account.burst
+        )
 
     def usage(self, now: timedelta) -> list[AccountUsage]:
         """Return the accounts with recent requests, the busiest first."""
