Count only endpoints in home regions as alternatives

A request whose rule has home regions gave a slow connection up early for endpoints that it must not use, and was refused then. The check of whether a service has lost endpoints stops at the first one. Found by reading, with a test of the selection; not seen in a run.

--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -208,7 +208,7 @@
                 rule,
                 until,
                 now,
-                endpoints_lost=self.lost_count(service) > 0,
+                endpoints_lost=self.has_lost(service),
             )
         if chosen is not None:
             return Choice(chosen, _reason(chosen, primary, untried[0], bool(tried)))
@@ -289,17 +289,17 @@
         """Return the shares of keys that are moved, by the regions that they leave and go to."""
         return self._placement.regions.shares(service)
 
-    def has_alternative(self, service: str, tried: Collection[str]) -> bool:
+    def has_alternative(self, rule: RouteRule, service: str, tried: Collection[str]) -> bool:
         """Return whether an endpoint that was not tried accepts connections, as far as is known."""
         return any(
-            up.id not in tried and not self._is_lost(up) for up in self._table.of_service(service)
+            up.id not in tried and not self._is_lost(up)
+            for up in self._table.of_service(service)
+            if not rule.homes or up.region in rule.homes
         )
 
-    def lost_count(self, service: str) -> int:
-        """Return the number of endpoints of a service that accept no connections."""
-        if not self.outages:
-            return 0
-        return sum(self._is_lost(up) for up in self._table.of_service(service))
+    def has_lost(self, service: str) -> bool:
+        """Return whether any endpoint of a service accepts no connections."""
+        return bool(self.outages) and any(map(self._is_lost, self._table.of_service(service)))
 
     def _is_out(self, upstream: Upstream, tried: Collection[str], now: timedelta) -> bool:
         """Return whether an endpoint is cold, or can't get this request now."""
--- a/packages/core/tests/test_selection.py
+++ b/packages/core/tests/test_selection.py
@@ -546,3 +546,14 @@
     assert _choose(selector).reason is RefusalReason.OVERLOAD
     selector.outages.record_answer("10.0.0.0:80", NOW)
     assert _choose(selector) is upstream
+
+
+def test_only_endpoints_in_home_regions_are_alternatives():
+    selector = _selector(near=1, far=3)
+    at_home = RULE._replace(homes=frozenset({"east"}))
+    assert selector.has_alternative(RULE, "menus", ["i-0"])
+    assert not selector.has_alternative(at_home, "menus", ["i-0"])
+    assert not selector.has_lost("menus")
+    _lose(selector, [1, 2, 3])
+    assert selector.has_lost("menus")
+    assert not selector.has_alternative(RULE, "menus", ["i-0"])
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -178,7 +178,7 @@
         if links is None or self._may_have_run:
             return False
         if refusal is not None and refusal.reason is RefusalReason.OVERLOAD:
-            return self._selector.lost_count(self._call.service) > 0 and self._peer_may_reach()
+            return self._selector.has_lost(self._call.service) and self._peer_may_reach()
         lost = refusal is not None and refusal.reason is RefusalReason.UNREACHABLE
         if not lost and not (isinstance(outcome, Failed) and outcome.unreachable):
             return False
@@ -311,8 +311,8 @@
 
     def _patience(self, address: str) -> timedelta | None:
         """Return how long a connection may take, None if no other endpoint can be tried."""
-        selector = self._selector
-        if not selector.has_alternative(self._call.service, self._tried):
+        selector, call = self._selector, self._call
+        if not selector.has_alternative(call.rule, call.service, self._tried):
             return None
         return selector.outages.patience(address)
 
