--- a/packages/gateway/src/cardamomloft/gateway/changefeed.py
+++ b/packages/gateway/src/cardamomloft/gateway/changefeed.py
@@ -166,7 +166,7 @@
             "verified_age_ms": (
                 None if verified_age is None else verified_age // timedelta(milliseconds=1)
             ),
-            "questions_held": self.port.held,
+            "held_requests": self.port.held,
             "notices": len(self.gossip),
         }
 
--- a/packages/gateway/src/cardamomloft/gateway/outcomes.py
+++ b/packages/gateway/src/cardamomloft/gateway/outcomes.py
@@ -58,7 +58,7 @@
         """Return the values for a log line, without the load and without defaults."""
         found: dict[str, t.Any] = {"leaving": True} if self.leaving else {}
         if self.pause is not None:
-            found["leave_alone_ms"] = self.pause // timedelta(milliseconds=1)
+            found["pause_ms"] = self.pause // timedelta(milliseconds=1)
         if self.rate_limit is not None:
             found["rate_limit"] = self.rate_limit
         return found
