--- a/packages/core/src/cardamomloft/core/connectivity/outages.py
+++ b/packages/core/src/cardamomloft/core/connectivity/outages.py
@@ -6,10 +6,11 @@
 :mod:`cardamomloft.core.connectivity.reachability`.
 """
 
-from collections import Counter
 from collections.abc import Container
 from datetime import timedelta
 
+from cardamomloft.core.connectivity.silence import AwaitedAnswers
+
 MIN_PATIENCE = timedelta(milliseconds=100)
 """Minimum time in which a connection must be established while other endpoints can be tried."""
 
@@ -32,24 +33,6 @@
 MAX_PROBES_PER_TICK = 2
 """Maximum number of lost endpoints that are probed at a time, which bounds the load of probes."""
 
-MAX_SILENCE = timedelta(milliseconds=150)
-"""Maximum time without a sign of an endpoint, while an answer is due, until it may be probed."""
-
-MIN_SILENCE = timedelta(milliseconds=50)
-"""Minimum of that time, which holds during an alarm."""
-
-SILENCE_FACTOR = 2
-"""That time as a multiple of the mean time to an answer."""
-
-SUSPECT_INTERVAL = timedelta(seconds=1)
-"""Minimum interval of probes of an endpoint that is slow to answer."""
-
-PROBES_PER_EXCHANGE = 0.1
-"""Probes of endpoints that are slow to answer, as a fraction of the requests sent."""
-
-MAX_SAVED_PROBES = 4.0
-"""Number of such probes that may be made at a time, unless there is an alarm."""
-
 EARLY_ALARM_TIME = timedelta(milliseconds=30)
 """Time after which a probe without a result causes an alarm."""
 
@@ -99,13 +82,9 @@
         self._lost: dict[str, _Outage] = {}
         self._returned: dict[str, timedelta] = {}
         self._heard: dict[str, timedelta] = {}
-        self._awaited: Counter[str] = Counter()
-        self._silent_since: dict[str, timedelta] = {}
+        self._awaited = AwaitedAnswers()
         self._connect_times: dict[str, timedelta] = {}
-        self._probed_at: dict[str, timedelta] = {}
         self._probing: dict[str, timedelta] = {}
-        self._mean_answer: timedelta | None = None
-        self._saved_probes = MAX_SAVED_PROBES
         self._alarm_at: timedelta | None = None
 
     def __bool__(self) -> bool:
@@ -115,31 +94,24 @@
 
     def record_sent(self, address: str, now: timedelta) -> None:
         """Record that an answer of an endpoint is awaited."""
-        if not self._awaited[address]:
-            self._silent_since[address] = now
-        self._awaited[address] += 1
-        self._saved_probes = min(MAX_SAVED_PROBES, self._saved_probes + PROBES_PER_EXCHANGE)
+        self._awaited.record_sent(address, now)
 
     def record_end(self, address: str) -> None:
         """Record that an answer is not awaited any more."""
-        self._awaited[address] -= 1
-        if self._awaited[address] <= 0:
-            del self._awaited[address]
-            self._silent_since.pop(address, None)
+        self._awaited.record_end(address)
 
     def record_answer(self, address: str, now: timedelta) -> None:
         """Record that an endpoint has begun to answer on an open connection."""
-        took = now - self._silent_since.get(address, now)
-        mean = self._mean_answer
-        self._mean_answer = took if mean is None else mean + (took - mean) * _SMOOTHING
-        self._record_sign(address, now)
+        self._heard[address] = now
+        self._awaited.record_answer(address, now)
         self._returned.pop(address, None)
         if address in self._lost:
             self._lost[address].heard = True
 
     def record_connected(self, address: str, took: timedelta, now: timedelta) -> bool:
         """Record that an endpoint has accepted a connection; return whether it was lost before."""
-        self._record_sign(address, now)
+        self._heard[address] = now
+        self._awaited.record_sign(address, now)
         usual = self._connect_times.get(address)
         self._connect_times[address] = (
             took if usual is None else usual + (took - usual) * _SMOOTHING
@@ -180,21 +152,11 @@
 
     def retain(self, addresses: Container[str]) -> None:
         """Forget the endpoints that are not in `addresses`; call it periodically."""
-        for known in (
-            self._lost,
-            self._returned,
-            self._heard,
-            self._connect_times,
-            self._probed_at,
-        ):
+        self._awaited.retain(addresses)
+        for known in (self._lost, self._returned, self._heard, self._connect_times):
             for address in [address for address in known if address not in addresses]:
                 del known[address]
 
-    def _record_sign(self, address: str, now: timedelta) -> None:
-        self._heard[address] = now
-        if address in self._silent_since:
-            self._silent_since[address] = now
-
     # Decisions about requests.
 
     def is_lost(self, address: str, *, connected: bool = False) -> bool:
@@ -278,25 +240,7 @@
     def suspects(self, now: timedelta) -> list[str]:
         """Return the endpoints to probe because their answers are due; call it at each tick."""
         alarm = self._alarm_since(now) is not None
-        silence = MIN_SILENCE if alarm else self._silence()
-        latest = now - SUSPECT_INTERVAL
-        found = [
-            (since, address)
-            for address, since in self._silent_since.items()
-            if now - since >= silence
-            and address not in self._lost
-            and self._probed_at.get(address, latest) <= latest
-        ]
-        found.sort()
-        if not alarm:
-            found = found[: int(self._saved_probes)]
-            self._saved_probes -= len(found)
-        return [address for _, address in found]
-
-    def _silence(self) -> timedelta:
-        if self._mean_answer is None:
-            return MAX_SILENCE
-        return min(max(self._mean_answer * SILENCE_FACTOR, MIN_SILENCE), MAX_SILENCE)
+        return self._awaited.suspects(now, self._lost, alarm=alarm)
 
     def due_probes(self, now: timedelta) -> list[str]:
         """Return the lost endpoints to probe now, those that were due first."""
@@ -309,7 +253,8 @@
 
     def start_probe(self, address: str, now: timedelta) -> None:
         """Record the start of a probe."""
-        self._probed_at[address] = self._probing[address] = now
+        self._probing[address] = now
+        self._awaited.record_probe(address, now)
         if address in self._lost:
             self._lost[address].probe_at = now + MAX_PATIENCE
 
--- a/packages/core/tests/test_outages.py
+++ b/packages/core/tests/test_outages.py
@@ -11,14 +11,16 @@
     MAX_PROBES_PER_TICK,
     MAX_RETURN_DELAY,
     MAX_RETURN_TIME,
-    MAX_SAVED_PROBES,
-    MAX_SILENCE,
     MIN_PATIENCE,
     PROBE_INTERVAL,
     RETURN_STEP,
-    SUSPECT_INTERVAL,
     EndpointOutages,
 )
+from cardamomloft.core.connectivity.silence import (
+    MAX_SAVED_PROBES,
+    MAX_SILENCE,
+    SUSPECT_INTERVAL,
+)
 
 MS = timedelta(milliseconds=1)
 START = timedelta(seconds=100)
--- a/packages/gateway/src/cardamomloft/gateway/endpointmonitor.py
+++ b/packages/gateway/src/cardamomloft/gateway/endpointmonitor.py
@@ -13,7 +13,6 @@
 from cardamomloft.upstreams.client import UpstreamClient
 from cardamomloft.upstreams.observers import ConnectionFailure
 from cardamomloft.upstreams.probing import probe
-from twisted.internet.defer import Deferred, succeed
 from twisted.internet.interfaces import IDelayedCall
 
 TICK = timedelta(milliseconds=25)
@@ -69,7 +68,7 @@
         self._links_down = links_down
         self._metrics = metrics
         self._probe = probe
-        self._probes: dict[str, Deferred[bool]] = {}
+        self._probing: set[str] = set()
         self._timer: IDelayedCall | None = None
         self._due = timedelta(0)
         self._retained_at = timedelta(0)
@@ -99,7 +98,7 @@
         if reason in (ConnectionFailure.REFUSED, ConnectionFailure.TIMEOUT):
             self._record_loss(address, silent=reason is ConnectionFailure.TIMEOUT)
         else:
-            self.confirm(address)
+            self._start_probe(address)
 
     def ended(self, address: str) -> None:
         """Observe the end of the wait for an answer."""
@@ -107,12 +106,6 @@
 
     # Probes.
 
-    def confirm(self, address: str) -> "Deferred[bool]":
-        """Return a Deferred of whether an endpoint that has failed accepts a connection."""
-        if self._links_down() or self._stopped:
-            return succeed(False)
-        return self._start_probe(address)
-
     def forget(self) -> None:
         """Use all endpoints again, because failures had another cause."""
         self._outages.forget()
@@ -148,34 +141,28 @@
             self._outages.retain({up.registration.address for up in self._upstream_table.all()})
         self._schedule()
 
-    def _start_probe(self, address: str) -> "Deferred[bool]":
-        outcome: Deferred[bool] = Deferred()
-        running = self._probes.get(address)
-        if running is not None:
-            running.addCallback(_pass_to(outcome))
-            return outcome
-        now = self._clock.monotonic()
+    def _start_probe(self, address: str) -> None:
+        if address in self._probing:
+            return
+        self._probing.add(address)
         self._metrics.count("probes.endpoints")
+        now, patience = self._clock.monotonic(), self._outages.patience(address)
         self._outages.start_probe(address, now)
-        patience = self._outages.patience(address)
-        started = self._probes[address] = self._probe(self._reactor, address, patience)
-        started.addCallback(self._end_probe, address, now, patience)
-        started.addCallback(_pass_to(outcome))
-        return outcome
+        outcome = self._probe(self._reactor, address, patience)
+        outcome.addCallback(self._end_probe, address, now, patience)
 
     def _end_probe(
         self, connected: bool, address: str, started_at: timedelta, patience: timedelta
-    ) -> bool:
-        self._probes.pop(address, None)
+    ) -> None:
+        self._probing.discard(address)
         self._outages.end_probe(address)
-        now = self._clock.monotonic()
+        took = self._clock.monotonic() - started_at
         if self._stopped:
-            return connected
+            return
         if connected:
-            self.connected(address, now - started_at)
+            self.connected(address, took)
         elif not self._links_down():
-            self._record_loss(address, silent=now - started_at >= patience)
-        return connected
+            self._record_loss(address, silent=took >= patience)
 
     # Losses and returns.
 
@@ -199,11 +186,3 @@
             if upstream.registration.address == address:
                 upstream.failures = 0
                 upstream.ejected_until = timedelta(0)
-
-
-def _pass_to(outcome: "Deferred[bool]") -> Callable[[bool], bool]:
-    def pass_on(connected: bool) -> bool:
-        outcome.callback(connected)
-        return connected
-
-    return pass_on
