Raise the alarm once for each endpoint that goes silent

Each probe of a lost endpoint without a result renewed the alarm, so that it lasted as long as the loss. Now only the first loss raises it, and probes of lost endpoints don't. The new test of the outages failed before. Found by reading.

--- a/packages/core/src/cardamomloft/core/connectivity/outages.py
+++ b/packages/core/src/cardamomloft/core/connectivity/outages.py
@@ -135,11 +135,11 @@
             refuses connections has closed the open ones too, so that nothing is sent on these.
         """
         self._returned.pop(address, None)
-        if silent:
-            self._alarm_at = now
         outage = self._lost.get(address)
         if outage is None:
             self._lost[address] = _Outage(now)
+            if silent:
+                self._alarm_at = now
             return True
         outage.record_failed_probe(now)
         return False
@@ -230,6 +230,8 @@
         if self._alarm_at is not None and now - self._alarm_at < ALARM_TIME:
             return self._alarm_at
         for address, since in self._probing.items():
+            if address in self._lost:
+                continue
             usual = self._connect_times.get(address, DEFAULT_PATIENCE / EARLY_ALARM_FACTOR)
             if now - since >= max(EARLY_ALARM_TIME, usual * EARLY_ALARM_FACTOR):
                 return since
--- a/packages/core/tests/test_outages.py
+++ b/packages/core/tests/test_outages.py
@@ -110,6 +110,16 @@
     assert not outages.needs_new_connection(OTHER, START + 50 * MS)
 
 
+def test_probes_of_lost_endpoints_require_no_new_connections():
+    outages = lost(ONE)
+    now = START + ALARM_TIME
+    outages.start_probe(ONE, now)
+    assert not outages.needs_new_connection(OTHER, now + 90 * MS)
+    outages.end_probe(ONE)
+    outages.record_lost(ONE, now + 100 * MS, silent=True)
+    assert not outages.needs_new_connection(OTHER, now + 100 * MS)
+
+
 def test_endpoint_that_is_slow_to_answer_is_probed_once_in_a_while():
     outages = EndpointOutages()
     outages.record_sent(ONE, START)
