Log who ended a send without an answer, and how long it was held

The log could not tell hypotheses about given-up requests apart: a send ended with a text, and its age included the time to connect. Now each failed send has ended_by (connection, deadline, caller, suspicion, answer) and held_ms, the time for which the endpoint may have had the request; endpoint-lost tells the silence of the endpoint, its usual time to connect, the answers awaited from it and how many sends were aborted.

No decision changes. Three tests of the client compare whole failures; they check the new fields too, one with a connection that is established after 0.25 s, and a new one checks a reused connection.

--- a/packages/core/src/cardamomloft/core/connectivity/outages.py
+++ b/packages/core/src/cardamomloft/core/connectivity/outages.py
@@ -6,6 +6,7 @@
 :mod:`cardamomloft.core.connectivity.reachability`.
 """
 
+import typing as t
 from collections.abc import Container
 from datetime import timedelta
 
@@ -56,6 +57,32 @@
 _SMOOTHING = 0.2
 
 
+class Evidence(t.NamedTuple):
+    """What one entry knows of an endpoint that accepts no connection.
+
+    Attributes
+    ----------
+    silence
+        Time since its last sign, None without any.
+    usual
+        Usual time to establish a connection to it, None if none was opened.
+    awaited
+        Number of answers that are awaited from it.
+    """
+
+    silence: timedelta | None
+    usual: timedelta | None
+    awaited: int
+
+    def fields(self) -> dict[str, t.Any]:
+        """Return the values for a log line."""
+        return {
+            "silence_ms": _ms(self.silence),
+            "usual_connect_ms": _ms(self.usual),
+            "awaited": self.awaited,
+        }
+
+
 class _Outage:
     """The state of an endpoint that accepts no connections."""
 
@@ -144,6 +171,15 @@
         outage.record_failed_probe(now)
         return False
 
+    def evidence(self, address: str, now: timedelta) -> Evidence:
+        """Return what is known of an endpoint, for the log."""
+        heard_at = self._heard.get(address)
+        return Evidence(
+            None if heard_at is None else now - heard_at,
+            self._connect_times.get(address),
+            self._awaited.count(address),
+        )
+
     def forget(self) -> None:
         """Use all endpoints again, as failures had another cause."""
         self._lost.clear()
@@ -268,3 +304,7 @@
     def is_idle(self) -> bool:
         """Whether no answer is awaited and no endpoint is lost, so that nothing can be due."""
         return not (self._awaited or self._lost)
+
+
+def _ms(duration: timedelta | None) -> float | None:
+    return None if duration is None else round(duration / timedelta(milliseconds=1), 1)
--- a/packages/core/src/cardamomloft/core/connectivity/silence.py
+++ b/packages/core/src/cardamomloft/core/connectivity/silence.py
@@ -55,6 +55,10 @@
             del self._awaited[address]
             self._silent_since.pop(address, None)
 
+    def count(self, address: str) -> int:
+        """Return the number of answers that are awaited from an endpoint."""
+        return self._awaited.get(address, 0)
+
     def record_answer(self, address: str, now: timedelta) -> None:
         """Record that an answer has begun."""
         took = now - self._silent_since.get(address, now)
--- a/packages/gateway/src/cardamomloft/gateway/endpointmonitor.py
+++ b/packages/gateway/src/cardamomloft/gateway/endpointmonitor.py
@@ -167,7 +167,9 @@
     # Losses and returns.
 
     def _record_loss(self, address: str, *, silent: bool) -> None:
-        is_new = self._outages.record_lost(address, self._clock.monotonic(), silent=silent)
+        now = self._clock.monotonic()
+        evidence, aborted = self._outages.evidence(address, now), 0
+        is_new = self._outages.record_lost(address, now, silent=silent)
         if silent:
             self._client.close_idle(address)
             aborted = self._client.abort_unanswered(
@@ -176,7 +178,14 @@
             self._metrics.count("aborted_sends", aborted)
         if is_new:
             self._metrics.count("endpoints_lost")
-            log("endpoint-lost", address=address, silent=silent, lost=len(self._outages.lost()))
+            log(
+                "endpoint-lost",
+                address=address,
+                silent=silent,
+                lost=len(self._outages.lost()),
+                aborted=aborted,
+                **evidence.fields(),
+            )
         self._schedule()
 
     def _record_return(self, address: str) -> None:
--- a/packages/gateway/src/cardamomloft/gateway/outcomes.py
+++ b/packages/gateway/src/cardamomloft/gateway/outcomes.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 
 from cardamomloft.callers.exchange import Answer, Source, complete, end_to_end
-from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer
+from cardamomloft.upstreams.client import EndedBy, SendFailure, UpstreamAnswer
 from cardamomloft.upstreams.dialect import (
     Dialect,
     HeaderLoad,
@@ -86,7 +86,8 @@
     """There is no complete answer; `not_run` only if nothing was sent.
 
     `cut` is set if the connection ended before an answer began, as when the endpoint crashes, and
-    `unreachable` if no connection could be established.
+    `unreachable` if no connection could be established. `ended_by` tells who ended the exchange,
+    and `held` for how long the endpoint may have had the request by then.
     """
 
     not_run: bool
@@ -94,6 +95,17 @@
     late: bool
     cut: bool = False
     unreachable: bool = False
+    ended_by: EndedBy | None = None
+    held: timedelta | None = None
+
+    def fields(self) -> dict[str, t.Any]:
+        """Return the values for a log line that tell who ended the exchange."""
+        found: dict[str, t.Any] = {"cut": True} if self.cut else {}
+        if self.ended_by is not None:
+            found["ended_by"] = str(self.ended_by)
+        if self.held is not None:
+            found["held_ms"] = round(self.held / timedelta(milliseconds=1), 1)
+        return found
 
 
 Outcome = Served | Refused | Failed
@@ -134,7 +146,13 @@
     match result:
         case Result(tag="error", error=failure):
             return Failed(
-                failure.not_run, failure.detail, is_late(), failure.cut, failure.unreachable
+                failure.not_run,
+                failure.detail,
+                is_late(),
+                failure.cut,
+                failure.unreachable,
+                failure.ended_by,
+                failure.held,
             )
         case Result(ok=answer):
             pass
--- a/packages/gateway/src/cardamomloft/gateway/records.py
+++ b/packages/gateway/src/cardamomloft/gateway/records.py
@@ -14,7 +14,7 @@
 from cardamomloft.core.selection import Reason
 from cardamomloft.core.upstreamtable import Upstream
 from cardamomloft.gateway.calls import Call
-from cardamomloft.gateway.outcomes import EndpointStatus
+from cardamomloft.gateway.outcomes import EndpointStatus, Failed
 from cardamomloft.runtime.logs import log
 
 MAX_LINES_PER_S = 100
@@ -57,7 +57,7 @@
             "ms": _ms(self.duration),
             "outcome": type(self.outcome).__name__.lower(),
             "detail": getattr(self.outcome, "detail", ""),
-            **({"cut": True} if getattr(self.outcome, "cut", False) else {}),
+            **(self.outcome.fields() if isinstance(self.outcome, Failed) else {}),
             **self.status.fields(),
         }
 
--- a/packages/upstreams/src/cardamomloft/upstreams/client.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/client.py
@@ -5,6 +5,7 @@
 proves it.
 """
 
+import enum
 import typing as t
 from collections import Counter
 from collections.abc import Container
@@ -89,18 +90,36 @@
     body: AnswerBody
 
 
+class EndedBy(enum.StrEnum):
+    """Who ended an exchange that has no answer.
+
+    `CONNECTION`: no connection was established, or it was lost. `DEADLINE`: the time of the request
+    was over. `CALLER`: the user of the client cancelled it. `SUSPICION`: the endpoint or the links
+    to it seemed not to work. `ANSWER`: the answer belonged to another request.
+    """
+
+    CONNECTION = "connection"
+    DEADLINE = "deadline"
+    CALLER = "caller"
+    SUSPICION = "suspicion"
+    ANSWER = "answer"
+
+
 class SendFailure(t.NamedTuple):
     """The failure of a request without an answer.
 
     `not_run` is True only if no byte of the request can have been sent. `cut` is True if the
     connection was lost after that and before an answer began, as when the upstream crashes.
-    `unreachable` is True if no connection could be established.
+    `unreachable` is True if no connection could be established. `held` is the time for which the
+    upstream may have had the request, None if it was not sent.
     """
 
     not_run: bool
     detail: str
     cut: bool = False
     unreachable: bool = False
+    ended_by: EndedBy | None = None
+    held: timedelta | None = None
 
 
 class UpstreamClient:
@@ -250,6 +269,8 @@
         self._slow = False
         self._patience_timer: IDelayedCall | None = None
         self._started_at = client.reactor.seconds()
+        self._sent_at: float | None = None
+        self._ended_by = EndedBy.CONNECTION
         self._attempt = Attempt(client.pool, fresh=fresh, on_connected=self._connected)
         self._awaited = True
         self._freed = False
@@ -279,11 +300,13 @@
     def abort(self, detail: str) -> None:
         """End the exchange without an answer, so that the request can be sent elsewhere."""
         self._freed = True
-        self._abort(detail)
+        self._abort(detail, EndedBy.SUSPICION)
 
-    def _connected(self) -> None:
-        took = timedelta(seconds=self._client.reactor.seconds() - self._started_at)
-        self._client.observers.connected(self.address, took)
+    def _connected(self, new: bool) -> None:
+        self._sent_at = self._client.reactor.seconds()
+        if new:
+            took = timedelta(seconds=self._sent_at - self._started_at)
+            self._client.observers.connected(self.address, took)
 
     def _lose_patience(self) -> None:
         """Wait once more until sockets are read: timers run before, also after a suspension."""
@@ -307,7 +330,9 @@
         body = AnswerBody(response, self._attempt.abort, self._end, self._closed_cleanly)
         if echoed is not None and echoed != self._req.request_id:
             body.abort()
-            self._settle(Error(SendFailure(False, f"answer to another request: {echoed}")))
+            detail = f"answer to another request: {echoed}"
+            failure = SendFailure(False, detail, ended_by=EndedBy.ANSWER, held=self._held())
+            self._settle(Error(failure))
             return
         not_run = _value_of(headers, self._dialect.not_run)
         refused = self._dialect.is_refusal(response.code, not_run)
@@ -327,7 +352,13 @@
         self._end()
         ended_here = self._abort_detail is not None and not self._freed
         unreachable = self._attempt.connection is None and not ended_here
-        self._settle(Error(SendFailure(not_run, detail, cut, unreachable)))
+        held = None if not_run else self._held()
+        self._settle(Error(SendFailure(not_run, detail, cut, unreachable, self._ended_by, held)))
+
+    def _held(self) -> timedelta | None:
+        if self._sent_at is None:
+            return None
+        return timedelta(seconds=self._client.reactor.seconds() - self._sent_at)
 
     def _failure_reason(self, failure: Failure, cut: bool) -> ConnectionFailure | None:
         """Return why there is no answer if a connection is the reason."""
@@ -345,16 +376,16 @@
         return self._dialect.close_ends_body and conn is not None and conn.closed_cleanly
 
     def _timed_out(self) -> None:
-        self._abort("deadline passed")
+        self._abort("deadline passed", EndedBy.DEADLINE)
 
     def _cancelled(self, _: object) -> None:
-        self._abort("cancelled")
+        self._abort("cancelled", EndedBy.CALLER)
 
-    def _abort(self, detail: str) -> None:
+    def _abort(self, detail: str, ended_by: EndedBy) -> None:
         if self._body is not None:
             self._body.abort(detail)
             return
-        self._abort_detail = detail
+        self._abort_detail, self._ended_by = detail, ended_by
         self._pending.cancel()
 
     def _end(self) -> None:
--- a/packages/upstreams/src/cardamomloft/upstreams/connections.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -173,7 +173,7 @@
     fresh
         Whether to open a new connection even if an idle one is available.
     on_connected
-        Called when a new connection is established.
+        Called when the attempt has got its connection; tells whether that is a new one.
 
     Attributes
     ----------
@@ -188,7 +188,7 @@
         pool: ConnectionPool,
         *,
         fresh: bool,
-        on_connected: Callable[[], None] = lambda: None,
+        on_connected: Callable[[bool], None] = lambda new: None,
     ) -> None:
         self.connection: UpstreamConnection | None = None
         self._pool = pool
@@ -213,8 +213,7 @@
     def _connected(self, conn: UpstreamConnection) -> UpstreamConnection:
         self.connection = conn
         self._exchange = conn.exchange + 1
-        if not conn.exchange:
-            self._on_connected()
+        self._on_connected(not conn.exchange)
         return conn
 
 
--- a/packages/upstreams/tests/test_upstreams_client.py
+++ b/packages/upstreams/tests/test_upstreams_client.py
@@ -6,7 +6,12 @@
 import pytest
 from cardamomloft.core.model import Endpoint
 from cardamomloft.upstreams.body import Delivery
-from cardamomloft.upstreams.client import SendFailure, UpstreamClient, UpstreamRequest
+from cardamomloft.upstreams.client import (
+    EndedBy,
+    SendFailure,
+    UpstreamClient,
+    UpstreamRequest,
+)
 from cardamomloft.upstreams.connections import IDLE_TIMEOUT_S
 from twisted.internet.defer import Deferred
 from twisted.internet.error import (
@@ -87,8 +92,22 @@
     late, cancelled = harness.send(), harness.send()
     cancelled.cancel()
     harness.reactor.advance(1)
-    assert late.result.error == SendFailure(True, "deadline passed")
-    assert cancelled.result.error == SendFailure(True, "cancelled")
+    assert late.result.error == SendFailure(True, "deadline passed", ended_by=EndedBy.DEADLINE)
+    assert cancelled.result.error == SendFailure(True, "cancelled", ended_by=EndedBy.CALLER)
+
+
+def test_failure_tells_for_how_long_the_upstream_had_the_request_on_a_reused_connection():
+    harness = Harness()
+    result = harness.send()
+    wire = harness.connect()
+    wire.send(OK)
+    assert delivered(result)[1].value() == b"ok"
+    harness.reactor.advance(0.5)
+    result = harness.send(request_id="r2")
+    harness.reactor.advance(0.25)
+    wire.close()
+    failure = result.result.error
+    assert (failure.ended_by, failure.held) == (EndedBy.CONNECTION, timedelta(seconds=0.25))
 
 
 @pytest.mark.parametrize("answer", [b"", b"HTTP/1.1 20", b"HTTP/1.1 200 OK\r\nA: b\r\n", b"x\r\n"])
@@ -127,9 +146,12 @@
 def test_a_late_answer_after_a_timeout_is_discarded():
     harness = Harness()
     result = harness.send()
+    harness.reactor.advance(0.25)
     first = harness.connect()
-    harness.reactor.advance(1)
-    assert result.result.error == SendFailure(False, "deadline passed")
+    harness.reactor.advance(0.75)
+    held = timedelta(seconds=0.75)
+    failure = SendFailure(False, "deadline passed", ended_by=EndedBy.DEADLINE, held=held)
+    assert result.result.error == failure
     assert first.transport.disconnected
     after = harness.send(request_id="r2")
     second = harness.connect()
@@ -271,7 +293,8 @@
     result = harness.send(request_id="r2")
     wire = harness.connect()
     wire.send(OK.replace(b"\r\n\r\n", b"\r\nX-Request-Id: r1\r\n\r\n"))
-    assert result.result.error == SendFailure(False, "answer to another request: r1")
+    detail, held = "answer to another request: r1", timedelta(0)
+    assert result.result.error == SendFailure(False, detail, ended_by=EndedBy.ANSWER, held=held)
     assert wire.transport.disconnected and not harness.client.in_flight
 
 
