Stream large answers without a stated length instead of aborting them

Callers got 502 for an answer of over 256 KB without a Content-Length, while the endpoint was sending it, also if the request must not run twice.

Cause: answers that may be small are buffered, so that one that ends early can be retried; the size of one without a length is known only on the way, and the buffer's limit aborted it. The class is a request that is given up by the gateway's own decision while its endpoint works, and nothing guarantees that another one serves it: the second gives the same answer.

Beyond the limit the body is paused now and streamed to the caller: what was read, then the rest, with the caller's back-pressure; an end before the last chunk resets the caller's connection, as for answers with a length. The same holds for answers over another gateway.

--- a/packages/gateway/src/cardamomloft/gateway/outcomes.py
+++ b/packages/gateway/src/cardamomloft/gateway/outcomes.py
@@ -19,7 +19,7 @@
 
 MAX_BUFFERED_ANSWER_BYTES = 256 * 1024
 """Answers up to this size are read completely before they are passed on, so that a truncated one
-can be retried."""
+can be retried. Larger ones are streamed, whether their length is stated or not."""
 
 NOT_RUN_STATUSES = frozenset(
     {
@@ -168,9 +168,10 @@
     headers, faulty = _for_caller(answer), answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
     if answer.length is not None and answer.length > MAX_BUFFERED_ANSWER_BYTES:
         return Served(complete(answer.status, headers, t.cast(Source, answer.body)))
-    match await answer.body.collect(MAX_BUFFERED_ANSWER_BYTES):
+    match await answer.body.buffer(MAX_BUFFERED_ANSWER_BYTES):
         case Result(tag="ok", ok=content):
-            return Served(complete(answer.status, headers, content), faulty)
+            whole = isinstance(content, bytes)
+            return Served(complete(answer.status, headers, content), faulty and whole)
         case Result(error=detail):
             return Failed(False, detail, is_late())
 
--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
@@ -333,7 +333,7 @@
     if answer.length is not None and answer.length > MAX_BUFFERED_ANSWER_BYTES:
         whole = Answer(answer.status, for_caller, t.cast(Source, answer.body))
         return HopOutcome(whole, False)
-    match await answer.body.collect(MAX_BUFFERED_ANSWER_BYTES):
+    match await answer.body.buffer(MAX_BUFFERED_ANSWER_BYTES):
         case Result(tag="ok", ok=content):
             whole = Answer(answer.status, for_caller, content)
             return HopOutcome(whole, outcome == REFUSED, reason, reason)
--- a/packages/upstreams/src/cardamomloft/upstreams/body.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/body.py
@@ -86,6 +86,13 @@
         """Return the whole body, or an error if it exceeds `limit` bytes or is incomplete."""
         return _Collector(self, limit).result
 
+    def buffer(self, limit: int) -> "Deferred[Result[bytes | BufferedBody, str]]":
+        """Return the whole body, or one to deliver once it exceeds `limit` bytes.
+
+        The error tells why a smaller body is incomplete. Cancelling the result aborts the body.
+        """
+        return BufferedBody(self, limit).result
+
     def abort(self, detail: str = "aborted") -> None:
         """Reset the connection and end the delivery as incomplete; has no effect after the end."""
         if self._aborted or self._on_end is None:
@@ -171,6 +178,99 @@
         return Ok(b"".join(self._chunks)) if delivery.complete else Error(delivery.detail)
 
 
+@implementer(IConsumer, IPushProducer)
+class BufferedBody:
+    """A body of which the beginning is held in memory until the rest is wanted.
+
+    Parameters
+    ----------
+    body
+        The body, which is not delivered yet.
+    limit
+        Number of bytes beyond which reading pauses.
+
+    Attributes
+    ----------
+    result
+        Fires with the whole body, with this object once there are more bytes than `limit`, or with
+        the reason why the body is incomplete.
+    """
+
+    def __init__(self, body: AnswerBody, limit: int) -> None:
+        self._body = body
+        self._limit = limit
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._consumer: IConsumer | None = None
+        self._paused = False
+        self._done: Deferred[Delivery] = Deferred(lambda _: self.abort("cancelled"))
+        self.result: Deferred[Result[bytes | BufferedBody, str]] = Deferred(
+            lambda _: self.abort("cancelled")
+        )
+        body.deliver(self).addCallback(self._end)
+
+    def deliver(self, consumer: IConsumer) -> "Deferred[Delivery]":
+        """Write what was read to `consumer`, then the rest; cancelling the result aborts it."""
+        consumer.registerProducer(self, True)
+        self._consumer = consumer
+        chunks, self._chunks = self._chunks, []
+        consumer.write(b"".join(chunks))
+        if self._done.called:
+            consumer.unregisterProducer()
+        elif not self._paused:
+            self._body.resumeProducing()
+        return self._done
+
+    def abort(self, detail: str = "aborted") -> None:
+        """Reset the connection and end the delivery as incomplete; has no effect after the end."""
+        self._body.abort(detail)
+
+    # IConsumer, called by the body.
+
+    def registerProducer(self, producer: object, streaming: bool) -> None:  # noqa: N802
+        """Accept the body as the producer."""
+
+    def unregisterProducer(self) -> None:  # noqa: N802
+        """Unregister from the consumer."""
+        if self._consumer is not None:
+            self._consumer.unregisterProducer()
+
+    def write(self, data: bytes) -> None:
+        """Keep `data`, and pause the body beyond the limit; or pass it on."""
+        if self._consumer is not None:
+            self._consumer.write(data)
+            return
+        self._chunks.append(data)
+        self._size += len(data)
+        if self._size > self._limit and not self.result.called:
+            self._body.pauseProducing()
+            self.result.callback(Ok(self))
+
+    # IPushProducer, called by the consumer.
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Pause reading from the upstream."""
+        self._paused = True
+        self._body.pauseProducing()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Resume reading from the upstream."""
+        self._paused = False
+        self._body.resumeProducing()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Abort the delivery, because the consumer accepts no more data."""
+        self._body.stopProducing()
+
+    def _end(self, delivery: Delivery) -> None:
+        if self.result.called:
+            self._done.callback(delivery)
+        elif delivery.complete:
+            self.result.callback(Ok(b"".join(self._chunks)))
+        else:
+            self.result.callback(Error(delivery.detail))
+
+
 @implementer(IBodyProducer)
 class BytesProducer:
     """A request body that is held in memory."""
--- a/standins/src/cardamomloft_standins/gateway.py
+++ b/standins/src/cardamomloft_standins/gateway.py
@@ -92,7 +92,7 @@
         self.content = content
         self.aborted = False
 
-    def collect(self, limit: int):
+    def buffer(self, limit: int):
         """Return the body or its error."""
         is_complete = isinstance(self.content, bytes)
         return succeed(Ok(self.content) if is_complete else Error(self.content))
