Add links on which open connections work and new ones stall

`Cut.STALL`: connections to an endpoint are not established, as when its queue of connections is full or the SYN packet is lost, while it goes on with all that it has. `RecordedWork` records which requests are broken off while an endpoint works on them, and finishes the work; the fleet has a rule for slow requests that may run more than once.

--- a/standins/src/cardamomloft_standins/cutlinks.py
+++ b/standins/src/cardamomloft_standins/cutlinks.py
@@ -30,12 +30,14 @@
 
     `Cut.HANG`: nothing passes, and connections are not established. `Cut.RESET`: connections are
     reset, and new ones refused. `Cut.REFUSE`: open connections work, and new ones are refused.
+    `Cut.STALL`: open connections work, and new ones are not established.
     """
 
     NONE = "none"
     HANG = "hang"
     RESET = "reset"
     REFUSE = "refuse"
+    STALL = "stall"
 
 
 class Links(t.NamedTuple):
@@ -98,7 +100,7 @@
         address = f"{host}:{port}"
         if address not in self.links.addresses:
             return self._connect(host, port, factory, timeout, bindAddress)
-        if self.links.cut is Cut.HANG:
+        if self.links.cut in (Cut.HANG, Cut.STALL):
             port = self._silent.port
         elif self.links.cut in (Cut.RESET, Cut.REFUSE):
             port = self._closed.getsockname()[1]
--- a/standins/src/cardamomloft_standins/linkfleet.py
+++ b/standins/src/cardamomloft_standins/linkfleet.py
@@ -3,13 +3,15 @@
 import contextlib
 import json
 import pathlib
+import select
 import signal
+import socket
 import subprocess
 import threading
 import time
 import typing as t
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from cardamomloft_standins import endpoints, processes
 from cardamomloft_standins.cutlinks import Cut, write_links
@@ -20,6 +22,9 @@
 ONCE = "/stamps"
 """Prefix of the paths of requests that must run at most once."""
 
+SLOW = "/tasks"
+"""Prefix of the paths of requests that may run more than once, and have a long timeout."""
+
 LARGE, CHUNKED, TRUNCATED = "/menus/large", "/menus/chunked", "/menus/truncated"
 """Paths with an answer that is streamed, one without a length, and one that ends early."""
 
@@ -50,6 +55,19 @@
     },
 }
 
+_SLOW_RULE = {
+    "name": "tasks",
+    "when": {"host": endpoints.HOST, "path": f"{SLOW}/"},
+    "then": {
+        "services": [{"service": "menus", "weight": 1}],
+        "idempotent": True,
+        "timeout": "3s",
+        "target": "2s",
+        "attempts": 2,
+        "priority": 2,
+    },
+}
+
 
 class LimitedWork:
     """Behaviour of endpoints that state their load, and refuse what is beyond their queues.
@@ -89,7 +107,7 @@
         try:
             with slots:
                 started = time.monotonic()
-                time.sleep(WORK_S)
+                self.work(endpoint, handler)
                 self.durations.append(time.monotonic() - started)
         finally:
             with self._lock:
@@ -97,6 +115,49 @@
                 self._present[endpoint.name] -= 1
         handler.answer(**{"X-Load": _load(present)})
 
+    def work(self, endpoint: endpoints.Endpoint, handler: t.Any) -> None:
+        """Hold a slot for the time of a request."""
+        time.sleep(WORK_S)
+
+
+class BrokenOff(t.NamedTuple):
+    """A request whose connection was closed `after` seconds of work on it."""
+
+    path: str
+    endpoint: str
+    after: float
+
+
+class RecordedWork(LimitedWork):
+    """Like `LimitedWork`, and records the requests that are broken off while they are at work.
+
+    Endpoints finish their work on such requests.
+
+    Parameters
+    ----------
+    work_s
+        Returns the time that an endpoint takes for the request with a path, in seconds.
+
+    Attributes
+    ----------
+    broken_off
+        The requests whose connections were closed before their answers.
+    """
+
+    def __init__(self, work_s: Callable[[str], float]) -> None:
+        super().__init__()
+        self.broken_off: list[BrokenOff] = []
+        self._work_s = work_s
+
+    def work(self, endpoint: endpoints.Endpoint, handler: t.Any) -> None:
+        """Hold a slot for the time of a request, and watch its connection."""
+        started = time.monotonic()
+        end = started + self._work_s(handler.path)
+        if _is_closed(handler.connection, end):
+            after = time.monotonic() - started
+            self.broken_off.append(BrokenOff(handler.path, endpoint.name, after))
+        time.sleep(max(0.0, end - time.monotonic()))
+
 
 class LinkFleet:
     """Gateways in two zones, and the endpoints of one service.
@@ -144,7 +205,7 @@
         document = json.loads(processes.ROUTES.read_text())
         rule = json.loads(json.dumps(_ONCE_RULE))
         rule["then"]["timeout"] = f"{timeout_ms}ms"
-        document["rules"].append(rule)
+        document["rules"] += [rule, _SLOW_RULE]
         endpoints.put(f"http://{self.store}/v1/kv/gateway/routes/current", document)
 
     def start(self, cfg: dict[str, t.Any]) -> None:
@@ -193,6 +254,20 @@
         return [endpoint.address for endpoint in self.endpoints]
 
 
+def _is_closed(conn: socket.socket, end: float) -> bool:
+    """Return whether the peer closes a connection before it sends on it, and before `end`.
+
+    `end` is a time of ``time.monotonic``.
+    """
+    readable, _, _ = select.select([conn], [], [], max(0.0, end - time.monotonic()))
+    if not readable:
+        return False
+    try:
+        return not conn.recv(1, socket.MSG_PEEK)
+    except OSError:
+        return True
+
+
 def _load(present: int) -> str:
     """Return the header value for a number of requests at an endpoint."""
     running = min(present, SLOTS)
