Don't give up a request that was sent because its endpoint seems lost

Callers got 502 or 504 of the gateway for requests at which an endpoint was at work, most after a SIGTERM, as then fewer gateways share more traffic.

Cause: a suspicion was acted on like a fact. A probe or a connection to an endpoint, or four probes for the links, that is not established in 0.1 to 0.5 s aborted every idempotent request that was sent on other connections to it, and nothing guaranteed that another endpoint would take it: no attempts, retry budget, capacity or time were looked at first.

Now only what has no connection is aborted. The user of a sent exchange is told of the suspicion, and the exchange goes on; another attempt is started beside it under the limits of any retry, and the first good answer counts. A refusal or failure of the second ends nothing. Requests that must not run twice stay where they are.

The doubles of the monitors' tests record suspicions apart from aborts, with the same checks; the one of open connections counts both over the same time.

--- a/packages/core/src/cardamomloft/core/retries.py
+++ b/packages/core/src/cardamomloft/core/retries.py
@@ -1,4 +1,4 @@
-"""Retries: when another attempt is safe, and a token bucket that bounds their number."""
+"""Attempts of a request: when another one is safe, and how their number is limited."""
 
 from datetime import timedelta
 
@@ -6,6 +6,13 @@
 """Default capacity of the token bucket, in retries."""
 
 
+MAX_SENDS = 4
+"""Maximum number of endpoints to which one request is sent."""
+
+MAX_CONNECTIONS = 8
+"""Maximum number of endpoints to which no connection could be established for one request."""
+
+
 class RetryBudget:
     """Token bucket that limits retries to a percentage of requests.
 
@@ -62,3 +69,48 @@
     if not (idempotent or not_run):
         return False
     return attempts_left > 0 and time_left > max(expected, timedelta(0))
+
+
+class AttemptCounts:
+    """Counts the attempts of one request against their limits.
+
+    Parameters
+    ----------
+    deliveries
+        Number of endpoints that may have got the request from another entry.
+
+    Attributes
+    ----------
+    tried : list of str
+        The endpoints that were tried.
+    deliveries : int
+        Number of endpoints that may have got the request.
+    unsent_time : timedelta
+        Time spent on connections that could not be established.
+    """
+
+    def __init__(self, deliveries: int = 0) -> None:
+        self.tried: list[str] = []
+        self.deliveries = deliveries
+        self.unsent_time = timedelta(0)
+        self._unconnected = 0
+
+    def record_sent(self, endpoint: str) -> None:
+        """Record that an attempt begins."""
+        self.tried.append(endpoint)
+        self.deliveries += 1
+
+    def record_unsent(self, duration: timedelta, *, unreachable: bool) -> None:
+        """Record that an attempt sent nothing, and whether it got no connection."""
+        self.deliveries -= 1
+        if unreachable:
+            self.unsent_time += duration
+            self._unconnected += 1
+
+    def left(self, allowed: int) -> int:
+        """Return how many more attempts may be made if `allowed` endpoints may get the request."""
+        return min(
+            allowed - self.deliveries,
+            MAX_SENDS - (len(self.tried) - self._unconnected),
+            MAX_CONNECTIONS - self._unconnected,
+        )
--- a/packages/gateway/src/cardamomloft/gateway/calls.py
+++ b/packages/gateway/src/cardamomloft/gateway/calls.py
@@ -61,6 +61,24 @@
     account: ClientAccount | None = None
 
 
+class Origin(t.NamedTuple):
+    """The gateway that has sent a request through this one, and what it did with it before.
+
+    Attributes
+    ----------
+    name
+        Name of the gateway.
+    deliveries
+        Number of endpoints that may have got the request from it.
+    counted
+        Whether it has counted the request for its retry budget.
+    """
+
+    name: str
+    deliveries: int
+    counted: bool
+
+
 class RequestReader:
     """Parses requests according to one configuration.
 
--- a/packages/gateway/src/cardamomloft/gateway/endpointmonitor.py
+++ b/packages/gateway/src/cardamomloft/gateway/endpointmonitor.py
@@ -25,7 +25,7 @@
 RETAIN_INTERVAL = timedelta(seconds=10)
 """Interval at which endpoints that are not registered any more are forgotten."""
 
-_MS = timedelta(milliseconds=1)
+_EVIDENCE = "the endpoint accepts no connections"
 
 
 class EndpointMonitor:
@@ -44,7 +44,7 @@
     links_down
         Returns whether the links of this gateway are down, which says nothing about endpoints.
     metrics
-        Counts probes, losses and aborted exchanges.
+        Counts probes, losses, and the exchanges that are aborted or suspected.
     probe
         Opens a connection to an address; see :func:`~cardamomloft.upstreams.probing.probe`.
     """
@@ -168,14 +168,14 @@
 
     def _record_loss(self, address: str, *, silent: bool) -> None:
         now = self._clock.monotonic()
-        evidence, aborted = self._outages.evidence(address, now), 0
+        evidence, suspected = self._outages.evidence(address, now), 0
         is_new = self._outages.record_lost(address, now, silent=silent)
         if silent:
             self._client.close_idle(address)
-            aborted = self._client.abort_unanswered(
-                "the endpoint accepts no connections", connected=True, addresses=(address,)
-            )
+            aborted = self._client.abort_unsent(_EVIDENCE, (address,))
+            suspected = self._client.suspect(_EVIDENCE, (address,))
             self._metrics.count("aborted_sends", aborted)
+            self._metrics.count("suspected_sends", suspected)
         if is_new:
             self._metrics.count("endpoints_lost")
             log(
@@ -183,7 +183,7 @@
                 address=address,
                 silent=silent,
                 lost=len(self._outages.lost()),
-                aborted=aborted,
+                suspected=suspected,
                 **evidence.fields(),
             )
         self._schedule()
--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -6,9 +6,9 @@
 from cardamomloft.callers.body import RequestBody
 from cardamomloft.callers.exchange import Answer, RequestHead
 from cardamomloft.core.model import Refusal, RefusalReason
-from cardamomloft.gateway.calls import Call
+from cardamomloft.gateway.calls import Call, Origin
 from cardamomloft.gateway.requestcontext import RequestContext
-from cardamomloft.gateway.requestrun import CallerState, Origin, RequestRun
+from cardamomloft.gateway.requestrun import CallerState, RequestRun
 from expression import Result
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError, ensureDeferred
 
--- a/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
+++ b/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
@@ -31,6 +31,8 @@
 """Time after a failure from which an answer shows that links work. One that is read earlier may
 have arrived before they failed."""
 
+_EVIDENCE = "links are down"
+
 _MS = timedelta(milliseconds=1)
 
 Probe = Callable[[t.Any, str, timedelta], "Deferred[bool]"]
@@ -55,7 +57,7 @@
     on_changed
         Called when links went down or work again.
     metrics
-        Counts probes, failures and aborted exchanges.
+        Counts probes, failures, and the exchanges that are aborted or suspected.
     probe
         Opens a connection to an address; see :func:`~cardamomloft.upstreams.probing.probe`.
     """
@@ -213,7 +215,7 @@
             self._start_probe()
         else:
             self._schedule()
-        self._abort_silent()
+        self._suspect_exchanges()
 
     def _start_probe(self) -> None:
         started_at = self._clock.monotonic()
@@ -253,7 +255,7 @@
                 down = now - (down_since or now)
                 log("endpoints-reachable", down_ms=down // _MS)
             self._on_changed()
-        self._abort_silent()
+        self._suspect_exchanges()
         self._release()
         self._end_unconfirmed(started_at, works=not self.down)
         self._schedule()
@@ -267,13 +269,13 @@
             silence_ms=self._reachability.silence(now) // _MS,
         )
 
-    def _abort_silent(self) -> None:
-        """Free the requests that can be sent elsewhere from connections that don't work."""
+    def _suspect_exchanges(self) -> None:
+        """Free what was not sent, and suspect what was sent on connections that don't work."""
         if not self.down:
             return
-        silent = not self._reachability.connections_work(self._clock.monotonic())
-        aborted = self._client.abort_unanswered("links are down", connected=silent)
-        self._metrics.count("aborted_sends", aborted)
+        self._metrics.count("aborted_sends", self._client.abort_unsent(_EVIDENCE))
+        if not self._reachability.connections_work(self._clock.monotonic()):
+            self._metrics.count("suspected_sends", self._client.suspect(_EVIDENCE))
 
     def _confirm_failures_before(self, instant: timedelta) -> None:
         if self._unconfirmed and self._unconfirmed[0].at <= instant:
--- a/packages/gateway/src/cardamomloft/gateway/outcomes.py
+++ b/packages/gateway/src/cardamomloft/gateway/outcomes.py
@@ -111,6 +111,11 @@
 Outcome = Served | Refused | Failed
 
 
+def is_good(outcome: Outcome | None) -> bool:
+    """Return whether an endpoint has answered, and reports no failure of its own."""
+    return isinstance(outcome, Served) and not outcome.faulty
+
+
 def endpoint_status(answer: UpstreamAnswer, dialect: Dialect) -> EndpointStatus:
     """Return what an endpoint reports about itself with `answer`."""
     headers = dict(reversed(answer.headers))
--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/listener.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/listener.py
@@ -10,7 +10,7 @@
 from cardamomloft.callers.exchange import Answer, RequestHead
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.registrations import EntryRecord
-from cardamomloft.gateway.calls import Call
+from cardamomloft.gateway.calls import Call, Origin
 from cardamomloft.gateway.forwarding import MAX_BUFFERED_BODY_BYTES, Forwarder
 from cardamomloft.gateway.linkmonitor import LinkMonitor
 from cardamomloft.gateway.peerproxy.header import (
@@ -18,7 +18,6 @@
     read_proxy_header,
     without_proxy_header,
 )
-from cardamomloft.gateway.requestrun import Origin
 from cardamomloft.gateway.settings import ProxySettings
 from cardamomloft.runtime.logs import log
 from twisted.internet.defer import Deferred, ensureDeferred
--- a/packages/gateway/src/cardamomloft/gateway/records.py
+++ b/packages/gateway/src/cardamomloft/gateway/records.py
@@ -33,7 +33,7 @@
     `reason` is why the endpoint was chosen, and `cache_state` whether it had the key's data cached.
     `load` is the expected number of requests at the endpoint, which has `slots` slots, from a
     report of the age `report_age`, None without a report. `status` is what the endpoint reported
-    about itself with its answer.
+    about itself with its answer, and `suspicion` why the send seemed to be in vain, if it did.
     """
 
     endpoint: str
@@ -45,6 +45,7 @@
     duration: timedelta
     outcome: t.NamedTuple
     status: EndpointStatus
+    suspicion: str = ""
 
     def fields(self) -> dict[str, t.Any]:
         """Return the values for a log line."""
@@ -58,6 +59,7 @@
             "outcome": type(self.outcome).__name__.lower(),
             "detail": getattr(self.outcome, "detail", ""),
             **(self.outcome.fields() if isinstance(self.outcome, Failed) else {}),
+            **({"suspicion": self.suspicion} if self.suspicion else {}),
             **self.status.fields(),
         }
 
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -7,71 +7,48 @@
 import typing as t
 from datetime import timedelta
 from functools import cached_property
+from http import HTTPStatus
 
 from cardamomloft.callers.body import RequestBody
 from cardamomloft.callers.exchange import Answer, RequestHead, deadline_exceeded, failed
 from cardamomloft.core.fingerprints import fingerprint
 from cardamomloft.core.model import Endpoint, Refusal, RefusalReason
-from cardamomloft.core.retries import may_retry
-from cardamomloft.core.selection import Choice, Reason
+from cardamomloft.core.retries import AttemptCounts, may_retry
+from cardamomloft.core.selection import Choice
 from cardamomloft.core.upstreamtable import Upstream
-from cardamomloft.gateway.calls import Call
+from cardamomloft.gateway.attempts import Attempt, Attempts
+from cardamomloft.gateway.calls import Call, Origin
 from cardamomloft.gateway.endpointfeedback import EndpointFeedback
 from cardamomloft.gateway.outcomes import (
     Failed,
     Outcome,
     Refused,
     Served,
+    is_good,
     read_outcome,
 )
-from cardamomloft.gateway.peerproxy.client import (
-    MAX_HELPERS,
-    MAX_HELPERS_OF_SERVICE,
-    Hop,
-    ProxiedCall,
-    unreachable,
-)
+from cardamomloft.gateway.peerproxy.client import Hop, ProxyOutcome, unreachable
+from cardamomloft.gateway.peerroute import PeerRoute
 from cardamomloft.gateway.records import SendRecord
 from cardamomloft.gateway.requestcontext import RequestContext
-from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer, UpstreamRequest
+from cardamomloft.upstreams.client import (
+    EndedBy,
+    SendFailure,
+    UpstreamAnswer,
+    UpstreamRequest,
+)
 from expression import Result
 
-MAX_SENDS = 4
-"""Maximum number of endpoints to which one request is sent."""
-
-MAX_CONNECTIONS = 8
-"""Maximum number of endpoints to which no connection could be established for one request."""
-
 MIN_TIME_LEFT = timedelta(milliseconds=5)
 """Minimum time to the deadline for sending a request; with less, the deadline would pass while the
 connection is opened."""
 
-
 MAX_UNSENT_TIME = timedelta(milliseconds=600)
 """Time spent on connections that could not be established after which another gateway is asked."""
 
-
 _NO_ENDPOINT = Refusal(RefusalReason.UNREACHABLE, "this entry reaches no endpoint")
 
 
-class Origin(t.NamedTuple):
-    """The gateway that has sent a request through this one, and what it did with it before.
-
-    Attributes
-    ----------
-    name
-        Name of the gateway.
-    deliveries
-        Number of endpoints that may have got the request from it.
-    counted
-        Whether it has counted the request for its retry budget.
-    """
-
-    name: str
-    deliveries: int
-    counted: bool
-
-
 class CallerState:
     """Whether the caller has disconnected, after which its request is not sent again."""
 
@@ -98,13 +75,11 @@
         self._caller = caller
         self._origin = origin
         self._sends: list[SendRecord | Hop] = []
-        self._tried: list[str] = []
-        self._deliveries = 0 if origin is None else origin.deliveries
+        self._counts = AttemptCounts(0 if origin is None else origin.deliveries)
         self._counted = origin is not None and origin.counted
-        self._unsent_time = timedelta(0)
-        self._connections_failed = 0
         self._may_have_run = False
         self._answer: Served | None = None
+        self._asked_peer_beside = False
         self._connection_lost = False
         self._rejected_with_room = False
         self._returning = False
@@ -112,38 +87,74 @@
         self._selector = context.selector
         self._dialect = context.client.dialect
         self._feedback = EndpointFeedback(context, call)
+        self._peers = PeerRoute(context, call, head, payload, is_proxied=origin is not None)
 
     async def run(self) -> Answer:
         """Send the request until it is answered or no further attempt is allowed."""
         self._returning = self._context.queue.is_returning(self._call, self._head.client)
         last: Outcome | None = None
         while True:
-            if self._links_are_down():
+            if self._peers.links_are_down():
                 return await self._send_through_peer(last)
             self._count_request()
             chosen = await self._choose_or_wait()
             if not isinstance(chosen, Choice):
-                if self._links_are_down() or await self._needs_peer(last, chosen):
+                if self._peers.links_are_down() or await self._needs_peer(last, chosen):
                     return await self._send_through_peer(last)
                 return self._finish(last, self._refusal_after(last, chosen))
-            if self._links_are_down(chosen.upstream):
+            if self._peers.links_are_down(chosen.upstream):
                 return await self._send_through_peer(last)
-            sent_at = self._now()
-            last = await self._send(chosen.upstream, chosen.reason)
-            self._record_end(last, self._now() - sent_at)
+            last = await self._attempt(chosen)
             if self._caller.disconnected:
                 return self._context.record_caller_left(self._call, self._sends)
-            if isinstance(last, Served):
-                self._answer = last
             if self._is_final(last):
                 if await self._needs_peer(last, None):
                     return await self._send_through_peer(last)
                 return self._finish(last, None)
 
+    async def _attempt(self, chosen: Choice) -> Outcome:
+        """Send the request, and again elsewhere while it seems to be in vain; return the outcome.
+
+        That is the first good answer, or the last outcome if there is none.
+        """
+        attempts = Attempts()
+        attempts.start(lambda attempt: self._send(chosen, attempt))
+        last: Outcome | None = None
+        while attempts:
+            outcome = await attempts.next()
+            last = outcome or last
+            if self._caller.disconnected:
+                attempts.cancel()
+                break
+            if is_good(outcome):
+                attempts.supersede()
+                break
+            if isinstance(outcome, Served):
+                self._answer = outcome
+            if attempts.are_suspected():
+                self._attempt_beside(attempts)
+        if isinstance(last, Served):
+            self._answer = last
+        return t.cast(Outcome, last)
+
+    def _attempt_beside(self, attempts: Attempts) -> None:
+        """Start another attempt beside those in progress, if that is allowed and possible."""
+        if not self._may_send_again(not_run=False):
+            return
+        if self._peers.links_are_down():
+            if self._peers.may_reach() and not self._asked_peer_beside:
+                self._asked_peer_beside = True
+                attempts.start(self._send_through_peer_beside)
+            return
+        chosen = self._choose()
+        if isinstance(chosen, Choice) and not self._peers.links_are_down(chosen.upstream):
+            self._context.metrics.count("attempts.beside")
+            attempts.start(lambda attempt: self._send(chosen, attempt))
+
     def _is_final(self, outcome: Outcome) -> bool:
-        if isinstance(outcome, Served) and not outcome.faulty:
+        if is_good(outcome):
             return True
-        if self._unsent_time > MAX_UNSENT_TIME and self._peer_may_reach():
+        if self._counts.unsent_time > MAX_UNSENT_TIME and self._peers.may_reach():
             return True
         return not self._may_retry(outcome)
 
@@ -155,63 +166,27 @@
 
     # Other gateways.
 
-    def _links_are_down(self, upstream: Upstream | None = None) -> bool:
-        """Return whether no endpoint can be reached, or not the one that was chosen."""
-        links = self._context.links
-        if links is None:
-            return False
-        if upstream is None:
-            return not links.may_send_any()
-        return not links.may_send(upstream.registration.address)
-
     async def _needs_peer(self, outcome: Outcome | None, refusal: Refusal | None) -> bool:
-        """Return whether another gateway may reach an endpoint where this one could not.
-
-        Parameters
-        ----------
-        outcome
-            That of the last send, None without one.
-        refusal
-            Why no endpoint was chosen, None if the last one was tried.
-        """
-        links = self._context.links
-        if links is None or self._may_have_run:
-            return False
-        if refusal is not None and refusal.reason is RefusalReason.OVERLOAD:
-            return self._selector.has_lost(self._call.service) and self._peer_may_reach()
-        lost = refusal is not None and refusal.reason is RefusalReason.UNREACHABLE
-        if not lost and not (isinstance(outcome, Failed) and outcome.unreachable):
-            return False
-        await links.verdict()
-        if self._caller.disconnected:
+        """Return whether the request is to be sent through another gateway."""
+        if self._may_have_run:
             return False
-        return links.down or self._peer_may_reach()
+        needed = await self._peers.is_needed(outcome, refusal)
+        return needed and not self._caller.disconnected
 
-    def _peer_may_reach(self) -> bool:
-        """Return whether another gateway may reach the service although this one does not."""
-        proxy = self._context.proxy
-        return proxy is not None and self._origin is None and proxy.may_reach(self._call)
+    async def _ask_peer(self, *, may_have_run: bool) -> ProxyOutcome:
+        outcome = await self._peers.send(
+            self._counts.deliveries, counted=self._counted, may_have_run=may_have_run
+        )
+        self._sends.extend(outcome.hops)
+        return outcome
 
     async def _send_through_peer(self, last: Outcome | None) -> Answer:
         """Send the request through another gateway, unless it came from one; return the answer."""
-        context = self._context
-        if self._origin is not None or context.proxy is None:
+        if not self._peers.exists:
             return self._finish(last, _NO_ENDPOINT)
-        links_down = context.links is not None and context.links.down
-        outcome = await context.proxy.send(
-            ProxiedCall(
-                self._call,
-                self._head,
-                self._payload,
-                self._deliveries,
-                self._may_have_run,
-                self._counted,
-                MAX_HELPERS if links_down else MAX_HELPERS_OF_SERVICE,
-            )
-        )
-        self._sends.extend(outcome.hops)
+        outcome = await self._ask_peer(may_have_run=self._may_have_run)
         if self._caller.disconnected:
-            return context.record_caller_left(self._call, self._sends)
+            return self._context.record_caller_left(self._call, self._sends)
         self._may_have_run = outcome.may_have_run
         answer = outcome.answer
         if answer is None or (outcome.refused and self._may_have_run):
@@ -221,6 +196,17 @@
             return self._finish_refused_by_peer(answer, outcome.detail)
         return self._finish_served(answer)
 
+    async def _send_through_peer_beside(self, attempt: Attempt) -> Outcome:
+        """Send the request through another gateway while an attempt of this one goes on."""
+        outcome = await self._ask_peer(may_have_run=True)
+        self._counts.deliveries += sum(hop.outcome != "refused" for hop in outcome.hops)
+        answer = outcome.answer
+        if answer is None:
+            return Failed(False, outcome.detail, self._is_late())
+        if outcome.refused:
+            return Refused(outcome.detail, misdirected=False)
+        return Served(answer, faulty=answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR)
+
     def _now(self) -> timedelta:
         return self._context.clock.monotonic()
 
@@ -234,7 +220,7 @@
 
     def _choose(self) -> Choice | Refusal:
         call, now = self._call, self._now()
-        if self._links_are_down():
+        if self._peers.links_are_down():
             return _NO_ENDPOINT
         if call.deadline - now < MIN_TIME_LEFT:
             return Refusal(RefusalReason.DEADLINE, "the deadline is too close to send the request")
@@ -242,33 +228,37 @@
         if refused_until is not None:
             detail = "the request is quarantined because upstreams have crashed while running it"
             return Refusal(RefusalReason.QUARANTINED, detail, refused_until - now)
-        if self._deliveries and not self._budget.may_retry(self._selector.division(now), now):
+        if self._counts.deliveries and not self._budget.may_retry(
+            self._selector.division(now), now
+        ):
             # The budget may have been spent by others while this request waited.
             return Refusal(RefusalReason.SHED, "the retry budget was used up")
         return self._selector.choose(
-            call.rule, call.service, call.key, self._tried, call.deadline, now
+            call.rule, call.service, call.key, self._counts.tried, call.deadline, now
         )
 
     # Sending.
 
-    async def _send(self, upstream: Upstream, reason: Reason) -> Outcome:
+    async def _send(self, chosen: Choice, attempt: Attempt) -> Outcome:
+        upstream, reason = chosen.upstream, chosen.reason
         selector, now = self._selector, self._now()
         cache_state = self._feedback.record_sent(upstream, reason)
-        self._tried.append(upstream.id)
-        if self._deliveries:
+        if self._counts.deliveries:
             self._budget.spend(now)
             self._context.metrics.count("repeats")
             self._context.metrics.count(f"repeats.{self._call.service}")
-        self._deliveries += 1
+        self._counts.record_sent(upstream.id)
         load = selector.load_of(upstream, now)
         report_age = None if upstream.report is None else now - upstream.report.at
         selector.record_sent(upstream, now)
         try:
-            result = await self._answer_head(upstream, now)
+            result = await self._answer_head(upstream, now, attempt)
             status = self._feedback.apply_status(upstream, result, now)
             outcome = await read_outcome(result, status, self._dialect, self._is_late)
         finally:
             selector.record_end(upstream)
+        if attempt.superseded and isinstance(outcome, Failed):
+            outcome = outcome._replace(ended_by=EndedBy.OTHER_ATTEMPT)
         self._record_outcome(upstream, outcome, now, load)
         duration = self._now() - now
         if isinstance(outcome, Served) and not outcome.faulty:
@@ -278,19 +268,22 @@
         send_record = SendRecord(
             upstream.id, reason, cache_state, load, slots, report_age, duration, outcome, status
         )
-        self._sends.append(send_record)
+        self._sends.append(send_record._replace(suspicion=attempt.suspicion))
+        self._record_end(outcome, duration)
+        if attempt.beside and is_good(outcome):
+            self._context.metrics.count("attempts.beside-served")
         return outcome
 
     async def _answer_head(
-        self, upstream: Upstream, now: timedelta
+        self, upstream: Upstream, now: timedelta, attempt: Attempt
     ) -> Result[UpstreamAnswer, SendFailure]:
         """Send the request, and return the answer without its body."""
         try:
-            return await self._context.client.send(self._request_for(upstream, now))
+            return await self._context.client.send(self._request_for(upstream, now, attempt))
         finally:
             self._selector.shared_loads.record_end(upstream, now, self._now())
 
-    def _request_for(self, upstream: Upstream, now: timedelta) -> UpstreamRequest:
+    def _request_for(self, upstream: Upstream, now: timedelta, attempt: Attempt) -> UpstreamRequest:
         call, row, selector = self._call, upstream.registration, self._selector
         endpoint = Endpoint(
             row.id, row.service, row.zone, upstream.region, row.address, row.slots, 0
@@ -307,12 +300,13 @@
             expected=row.id,
             new_connection=selector.outages.needs_new_connection(row.address, now),
             patience=self._patience(row.address),
+            on_suspected=attempt.suspect if call.rule.idempotent else None,
         )
 
     def _patience(self, address: str) -> timedelta | None:
         """Return how long a connection may take, None if no other endpoint can be tried."""
         selector, call = self._selector, self._call
-        if not selector.has_alternative(call.rule, call.service, self._tried):
+        if not selector.has_alternative(call.rule, call.service, self._counts.tried):
             return None
         return selector.outages.patience(address)
 
@@ -339,16 +333,14 @@
             case Refused(had_room=had_room):
                 self._context.metrics.count(f"refused-there.{'with-room' if had_room else 'full'}")
                 self._selector.record_refusal(upstream, now, had_room=had_room)
-            case Failed() if self._caller.disconnected:
+            case Failed() if self._caller.disconnected or outcome.ended_by is EndedBy.OTHER_ATTEMPT:
                 # The send was cancelled here, so the failure is not the endpoint's.
                 self._may_have_run = True
             case Failed():
                 self._connection_lost = self._connection_lost or outcome.cut
-                self._deliveries -= outcome.not_run
                 self._may_have_run = self._may_have_run or not outcome.not_run
-                if outcome.unreachable:
-                    self._unsent_time += now - sent_at
-                    self._connections_failed += 1
+                if outcome.not_run:
+                    self._counts.record_unsent(now - sent_at, unreachable=outcome.unreachable)
                 self._feedback.record_failure(upstream, outcome, self._get_fingerprint)
 
     def _record_end(self, outcome: Outcome, duration: timedelta) -> None:
@@ -359,20 +351,18 @@
 
     def _may_retry(self, outcome: Outcome) -> bool:
         not_run = isinstance(outcome, Refused) or (isinstance(outcome, Failed) and outcome.not_run)
+        return self._may_send_again(not_run=not_run)
+
+    def _may_send_again(self, *, not_run: bool) -> bool:
         if not isinstance(self._payload, bytes) and not self._payload.unconsumed:
             return False
         call, now = self._call, self._now()
-        unsent = self._connections_failed
-        attempts = min(
-            call.rule.attempts - self._deliveries,
-            MAX_SENDS - (len(self._tried) - unsent),
-            MAX_CONNECTIONS - unsent,
-        )
+        attempts = self._counts.left(call.rule.attempts)
         allowed = may_retry(
             call.rule.idempotent, not_run, attempts, call.deadline - now, MIN_TIME_LEFT
         )
         division = self._selector.division(now)
-        return allowed and (not self._deliveries or self._budget.may_retry(division, now))
+        return allowed and (not self._counts.deliveries or self._budget.may_retry(division, now))
 
     # Final answer.
 
--- a/packages/gateway/tests/test_endpoint_monitor.py
+++ b/packages/gateway/tests/test_endpoint_monitor.py
@@ -18,20 +18,25 @@
 
 
 class Client:
-    """Records which connections are closed and which exchanges are aborted."""
+    """Records which connections are closed, and which exchanges are aborted or suspected."""
 
     def __init__(self) -> None:
         self.observers = LinkObservers()
         self.closed = []
         self.aborted = []
+        self.suspected = []
 
     def close_idle(self, address):
         self.closed.append(address)
 
-    def abort_unanswered(self, detail, *, connected, addresses):
+    def abort_unsent(self, detail, addresses):
         self.aborted += addresses
         return 1
 
+    def suspect(self, evidence, addresses):
+        self.suspected += addresses
+        return 1
+
 
 class Run:
     """A monitor whose probes have the outcome `reachable`; None leaves them pending."""
@@ -88,10 +93,10 @@
 def test_silent_endpoint_is_left_by_idle_connections_and_unanswered_requests():
     run = Run()
     run.monitor.failed(ONE, ConnectionFailure.TIMEOUT)
-    assert run.client.closed == run.client.aborted == [ONE]
+    assert run.client.closed == run.client.aborted == run.client.suspected == [ONE]
     run = Run()
     run.monitor.failed(ONE, ConnectionFailure.REFUSED)
-    assert run.client.closed == run.client.aborted == []
+    assert run.client.closed == run.client.aborted == run.client.suspected == []
 
 
 def test_answer_that_is_due_leads_to_a_probe():
--- a/packages/gateway/tests/test_link_monitor.py
+++ b/packages/gateway/tests/test_link_monitor.py
@@ -17,18 +17,23 @@
 
 
 class Client:
-    """Counts what the monitor aborts."""
+    """Counts how often the monitor aborts what was not sent, and suspects what was."""
 
     def __init__(self) -> None:
         self.idle = set()
-        self.aborted = []
+        self.aborted = 0
+        self.suspected = 0
         self.observers = LinkObservers()
 
     def has_idle(self, address):
         return address in self.idle
 
-    def abort_unanswered(self, detail, *, connected):
-        self.aborted.append(connected)
+    def abort_unsent(self, detail):
+        self.aborted += 1
+        return 1
+
+    def suspect(self, evidence):
+        self.suspected += 1
         return 1
 
 
@@ -72,14 +77,14 @@
         assert self.monitor.down
 
 
-def test_silent_exchanges_take_the_links_down_and_are_freed():
+def test_silent_exchanges_take_the_links_down_and_are_suspected():
     run = Run()
     run.reachable = False
     for address in ADDRESSES:
         run.monitor.sent(address)
     run.time.advance(1000 * MS)
     assert run.changes == [True]
-    assert run.client.aborted[0]
+    assert run.client.suspected and run.client.aborted
     assert not run.monitor.may_send(ADDRESSES[0])
 
 
@@ -90,7 +95,7 @@
     run.time.advance(10_000 * MS)
     assert run.probed
     assert not run.changes
-    assert not run.client.aborted
+    assert not run.client.aborted and not run.client.suspected
 
 
 def test_links_come_back_by_themselves():
@@ -150,8 +155,10 @@
     run.monitor.ended(ADDRESSES[0])
     assert run.monitor.may_send(ADDRESSES[0])
     assert not run.monitor.may_send(ADDRESSES[1])
+    aborted, suspected = run.client.aborted, run.client.suspected
     run.time.advance(250 * MS)
-    assert run.client.aborted[-1] is False
+    assert run.client.aborted > aborted
+    assert run.client.suspected == suspected
 
 
 def test_stopped_monitor_probes_no_more_and_keeps_nobody_waiting():
--- a/packages/upstreams/src/cardamomloft/upstreams/client.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/client.py
@@ -8,7 +8,7 @@
 import enum
 import typing as t
 from collections import Counter
-from collections.abc import Container
+from collections.abc import Callable, Container
 from datetime import timedelta
 
 from cardamomloft.core.model import Endpoint
@@ -60,7 +60,8 @@
     gets a new connection unless the dialect allows reuse. `expected` identifies the endpoint
     incarnation that is to run it, if the dialect has a header for that. `new_connection` requires a
     new connection, and `patience` is the time in which it must be established, if that is shorter
-    than the time of the client.
+    than the time of the client. `on_suspected` is called with the evidence, each time that the
+    endpoint seems not to work while its answer is awaited; the exchange goes on.
     """
 
     endpoint: Endpoint
@@ -74,6 +75,7 @@
     expected: str | None = None
     new_connection: bool = False
     patience: timedelta | None = None
+    on_suspected: Callable[[str], None] | None = None
 
 
 class UpstreamAnswer(t.NamedTuple):
@@ -95,7 +97,8 @@
 
     `CONNECTION`: no connection was established, or it was lost. `DEADLINE`: the time of the request
     was over. `CALLER`: the user of the client cancelled it. `SUSPICION`: the endpoint or the links
-    to it seemed not to work. `ANSWER`: the answer belonged to another request.
+    to it seemed not to work, and nothing was sent. `ANSWER`: the answer belonged to another
+    request. `OTHER_ATTEMPT`: another attempt of the request was answered.
     """
 
     CONNECTION = "connection"
@@ -103,6 +106,7 @@
     CALLER = "caller"
     SUSPICION = "suspicion"
     ANSWER = "answer"
+    OTHER_ATTEMPT = "other-attempt"
 
 
 class SendFailure(t.NamedTuple):
@@ -195,30 +199,47 @@
         """Return whether there is an idle connection to `address`."""
         return self.pool.has_idle(address)
 
-    def abort_unanswered(
-        self, detail: str, *, connected: bool, addresses: Container[str] | None = None
-    ) -> int:
-        """Abort exchanges without an answer that may be repeated elsewhere; return their number.
+    def abort_unsent(self, detail: str, addresses: Container[str] | None = None) -> int:
+        """Abort exchanges that have no connection yet; return their number.
 
         Parameters
         ----------
         detail
             The reason, for the results.
-        connected
-            Whether to abort idempotent requests that may have been sent, besides those of all kinds
-            that have no connection yet.
         addresses
             The endpoints concerned, None for all.
         """
-        aborted = [
+        unsent = [one for one in self._awaited(addresses) if not one.is_sent]
+        for exchange in unsent:
+            exchange.abort(detail)
+        return len(unsent)
+
+    def suspect(self, evidence: str, addresses: Container[str] | None = None) -> int:
+        """Tell the users of sent exchanges without an answer that these seem to be in vain.
+
+        Parameters
+        ----------
+        evidence
+            What speaks against them.
+        addresses
+            The endpoints concerned, None for all.
+
+        Returns
+        -------
+        int
+            The number of exchanges whose users were told.
+        """
+        suspected = [one for one in self._awaited(addresses) if one.may_suspect]
+        for exchange in suspected:
+            exchange.suspect(evidence)
+        return len(suspected)
+
+    def _awaited(self, addresses: Container[str] | None) -> "list[_Exchange]":
+        return [
             exchange
             for exchange in self.exchanges
-            if (addresses is None or exchange.address in addresses)
-            and exchange.may_abort(connected)
+            if exchange.is_awaited and (addresses is None or exchange.address in addresses)
         ]
-        for exchange in aborted:
-            exchange.abort(detail)
-        return len(aborted)
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to `address`, because the upstream there was restarted."""
@@ -272,7 +293,7 @@
         self._sent_at: float | None = None
         self._ended_by = EndedBy.CONNECTION
         self._attempt = Attempt(client.pool, fresh=fresh, on_connected=self._connected)
-        self._awaited = True
+        self._waits = True
         self._freed = False
         client.in_flight[req.endpoint.address] += 1
         client.exchanges.add(self)
@@ -292,10 +313,25 @@
                 req.patience.total_seconds(), self._lose_patience
             )
 
-    def may_abort(self, connected: bool) -> bool:
-        """Return whether the request can be sent elsewhere; see `abort_unanswered`."""
-        unsent = self._attempt.connection is None
-        return self._awaited and (unsent or (connected and self._req.idempotent))
+    @property
+    def is_awaited(self) -> bool:
+        """Whether no answer has begun."""
+        return self._waits
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether the endpoint may have got the request."""
+        return self._attempt.connection is not None
+
+    @property
+    def may_suspect(self) -> bool:
+        """Whether the request was sent, and its user wants to know of suspicions."""
+        return self.is_sent and self._req.on_suspected is not None
+
+    def suspect(self, evidence: str) -> None:
+        """Tell the user that the request seems to be in vain."""
+        if self._waits and self._req.on_suspected is not None:
+            self._req.on_suspected(evidence)
 
     def abort(self, detail: str) -> None:
         """End the exchange without an answer, so that the request can be sent elsewhere."""
@@ -318,8 +354,8 @@
             self.abort("no connection was established in time")
 
     def _end_wait(self) -> None:
-        if self._awaited:
-            self._awaited = False
+        if self._waits:
+            self._waits = False
             self._client.observers.ended(self.address)
 
     def _answered(self, response: IResponse) -> None:
--- a/packages/upstreams/tests/test_upstreams_client.py
+++ b/packages/upstreams/tests/test_upstreams_client.py
@@ -61,11 +61,12 @@
         self.reactor = MemoryReactorClock()
         self.client = UpstreamClient(self.reactor, **options)
 
-    def send(self, *, body=None, method="GET", idempotent=True, request_id="r1"):
+    def send(self, *, body=None, method="GET", idempotent=True, request_id="r1", **options):
         headers = (("host", "shop"), ("content-length", "9"), ("idempotency-key", "k1"))
-        return self.client.send(
-            UpstreamRequest(ENDPOINT, method, PATH, headers, body, SECOND, request_id, idempotent)
+        req = UpstreamRequest(
+            ENDPOINT, method, PATH, headers, body, SECOND, request_id, idempotent, **options
         )
+        return self.client.send(req)
 
     def connect(self):
         return Wire(self.reactor.tcpClients[-1][2])
@@ -143,6 +144,34 @@
         assert not result.result.error.cut
 
 
+def test_only_an_exchange_without_a_connection_is_aborted_by_a_suspicion():
+    harness = Harness()
+    sent = harness.send()
+    wire = harness.connect()
+    unsent = harness.send(request_id="r2")
+    assert harness.client.abort_unsent("silent", ["10.0.0.9:80"]) == 0
+    assert harness.client.abort_unsent("silent", [ENDPOINT.address]) == 1
+    failure = SendFailure(True, "silent", unreachable=True, ended_by=EndedBy.SUSPICION)
+    assert unsent.result.error == failure
+    wire.send(OK)
+    assert delivered(sent)[1].value() == b"ok"
+
+
+def test_suspicions_are_told_while_an_answer_is_awaited_and_end_nothing():
+    harness = Harness()
+    evidence = []
+    result = harness.send(on_suspected=evidence.append)
+    assert harness.client.suspect("not sent yet") == 0
+    wire = harness.connect()
+    assert harness.client.suspect("elsewhere", ["10.0.0.9:80"]) == 0
+    assert harness.client.suspect("silent", [ENDPOINT.address]) == 1
+    assert harness.client.suspect("still silent") == 1
+    wire.send(OK)
+    assert harness.client.suspect("answered") == 0
+    assert evidence == ["silent", "still silent"]
+    assert delivered(result)[1].value() == b"ok"
+
+
 def test_a_late_answer_after_a_timeout_is_discarded():
     harness = Harness()
     result = harness.send()
--- a/standins/src/cardamomloft_standins/gateway.py
+++ b/standins/src/cardamomloft_standins/gateway.py
@@ -116,6 +116,7 @@
     def __init__(self, *outcomes) -> None:
         self.outcomes = deque(outcomes)
         self.sent = []
+        self.pending = []
         self.forgotten_addresses = []
         self.cancelled = 0
         self.observers = LinkObservers()
@@ -128,16 +129,21 @@
         """Return that there is no idle connection."""
         return False
 
-    def abort_unanswered(self, detail, *, connected, addresses=None):
+    def abort_unsent(self, detail, addresses=None):
         """Abort nothing."""
         return 0
 
+    def suspect(self, evidence, addresses=None):
+        """Suspect nothing."""
+        return 0
+
     def send(self, req):
         """Record the request and return the next outcome."""
         self.sent.append(req)
         outcome = self.outcomes.popleft() if len(self.outcomes) > 1 else self.outcomes[0]
         if outcome is None:
-            return Deferred(self._cancel)
+            self.pending.append(Deferred(self._cancel))
+            return self.pending[-1]
         return succeed(outcome)
 
     def _cancel(self, result) -> None:
