Cancel the attempts of a request that ends by an exception

An exception while several attempts are in progress, as from a fault of ours, would have left the others at their endpoints until their deadline, with slots held for nobody. A generator context manager owns the attempts now. Found by reading, not seen. The limits of attempts have tests of their own.

--- a/packages/core/tests/test_retries.py
+++ b/packages/core/tests/test_retries.py
@@ -4,7 +4,13 @@
 from datetime import timedelta
 
 import pytest
-from cardamomloft.core.retries import RetryBudget, may_retry
+from cardamomloft.core.retries import (
+    MAX_CONNECTIONS,
+    MAX_SENDS,
+    AttemptCounts,
+    RetryBudget,
+    may_retry,
+)
 
 LONG, SHORT = timedelta(seconds=1), timedelta(milliseconds=10)
 
@@ -44,3 +50,38 @@
     for _ in range(10_000):
         budget.on_request()
     assert sum(budget.try_retry() for _ in range(100)) == 5
+
+
+def test_attempts_at_other_entries_count_for_the_limit():
+    counts = AttemptCounts(deliveries=1)
+    counts.record_sent("u1")
+    assert counts.left(3) == 1
+    assert counts.tried == ["u1"]
+
+
+def test_connections_that_fail_are_no_attempts_but_have_a_limit_of_their_own():
+    counts = AttemptCounts()
+    for number in range(MAX_CONNECTIONS):
+        assert counts.left(2) > 0
+        counts.record_sent(f"u{number}")
+        counts.record_unsent(SHORT, unreachable=True)
+    assert counts.deliveries == 0
+    assert counts.left(2) == 0
+    assert counts.unsent_time == MAX_CONNECTIONS * SHORT
+
+
+def test_attempts_are_limited_whatever_the_rule_allows():
+    counts = AttemptCounts()
+    for number in range(MAX_SENDS):
+        counts.record_sent(f"u{number}")
+    assert counts.left(100) == 0
+
+
+def test_attempt_that_sent_nothing_at_a_reachable_endpoint_still_counts_as_tried():
+    counts = AttemptCounts()
+    for number in range(MAX_SENDS):
+        counts.record_sent(f"u{number}")
+        counts.record_unsent(SHORT, unreachable=False)
+    assert counts.deliveries == 0
+    assert counts.left(2) == 0
+    assert counts.unsent_time == timedelta(0)
--- a/packages/gateway/src/cardamomloft/gateway/attempts.py
+++ b/packages/gateway/src/cardamomloft/gateway/attempts.py
@@ -4,9 +4,10 @@
 attempt may be started beside it, and the first good answer counts.
 """
 
+import contextlib
+import typing as t
 from collections import deque
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable, Coroutine, Iterator
 
 from cardamomloft.gateway.outcomes import Outcome
 from twisted.internet.defer import Deferred, ensureDeferred
@@ -38,7 +39,7 @@
         self._attempts.wake_up()
 
 
-Send = Callable[[Attempt], Coroutine[Any, Any, Outcome]]
+Send = Callable[[Attempt], Coroutine[t.Any, t.Any, Outcome]]
 
 
 class Attempts:
@@ -101,3 +102,13 @@
         del self._running[attempt]
         self._ended.append(outcome)
         self.wake_up()
+
+
+@contextlib.contextmanager
+def attempts_of_request() -> Iterator[Attempts]:
+    """Yield the attempts of one request; those in progress are cancelled at the end."""
+    attempts = Attempts()
+    try:
+        yield attempts
+    finally:
+        attempts.cancel()
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -16,7 +16,7 @@
 from cardamomloft.core.retries import AttemptCounts, may_retry
 from cardamomloft.core.selection import Choice
 from cardamomloft.core.upstreamtable import Upstream
-from cardamomloft.gateway.attempts import Attempt, Attempts
+from cardamomloft.gateway.attempts import Attempt, Attempts, attempts_of_request
 from cardamomloft.gateway.calls import Call, Origin
 from cardamomloft.gateway.endpointfeedback import EndpointFeedback
 from cardamomloft.gateway.outcomes import (
@@ -117,24 +117,21 @@
 
         That is the first good answer, or the last outcome if there is none.
         """
-        attempts = Attempts()
-        attempts.start(lambda attempt: self._send(chosen, attempt))
         last: Outcome | None = None
-        while attempts:
-            outcome = await attempts.next()
-            last = outcome or last
-            if self._caller.disconnected:
-                attempts.cancel()
-                break
-            if is_good(outcome):
-                attempts.supersede()
-                break
-            if isinstance(outcome, Served):
-                self._answer = outcome
-            if attempts.are_suspected():
-                self._attempt_beside(attempts)
-        if isinstance(last, Served):
-            self._answer = last
+        with attempts_of_request() as attempts:
+            attempts.start(lambda attempt: self._send(chosen, attempt))
+            while attempts:
+                outcome = await attempts.next()
+                last = outcome or last
+                if isinstance(outcome, Served):
+                    self._answer = outcome
+                if self._caller.disconnected:
+                    break
+                if is_good(outcome):
+                    attempts.supersede()
+                    break
+                if attempts.are_suspected():
+                    self._attempt_beside(attempts)
         return t.cast(Outcome, last)
 
     def _attempt_beside(self, attempts: Attempts) -> None:
