Let the kernel end no request at which an endpoint works

Callers that uploaded to an endpoint which read nothing for more than a second got a 502 of the gateway while the endpoint still had the request; what must not run twice was lost, and safe requests too where no other endpoint was left.

Cause: TCP_USER_TIMEOUT of 0.7 s on connections to endpoints and to other gateways. Linux applies it while the receive window of the peer is closed, so the kernel reset connections whose peer paused within a body, and also those of endpoints that only lost packets for 0.7 s.

The option is now as long as the longest deadline that a caller can state, 10 minutes. A request that was sent ends by its answer, its deadline, its timeout, the endpoint's own close or its caller's leaving. The option stays set because a connection that is closed with unsent data, after an early answer, would otherwise be kept for as long as its peer keeps it. Lost endpoints and links are found by their monitors.

--- a/packages/upstreams/src/cardamomloft/upstreams/connections.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -27,10 +27,10 @@
 # An idle connection is closed after this fraction of the keep-alive time granted by its upstream.
 IDLE_FRACTION = 0.7
 
-# TCP_USER_TIMEOUT: how long sent data may stay unacknowledged before the kernel closes the
-# connection. It allows for a round trip between regions and a retransmission. Without it, a request
-# on a dead connection would wait for the timeout of its rule.
-USER_TIMEOUT_MS = 700
+USER_TIMEOUT = timedelta(minutes=10)
+"""TCP_USER_TIMEOUT: how long sent data may stay unacknowledged or unread before the kernel closes a
+connection. It is no shorter than the longest deadline of a request, since an endpoint that reads a
+body slowly may be at work on it; it bounds how long closed connections keep unsent data."""
 
 _KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 
@@ -61,11 +61,12 @@
     idle_s = IDLE_TIMEOUT_S
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Set `TCP_USER_TIMEOUT`, so that the kernel closes an unresponsive connection."""
+        """Set `TCP_USER_TIMEOUT` to `USER_TIMEOUT`."""
         super().connectionMade()
         handle = getattr(self.transport, "getHandle", lambda: None)()
         if isinstance(handle, socket.socket):
-            handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+            ms = USER_TIMEOUT // timedelta(milliseconds=1)
+            handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ms)
 
     def request(self, request: t.Any) -> "Deferred[t.Any]":
         """Send one request; an error status stops an upload that is still in progress."""
