--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
@@ -33,6 +33,7 @@
 )
 from cardamomloft.upstreams.dialect import Dialect
 from expression import Result
+from twisted.internet.defer import Deferred, ensureDeferred
 
 MAX_HELPERS = 6
 """Maximum number of gateways tried for one request. Those that can't help say so at once."""
@@ -270,14 +271,17 @@
         self._req = req
         self._tried: list[str] = []
         self._hops: list[Hop] = []
+        self._caller_left = False
 
     async def run(self) -> ProxyOutcome:
         detail = "no other entry can be asked"
         while (peer := self._next_peer()) is not None:
             self._tried.append(peer.name)
             sent_at = self._proxy.monotonic()
-            hop = await self._proxy.send_to(peer, self._req)
+            hop = await self._hop(peer)
             self._record(peer, hop, sent_at)
+            if self._caller_left:
+                return self._outcome(None, hop.not_run, "the caller has left")
             if hop.unable:
                 self._proxy.record_unavailable(peer, hop.reason, self._req.call.service)
             elif hop.answer is not None:
@@ -292,6 +296,18 @@
             self._proxy.record_unreachable(self._req.call.service)
         return self._outcome(None, not self._req.may_have_run, detail)
 
+    def _hop(self, peer: EntryRecord) -> "Deferred[HopOutcome]":
+        """Send the request to a gateway; cancelling the result means that the caller has left."""
+        sent = ensureDeferred(self._proxy.send_to(peer, self._req))
+
+        def cancel(_: object) -> None:
+            self._caller_left = True
+            sent.cancel()
+
+        ended: Deferred[HopOutcome] = Deferred(cancel)
+        sent.chainDeferred(ended)
+        return ended
+
     def _next_peer(self) -> EntryRecord | None:
         req = self._req
         if req.may_have_run and not req.call.rule.idempotent:
--- a/packages/gateway/tests/test_peer_proxy.py
+++ b/packages/gateway/tests/test_peer_proxy.py
@@ -73,13 +73,17 @@
         self.client = self.proxy._client = kit.FakeClient(*outcomes)
         self.reader = RequestReader(kit.plan(3, rules), kit.HEADERS, kit.rng())
 
-    def send(self, path="/menus/7", **state):
+    def start(self, path="/menus/7", **state):
+        """Send a request, and return the Deferred of its outcome."""
         request_head = head(path, (PROXY_HEADER, "of the caller"))
         call = self.reader.read(request_head, self.clock.monotonic())
         values = {"deliveries": 0, "may_have_run": False, "counted": True, **state}
-        results = []
         req = ProxiedCall(call, request_head, b"body", **values)
-        ensureDeferred(self.proxy.send(req)).addCallback(results.append)
+        return ensureDeferred(self.proxy.send(req))
+
+    def send(self, path="/menus/7", **state):
+        results = []
+        self.start(path, **state).addCallback(results.append)
         return results[0]
 
     def peers(self) -> list[str]:
@@ -158,6 +162,17 @@
     assert outcome.may_have_run
 
 
+def test_request_whose_caller_has_left_is_sent_through_no_further_gateway():
+    run = Run(None, SERVED)
+    outcomes = []
+    sent = run.start().addCallback(outcomes.append)
+    sent.cancel()
+    assert len(run.peers()) == 1
+    assert run.client.cancelled == 1
+    assert outcomes[0].answer is None
+    assert outcomes[0].may_have_run
+
+
 def test_slow_endpoint_is_not_held_against_the_gateway_that_asked_it():
     run = Run(LATE, SERVED, helpers=1)
     run.send("/orders/1")
