Keep an answer on its way when a request crosses the close

Callers saw "connection reset" in the middle of an answer to a request that had been passed on and answered, if they had sent another request (or the rest of a refused body) before they read Connection: close.

Cause: the connection was closed as soon as its data was handed to the kernel. What arrives at a closed socket, or is unread when it is closed, makes the kernel reset the connection and discard what the caller has not received yet. A stop does this to all its connections at once: with the last answer of each, and again when the last request in flight ends.

Evidence, over real sockets, with a caller that has a receive buffer of 4 KB and sends a second request 0.4 s after its answer was written: of 50,000 and of 200,000 bytes it received 4,096 and a reset, of 6,000,000 bytes 3,919,872 and a reset.

Now the write side is closed first, and what arrives is discarded until the caller has closed its side, for at most 2 s. Connections without an answer in the last 2 s are closed at once, as before; a refused body whose rest is awaited is not cut by a stop.

--- a/packages/callers/src/cardamomloft/callers/channel.py
+++ b/packages/callers/src/cardamomloft/callers/channel.py
@@ -15,10 +15,14 @@
 from http import HTTPStatus
 
 from cardamomloft.core.model import Refusal, RefusalReason
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol, ITCPTransport
 from twisted.python.failure import Failure
 from twisted.web import http
+from zope.interface import implementer
 
 from .exchange import Answer, to_answer
+from .lingering import LINGER_TIMEOUT_S, LingeringClose
 from .pipelining import may_read_next
 
 if t.TYPE_CHECKING:
@@ -54,6 +58,7 @@
     time_s: float = HEAD_TIMEOUT_S
 
 
+@implementer(IHalfCloseableProtocol)
 class CallerChannel(http.HTTPChannel):
     """Protocol of one caller's connection.
 
@@ -75,6 +80,9 @@
     _answered_request: "CallerRequest | None" = None
     _discard_timer: t.Any = None
     _refusal: list[bytes] | None = None
+    _closing: LingeringClose | None = None
+    # Reactor time in seconds at which the last answer was written.
+    _answered_at: float | None = None
     # Reactor times in seconds at which the first byte arrived of the data that is buffered, and of
     # the data that is being parsed.
     _unread_since: float | None = None
@@ -89,6 +97,8 @@
         """Cancel the timers, notify the open requests and deregister from the factory."""
         self._cancel_discard_timer()
         self._cancel_head_timer()
+        if self._closing is not None:
+            self._closing.cancel()
         self._input_closed = True
         super().connectionLost(reason)
         self.factory.remove_channel(self)
@@ -108,6 +118,8 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse bytes; start the head timeout when a head is incomplete."""
+        if self._closing is not None:
+            return
         super().dataReceived(data)
         in_head = (
             self.line_mode and bool(self._head_lines or self._buffer) and not self._input_closed
@@ -287,6 +299,7 @@
 
     def requestDone(self, request: "CallerRequest") -> None:  # noqa: N802
         """End the exchange, or first discard the rest of the request body."""
+        self._answered_at = self.factory.seconds()
         if self._content_received or request is not self.requests[-1]:
             self._end_exchange(request)
             return
@@ -316,8 +329,40 @@
         if self._refusal is not None:
             self.transport.writeSequence(self._refusal)
             self._refusal = None
+            self._answered_at = self.factory.seconds()
         self.loseConnection()
 
+    def close_soon(self) -> None:
+        """Close the connection, after the rest of an answered request's body if it is awaited."""
+        self.persistent = False
+        if self._answered_request is None:
+            self.loseConnection()
+
+    def loseConnection(self) -> None:  # noqa: N802
+        """Close the connection after its data is sent, and after a recent answer is received."""
+        if self._closing is not None:
+            return
+        recent = self._answered_at is not None and (
+            self.factory.seconds() - self._answered_at < LINGER_TIMEOUT_S
+        )
+        if not recent or not ITCPTransport.providedBy(self.transport):
+            super().loseConnection()
+            return
+        self._input_closed = True
+        self._cancel_head_timer()
+        self.setTimeout(None)
+        self._closing = LingeringClose(self.transport, self.callLater)
+        self._closing.start()
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Wait for the caller to close its side too."""
+        if self._closing is not None:
+            self._closing.write_side_closed()
+
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Close the connection, even if the caller has closed only its side."""
+        self.transport.connectionLost(Failure(ConnectionDone()))
+
     def _cancel_discard_timer(self) -> None:
         if self._discard_timer is not None and self._discard_timer.active():
             self._discard_timer.cancel()
--- a/packages/callers/src/cardamomloft/callers/factory.py
+++ b/packages/callers/src/cardamomloft/callers/factory.py
@@ -86,7 +86,7 @@
         """Close all connections after sending their data; fires when all are closed."""
         for channel in tuple(self.channels):
             if not channel.transport.disconnecting:
-                channel.loseConnection()
+                channel.close_soon()
         return self._all_closed.wait()
 
     def remove_channel(self, channel: CallerChannel) -> None:
