--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -42,6 +42,7 @@
     parse_bounds,
 )
 from cardamomloft.gateway.status import GatewayStatus
+from cardamomloft.gateway.stopping import GracefulStop
 from cardamomloft.gateway.storeview import StoreView
 from cardamomloft.gateway.usageexchange import REPORT_INTERVAL
 from cardamomloft.runtime.control import ControlApp
@@ -50,21 +51,10 @@
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.runtime.timers import Timers
 from cardamomloft.upstreams.client import UpstreamClient
-from twisted.internet.defer import Deferred, ensureDeferred, gatherResults
-from twisted.internet.interfaces import IDelayedCall, IListeningPort
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.interfaces import IListeningPort
 from twisted.python.failure import Failure
 
-LINGER_FRACTION = 0.5
-"""Fraction of the stop time during which new requests are still served, since callers may use an
-earlier look-up. After it the listener closes, and callers try another entry."""
-
-HARD_STOP_FRACTION = 0.92
-"""Fraction of the stop time after which the process ends regardless of requests in flight."""
-
-QUEUE_STOP_FRACTION = 0.85
-"""Fraction of the stop time by which requests in the queue are expected to be answered; others are
-refused, which leaves time to write the refusals before the hard stop."""
-
 POLL_INTERVAL_FRACTION = 0.4
 """Fraction of the drain time from an answer with changes to the next request to the store.
 Failed requests are retried sooner, so that two of them fit into the drain time."""
@@ -137,7 +127,6 @@
         self._timers = Timers(reactor, self._on_fault)
         self._port: IListeningPort | None = None
         self.pages: IListeningPort | None = None
-        self._hard_stop: IDelayedCall | None = None
         self._timekeeper = ClockMonitor(clock, _TICK)
         self._build()
 
@@ -189,7 +178,7 @@
             self.headers,
             RequestAccess(
                 self.read,
-                lambda: self.lifecycle.admits() and bool(self.plan),
+                lambda: self._stop.admits() and bool(self.plan),
                 lambda: self.configuration,
                 self.plan.is_idempotent,
                 self._on_fault,
@@ -198,6 +187,9 @@
         self.app = CallersApp(
             None, self.handle, self._on_fault, self.plan.is_idempotent, self.metrics
         )
+        self._stop = GracefulStop(
+            self._reactor, clock, self.lifecycle, (self.app, self.fallback.app)
+        )
         self.presence = Presence(
             clock, self._control, own, bounds.record_ttl, lambda: self.follower.poll_now()
         )
@@ -322,46 +314,28 @@
 
     def on_leaving(self) -> None:
         """Remove this entry from look-ups, and continue to serve callers that know its address."""
-        log("leaving", in_flight=self._in_flight())
+        plan = self._stop.leave(self._bounds.stop_time)
         self.presence.withdraw()
-        self.app.start_closing()
-        self.fallback.app.start_closing()
-        end = self._clock.monotonic() + self._bounds.stop_time * QUEUE_STOP_FRACTION
-        self.forwarder.queue.finish_by(end)
-        stop_time = self._bounds.stop_time.total_seconds()
-        self._reactor.callLater(stop_time * LINGER_FRACTION, self.lifecycle.lookups_expired)
-        self._hard_stop = self._reactor.callLater(
-            stop_time * HARD_STOP_FRACTION, self.lifecycle.drained
-        )
+        self.forwarder.queue.finish_by(plan.answer_by)
 
     def on_closing(self) -> None:
         """Close the listener, and finish the requests in flight."""
-        log("closing", in_flight=self._in_flight())
         if self._port is not None:
             self._port.stopListening()
         self.fallback.listener.stop_listening()
-        apps = (self.app, self.fallback.app)
-        finished = gatherResults([app.drained() for app in apps])
-        # The last answers may still be in send buffers: wait until their connections are closed.
-        finished.addCallback(lambda _: gatherResults([app.disconnect() for app in apps]))
-        finished.addCallback(lambda _: self._reactor.callLater(0, self.lifecycle.drained))
+        self._stop.close()
 
     def on_stopped(self) -> None:
         """Release all resources and end the process."""
-        if self._hard_stop is not None and self._hard_stop.active():
-            self._hard_stop.cancel()
         self._timers.stop()
         self.forwarder.queue.close()
         self.feed.stop()
         self.follower.stop()
         self.fallback.stop()
-        log("stopped", in_flight=self._in_flight())
+        self._stop.end()
         if not self.stopped.called:
             self.stopped.callback(None)
 
-    def _in_flight(self) -> int:
-        return self.app.in_flight + self.fallback.app.in_flight
-
     # Requests of callers.
 
     def handle(
@@ -387,7 +361,7 @@
         return await self.forwarder.forward(call, head, body, disconnected)
 
     def _admit(self, head: RequestHead) -> Call | Refusal:
-        if self.lifecycle.admits() and self.plan:
+        if self._stop.admits() and self.plan:
             return self.read(head)
         starting = self.lifecycle.state() == "starting"
         reason = RefusalReason.NOT_READY if starting else RefusalReason.STOPPING
--- /dev/null
+++ b/packages/runtime/src/cardamomloft/runtime/stopplan.py
@@ -0,0 +1,50 @@
+"""When the phases of a graceful stop end."""
+
+import typing as t
+from datetime import timedelta
+
+ADMIT_FRACTION = 0.5
+"""Fraction of the stop time during which new requests are still served, since callers may use an
+earlier look-up. After it the listener closes, and callers try another entry."""
+
+ANSWER_FRACTION = 0.85
+"""Fraction of the stop time by which requests in the queue are expected to be answered; others are
+refused, which leaves time to write the refusals before the end."""
+
+END_FRACTION = 0.92
+"""Fraction of the stop time after which the process ends regardless of requests in flight."""
+
+
+class StopPlan(t.NamedTuple):
+    """Monotonic instants at which the phases of a stop end.
+
+    Attributes
+    ----------
+    admit_until
+        New requests are refused from then on.
+    answer_by
+        Requests that wait are refused if they can't be answered by then.
+    end_at
+        The process ends then, whatever is in flight.
+    """
+
+    admit_until: timedelta
+    answer_by: timedelta
+    end_at: timedelta
+
+
+def plan_stop(signal_at: timedelta, stop_time: timedelta) -> StopPlan:
+    """Return when the phases of a stop end.
+
+    Parameters
+    ----------
+    signal_at
+        Monotonic instant of the signal.
+    stop_time
+        Time from the signal to the end of the process by force.
+    """
+    return StopPlan(
+        admit_until=signal_at + stop_time * ADMIT_FRACTION,
+        answer_by=signal_at + stop_time * ANSWER_FRACTION,
+        end_at=signal_at + stop_time * END_FRACTION,
+    )
