Serve new requests for at most three seconds of a stop

With a stop time of 10 s a gateway accepted new requests for 5 s after SIGTERM. Requests that were accepted late and outlasted the stop were cut at 9.2 s: callers saw a closed connection without an answer, while their endpoint was at work.

Evidence, with a gateway process: a request that was sent 3.3 s after SIGTERM, with 8 s of work and 20 s of time, ended with a closed connection. Now it is refused at once with status 503 as not run, and can be served by another gateway. Look-ups are valid for 2 s, so callers that follow them have left by then. With a stop time of 6 s nothing changes.

--- a/packages/runtime/src/cardamomloft/runtime/stopplan.py
+++ b/packages/runtime/src/cardamomloft/runtime/stopplan.py
@@ -7,6 +7,10 @@
 """Fraction of the stop time during which new requests are still served, since callers may use an
 earlier look-up. After it the listener closes, and callers try another entry."""
 
+MAX_ADMIT_TIME = timedelta(seconds=3)
+"""Maximum time for which new requests are served. Look-ups are valid for less, and a request that
+is accepted later could outlast the stop."""
+
 ANSWER_FRACTION = 0.85
 """Fraction of the stop time by which requests in the queue are expected to be answered; others are
 refused, which leaves time to write the refusals before the end."""
@@ -44,7 +48,7 @@
         Time from the signal to the end of the process by force.
     """
     return StopPlan(
-        admit_until=signal_at + stop_time * ADMIT_FRACTION,
+        admit_until=signal_at + min(stop_time * ADMIT_FRACTION, MAX_ADMIT_TIME),
         answer_by=signal_at + stop_time * ANSWER_FRACTION,
         end_at=signal_at + stop_time * END_FRACTION,
     )
--- a/standins/src/cardamomloft_standins/endpoints.py
+++ b/standins/src/cardamomloft_standins/endpoints.py
@@ -115,6 +115,11 @@
         endpoint.arrivals.append(Arrival(endpoint.name, self.path))
         endpoint.behaviour(endpoint, self)
 
+    def do_POST(self) -> None:  # noqa: N802
+        """Read the body, which must have a length, then continue as for GET."""
+        self.rfile.read(int(self.headers["Content-Length"]))
+        self.do_GET()
+
     def log_message(self, *args: t.Any) -> None:
         """Write no access log."""
 
