--- a/standins/src/cardamomloft_standins/linkfleet.py
+++ b/standins/src/cardamomloft_standins/linkfleet.py
@@ -174,6 +174,8 @@
         Number of gateways, all in one zone, whose links `cut` cuts by default.
     work
         Behaviour of the endpoints; by default they have no limit.
+    changes
+        Settings of the gateways that differ from :func:`~.processes.settings`.
     """
 
     def __init__(
@@ -183,6 +185,7 @@
         gateways: int,
         cut_off: int,
         work: endpoints.Behaviour | None = None,
+        changes: dict[str, t.Any] | None = None,
     ) -> None:
         self.folder = folder
         self.store = stack.enter_context(processes.store())
@@ -194,7 +197,7 @@
         self._running: dict[str, subprocess.Popen[bytes]] = {}
         for number in range(gateways):
             name, zone = f"e-{number}", "b" if number < cut_off else "a"
-            cfg = stack.enter_context(processes.settings(self.store, name, zone))
+            cfg = stack.enter_context(processes.settings(self.store, name, zone)) | (changes or {})
             write_links(self._links_path(cfg), Cut.NONE, self._addresses())
             self.settings.append(cfg)
             self.start(cfg)
