--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
@@ -7,6 +7,7 @@
 
 from cardamomloft.callers.body import RequestBody
 from cardamomloft.callers.exchange import (
+    COMPLETE,
     OUTCOME_HEADER,
     REASON_HEADER,
     REFUSED,
@@ -24,6 +25,7 @@
 from cardamomloft.gateway.calls import Call, CallerHeaders
 from cardamomloft.gateway.outcomes import MAX_BUFFERED_ANSWER_BYTES
 from cardamomloft.gateway.peerproxy.header import PROXY_HEADER, ProxyHeader
+from cardamomloft.gateway.peerproxy.silence import HelperSilence, Watch
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.upstreams.client import (
     SendFailure,
@@ -33,7 +35,8 @@
 )
 from cardamomloft.upstreams.dialect import Dialect
 from expression import Result
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import CancelledError, Deferred, DeferredQueue, ensureDeferred
+from twisted.python.failure import Failure
 
 MAX_HELPERS = 6
 """Maximum number of gateways tried for one request. Those that can't help say so at once."""
@@ -140,6 +143,11 @@
         Returns the number of the configuration in force.
     metrics
         Counts requests.
+
+    Attributes
+    ----------
+    silence : HelperSilence
+        Probes gateways whose answers are awaited.
     """
 
     def __init__(
@@ -159,6 +167,7 @@
         self._configuration = configuration
         self._metrics = metrics
         self._helpers = Helpers(own, entries, cut_off, rng)
+        self.silence = HelperSilence(reactor, clock)
         dialect = Dialect(
             request_id=headers.request_id,
             deadline_ms=headers.deadline_ms,
@@ -249,6 +258,8 @@
         Why there is no answer.
     lost
         Whether there was no connection to it, or the connection was lost.
+    complete
+        Whether the answer is that of an endpoint.
     """
 
     answer: Answer | None
@@ -256,6 +267,7 @@
     reason: str = ""
     detail: str = ""
     lost: bool = False
+    complete: bool = False
 
     @property
     def unable(self) -> bool:
@@ -263,56 +275,116 @@
         return self.lost or self.reason in _HELPER_REASONS
 
 
+class _Ended(t.NamedTuple):
+    """The end of a hop."""
+
+    peer: EntryRecord
+    hop: HopOutcome
+
+
+class _Verdict(t.NamedTuple):
+    """Whether a helper that has not answered was found silent."""
+
+    peer: EntryRecord
+    silent: bool
+
+
 class _ProxiedRun:
-    """One request on its way through other gateways."""
+    """One request on its way through other gateways.
+
+    A hop goes on while its helper is silent; beside it the request is sent through another one if
+    it may run twice, and the first answer counts.
+    """
 
     def __init__(self, proxy: PeerProxy, req: ProxiedCall) -> None:
         self._proxy = proxy
         self._req = req
         self._tried: list[str] = []
         self._hops: list[Hop] = []
-        self._caller_left = False
+        self._open: dict[str, Deferred[t.Any]] = {}
+        self._silent: set[str] = set()
+        self._events: DeferredQueue[_Ended | _Verdict | Failure] = DeferredQueue()
+        self._done = False
+        self._detail = "no other entry can be asked"
 
     async def run(self) -> ProxyOutcome:
-        detail = "no other entry can be asked"
-        while (peer := self._next_peer()) is not None:
-            self._tried.append(peer.name)
-            sent_at = self._proxy.monotonic()
-            hop = await self._hop(peer)
-            self._record(peer, hop, sent_at)
-            if self._caller_left:
-                return self._outcome(None, hop.not_run, "the caller has left")
-            if hop.unable:
-                self._proxy.record_unavailable(peer, hop.reason, self._req.call.service)
-            elif hop.answer is not None:
-                if hop.reason == RefusalReason.OVERLOAD:
-                    self._proxy.record_unreachable(self._req.call.service)
-                return self._outcome(hop.answer, hop.not_run, hop.detail)
-            detail = hop.detail or hop.reason
-            if not hop.not_run:
-                deliveries = self._req.deliveries + 1
-                self._req = self._req._replace(deliveries=deliveries, may_have_run=True)
+        self._send_next()
+        try:
+            while self._open or self._events.pending:
+                outcome = self._apply(await self._events.get())
+                if outcome is not None:
+                    return outcome
+        except CancelledError:
+            return self._outcome(None, not_run=False, detail="the caller has left")
+        finally:
+            self._done = True
+            for hop in tuple(self._open.values()):
+                hop.cancel()
         if self._tried:
             self._proxy.record_unreachable(self._req.call.service)
-        return self._outcome(None, not self._req.may_have_run, detail)
-
-    def _hop(self, peer: EntryRecord) -> "Deferred[HopOutcome]":
-        """Send the request to a gateway; cancelling the result means that the caller has left."""
-        sent = ensureDeferred(self._proxy.send_to(peer, self._req))
-
-        def cancel(_: object) -> None:
-            self._caller_left = True
-            sent.cancel()
+        return self._outcome(None, not_run=not self._req.may_have_run, detail=self._detail)
+
+    def _apply(self, event: _Ended | _Verdict | Failure) -> ProxyOutcome | None:
+        """Return the outcome of the request if an event has decided it."""
+        match event:
+            case _Verdict(peer, silent=True) if peer.name in self._open:
+                self._silent.add(peer.name)
+                self._proxy.record_unavailable(peer, "", self._req.call.service)
+                self._send_next()
+            case _Verdict(peer):
+                self._silent.discard(peer.name)
+            case _Ended(peer, hop):
+                return self._apply_end(peer, hop)
+            case failure:
+                failure.raiseException()
+        return None
+
+    def _apply_end(self, peer: EntryRecord, hop: HopOutcome) -> ProxyOutcome | None:
+        self._silent.discard(peer.name)
+        if not hop.not_run:
+            deliveries = self._req.deliveries + 1
+            self._req = self._req._replace(deliveries=deliveries, may_have_run=True)
+        self._detail = hop.detail or hop.reason
+        if hop.unable:
+            self._proxy.record_unavailable(peer, hop.reason, self._req.call.service)
+        elif hop.answer is not None:
+            if hop.reason == RefusalReason.OVERLOAD:
+                self._proxy.record_unreachable(self._req.call.service)
+            if hop.complete or not self._open:
+                return self._outcome(hop.answer, not_run=hop.not_run, detail=hop.detail)
+            return None
+        self._send_next()
+        return None
+
+    def _send_next(self) -> None:
+        """Send the request through another gateway, unless one that isn't silent has it."""
+        if self._open.keys() - self._silent or (peer := self._next_peer()) is None:
+            return
+        self._tried.append(peer.name)
+        sent_at = self._proxy.monotonic()
+        deliveries = self._req.deliveries + len(self._open)
+        hop = ensureDeferred(self._proxy.send_to(peer, self._req._replace(deliveries=deliveries)))
+        self._open[peer.name] = hop
+        watch = self._proxy.silence.watch(
+            peer, lambda silent: self._events.put(_Verdict(peer, silent))
+        )
+        hop.addCallback(self._record, peer, sent_at)
+        hop.addBoth(self._end, peer, watch)
 
-        ended: Deferred[HopOutcome] = Deferred(cancel)
-        sent.chainDeferred(ended)
-        return ended
+    def _end(self, result: HopOutcome | Failure, peer: EntryRecord, watch: Watch) -> None:
+        del self._open[peer.name]
+        answered = isinstance(result, HopOutcome) and result.answer is not None
+        watch.stop(answered=answered)
+        if not self._done:
+            self._events.put(_Ended(peer, result) if isinstance(result, HopOutcome) else result)
 
     def _next_peer(self) -> EntryRecord | None:
         req = self._req
-        if req.may_have_run and not req.call.rule.idempotent:
+        if (req.may_have_run or self._open) and not req.call.rule.idempotent:
+            return None
+        if req.deliveries + len(self._open) >= req.call.rule.attempts:
             return None
-        if req.deliveries >= req.call.rule.attempts or len(self._tried) >= req.max_helpers:
+        if len(self._tried) >= req.max_helpers:
             return None
         if not isinstance(req.payload, bytes) and not req.payload.unconsumed:
             return None
@@ -320,12 +392,13 @@
             return None
         return self._proxy.choose(req.call, self._tried)
 
-    def _record(self, peer: EntryRecord, hop: HopOutcome, sent_at: timedelta) -> None:
+    def _record(self, hop: HopOutcome, peer: EntryRecord, sent_at: timedelta) -> HopOutcome:
         outcome = "refused" if hop.not_run else "failed" if hop.answer is None else "served"
         duration = self._proxy.monotonic() - sent_at
         self._hops.append(Hop(peer.name, duration, outcome, hop.detail or hop.reason))
+        return hop
 
-    def _outcome(self, answer: Answer | None, not_run: bool, detail: str) -> ProxyOutcome:
+    def _outcome(self, answer: Answer | None, *, not_run: bool, detail: str) -> ProxyOutcome:
         may_have_run = self._req.may_have_run or not not_run
         return ProxyOutcome(answer, not_run, may_have_run, detail, self._hops)
 
@@ -348,11 +421,12 @@
         for_caller = (*for_caller, ("content-length", str(answer.length)))
     if answer.length is not None and answer.length > MAX_BUFFERED_ANSWER_BYTES:
         whole = Answer(answer.status, for_caller, t.cast(Source, answer.body))
-        return HopOutcome(whole, False)
+        return HopOutcome(whole, False, complete=outcome == COMPLETE)
     match await answer.body.buffer(MAX_BUFFERED_ANSWER_BYTES):
         case Result(tag="ok", ok=content):
             whole = Answer(answer.status, for_caller, content)
-            return HopOutcome(whole, outcome == REFUSED, reason, reason)
+            not_run, complete = outcome == REFUSED, outcome == COMPLETE
+            return HopOutcome(whole, not_run, reason, reason, complete=complete)
         case Result(error=detail):
             return HopOutcome(None, outcome == REFUSED, reason, detail)
 
--- a/packages/gateway/tests/test_hops_at_stops.py
+++ b/packages/gateway/tests/test_hops_at_stops.py
@@ -1,5 +1,6 @@
-"""Requests on their way through another gateway while one of the two stops."""
+"""Requests on their way through another gateway while one of the two stops or the link is lost."""
 
+import base64
 import concurrent.futures
 import contextlib
 import http.client
@@ -8,9 +9,10 @@
 import threading
 import time
 import typing as t
+import urllib.request
 
 import pytest
-from cardamomloft_standins import endpoints, processes
+from cardamomloft_standins import cutlinks, endpoints, processes
 from cardamomloft_standins.cutlinks import Cut
 from cardamomloft_standins.linkfleet import IDEMPOTENT, ONCE, LinkFleet
 
@@ -80,6 +82,13 @@
     endpoints.put(f"http://{fleet.store}/v1/kv/gateway/routes/current", document)
 
 
+def helper_addresses(fleet: LinkFleet) -> dict[str, str]:
+    """Return the addresses at which gateways accept the requests of others."""
+    with urllib.request.urlopen(f"http://{fleet.store}/v1/kv/gateway/entries/?recurse=1") as answer:
+        records = [json.loads(base64.b64decode(row["Value"])) for row in json.load(answer)]
+    return {record["name"]: record["proxy"] for record in records}
+
+
 @pytest.fixture
 def fleet(tmp_path):
     with contextlib.ExitStack() as stack:
@@ -141,3 +150,18 @@
     assert not [one for one in lost if one.path.startswith(IDEMPOTENT)]
     assert {one.status for one in lost} <= {502}
     check_runs(fleet, sent)
+
+
+def test_helper_whose_link_goes_silent_costs_no_request_that_may_run_twice(fleet):
+    path = fleet.folder / f"{fleet.cut_off[0]['name']}.links"
+    links = dict.fromkeys((endpoint.address for endpoint in fleet.endpoints), Cut.RESET)
+    silent = helper_addresses(fleet)[fleet.settings[1]["name"]]
+    cutlinks.write_each(path, links | {silent: Cut.NONE})
+    callers = Callers(fleet)
+    callers.run(1.0)
+    sent = in_flight_and_later(
+        callers, lambda: cutlinks.write_each(path, links | {silent: Cut.HANG}), 3.0
+    )
+    safe = [one for one in sent if one.path.startswith(IDEMPOTENT)]
+    assert [one for one in safe if one.status == 200] == safe
+    check_runs(fleet, sent)
--- a/packages/gateway/tests/test_peer_proxy.py
+++ b/packages/gateway/tests/test_peer_proxy.py
@@ -19,6 +19,7 @@
     read_proxy_header,
     without_proxy_header,
 )
+from cardamomloft.gateway.peerproxy.silence import PROBE_TIMEOUT, SILENCE_TIME
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.upstreams.client import SendFailure
 from cardamomloft_standins import gateway as kit
@@ -51,7 +52,8 @@
     """A gateway without links, and the answers of the others in order."""
 
     def __init__(self, *outcomes, rules=(kit.RULE, kit.ORDERS), helpers=4) -> None:
-        self.clock = kit.Time(Clock()).clock
+        self.time = kit.Time(Clock())
+        self.clock = self.time.clock
         self.entries = EntryTable(OWN, timedelta(seconds=1))
         for number in range(1, helpers + 1):
             region = "west" if number == helpers else "east"
@@ -60,7 +62,7 @@
             proxied = record._replace(proxy=f"{address}:81", proxy_token=f"secret-{number}")
             self.entries.add(proxied, 0 * MS)
         self.proxy = PeerProxy(
-            Clock(),
+            self.time.reactor,
             self.clock,
             kit.rng(),
             OWN,
@@ -200,6 +202,108 @@
     assert run.peers() == ["e-4"]
 
 
+# Helpers that do not answer.
+
+
+def accepts(connected: bool, after: timedelta):
+    """Return a probe of helpers, and the addresses that it is asked to probe."""
+    probed = []
+
+    def probe(reactor, address, timeout):
+        probed.append(address)
+        result = Deferred()
+        reactor.callLater(min(after, timeout).total_seconds(), result.callback, connected)
+        return result
+
+    return probe, probed
+
+
+def run_with_probes(*outcomes, connected=False, after=PROBE_TIMEOUT, **options):
+    run = Run(*outcomes, **options)
+    run.proxy.silence._probe, run.probed = accepts(connected, after)
+    return run
+
+
+def test_request_is_sent_through_a_second_gateway_beside_a_silent_one():
+    run = run_with_probes(None, SERVED)
+    outcomes = []
+    run.start().addCallback(outcomes.append)
+    run.time.advance(SILENCE_TIME)
+    assert len(run.peers()) == 1
+    run.time.advance(PROBE_TIMEOUT + 50 * MS)
+    assert outcomes[0].answer.status == 200
+    first, second = run.peers()
+    assert first != second
+    assert run.header(1).deliveries == 1
+    # Only an answer ends the hop to the silent gateway.
+    assert run.client.cancelled == 1
+
+
+def test_answer_of_a_gateway_that_was_silent_counts_if_the_other_does_not_help():
+    for other in (refused("overloaded"), refused("shed"), LATE):
+        run = run_with_probes(None, other)
+        waiting = run.client.pending
+        outcomes = []
+        run.start().addCallback(outcomes.append)
+        run.time.advance(SILENCE_TIME + PROBE_TIMEOUT + 50 * MS)
+        assert len(run.peers()) == 2
+        assert not outcomes
+        waiting[0].callback(SERVED)
+        assert outcomes[0].answer.status == 200
+
+
+def test_request_that_must_not_run_twice_stays_at_a_silent_gateway():
+    run = run_with_probes(None, SERVED)
+    outcomes = []
+    run.start("/orders/1").addCallback(outcomes.append)
+    run.time.advance(5 * (SILENCE_TIME + PROBE_TIMEOUT))
+    assert len(run.peers()) == 1
+    assert not run.client.cancelled
+    run.client.pending[0].callback(SERVED)
+    assert outcomes[0].answer.status == 200
+
+
+@pytest.mark.parametrize(("connected", "after"), [(True, 20 * MS), (False, 20 * MS)])
+def test_gateway_that_accepts_or_refuses_connections_is_waited_for(connected, after):
+    run = run_with_probes(None, SERVED, connected=connected, after=after)
+    run.start()
+    run.time.advance(5 * SILENCE_TIME)
+    assert len(run.peers()) == 1
+
+
+def test_gateway_that_has_answered_others_is_not_probed():
+    run = run_with_probes(None, helpers=1)
+    for _ in range(8):
+        run.start()
+        run.time.advance(SILENCE_TIME / 2)
+        run.client.pending[-1].callback(SERVED)
+    assert not run.probed
+
+
+def test_requests_at_a_gateway_share_its_probes():
+    run = run_with_probes(None, helpers=1)
+    for _ in range(8):
+        run.start()
+    run.time.advance(SILENCE_TIME + PROBE_TIMEOUT)
+    assert len(run.probed) == 1
+
+
+def test_silent_gateway_gets_no_further_request_for_a_second():
+    run = run_with_probes(None)
+    run.start("/orders/1")
+    run.time.advance(SILENCE_TIME + PROBE_TIMEOUT + 50 * MS)
+    run.start("/orders/2")
+    run.start("/orders/3")
+    assert run.peers()[0] not in run.peers()[1:]
+
+
+def test_no_second_gateway_is_asked_beyond_the_attempts():
+    run = run_with_probes(None)
+    run.start(deliveries=1)
+    run.time.advance(5 * (SILENCE_TIME + PROBE_TIMEOUT))
+    assert len(run.peers()) == kit.RULE.attempts - 1
+
+
 # The gateway that is asked.
 
 
--- a/standins/src/cardamomloft_standins/cutlinks.py
+++ b/standins/src/cardamomloft_standins/cutlinks.py
@@ -40,27 +40,28 @@
     STALL = "stall"
 
 
-class Links(t.NamedTuple):
-    """The state of the links to `addresses`; others always work.
+Links = dict[str, Cut]
+"""The states of the links to addresses; others always work.
 
-    An address must be listed before a connection to it is opened, or that connection is never cut.
-    """
-
-    cut: Cut
-    addresses: frozenset[str]
+An address must be listed before a connection to it is opened, or that connection is never cut.
+"""
 
 
 def write_links(path: pathlib.Path, cut: Cut, addresses: t.Iterable[str]) -> None:
-    """Change the links of the process that reads `path`."""
+    """Change the links to `addresses` of the process that reads `path`; others work."""
+    write_each(path, dict.fromkeys(addresses, cut))
+
+
+def write_each(path: pathlib.Path, links: Links) -> None:
+    """Change each link of the process that reads `path`."""
     staging = path.with_suffix(".new")
-    staging.write_text(json.dumps({"cut": cut, "addresses": sorted(addresses)}))
+    staging.write_text(json.dumps(links))
     staging.replace(path)
 
 
 def read_links(path: pathlib.Path) -> Links:
     """Return what was written last to `path`."""
-    raw = json.loads(path.read_text())
-    return Links(Cut(raw["cut"]), frozenset(raw["addresses"]))
+    return {address: Cut(cut) for address, cut in json.loads(path.read_text()).items()}
 
 
 class CuttableLinks:
@@ -98,13 +99,19 @@
     ) -> t.Any:
         """Connect to an address, or fail as the state of its link implies."""
         address = f"{host}:{port}"
-        if address not in self.links.addresses:
+        if address not in self.links:
             return self._connect(host, port, factory, timeout, bindAddress)
-        if self.links.cut in (Cut.HANG, Cut.STALL):
+        cut = self.links[address]
+        if cut in (Cut.HANG, Cut.STALL):
             port = self._silent.port
-        elif self.links.cut in (Cut.RESET, Cut.REFUSE):
+        elif cut in (Cut.RESET, Cut.REFUSE):
             port = self._closed.getsockname()[1]
-        return self._connect(host, port, _LinkFactory(factory, self), timeout, bindAddress)
+        wrapped = _LinkFactory(factory, self, address)
+        return self._connect(host, port, wrapped, timeout, bindAddress)
+
+    def cut_of(self, address: str) -> Cut:
+        """Return the state of the link to an address."""
+        return self.links.get(address, Cut.NONE)
 
     def _refresh(self) -> None:
         changed_at = os.stat(self._path).st_mtime_ns
@@ -113,7 +120,7 @@
         self._read_at = changed_at
         self.links = read_links(self._path)
         for link in tuple(self.open):
-            link.apply(self.links.cut)
+            link.apply(self.cut_of(link.factory.address))
 
 
 class _SilentListener:
@@ -159,9 +166,10 @@
         links = self.factory.links
         links.open.add(self)
         super().makeConnection(transport)
-        if links.links.cut in (Cut.HANG, Cut.RESET):
+        cut = links.cut_of(self.factory.address)
+        if cut in (Cut.HANG, Cut.RESET):
             # The connection was being established when the link was cut.
-            self.apply(links.links.cut)
+            self.apply(cut)
 
     def write(self, data: bytes) -> None:
         if self._hangs:
@@ -186,9 +194,10 @@
 class _LinkFactory(WrappingFactory):
     protocol = _Link
 
-    def __init__(self, wrapped: t.Any, links: CuttableLinks) -> None:
+    def __init__(self, wrapped: t.Any, links: CuttableLinks, address: str) -> None:
         super().__init__(wrapped)
         self.links = links
+        self.address = address
 
     def buildProtocol(self, addr: IAddress) -> Protocol | None:  # noqa: N802
         wrapped = self.wrappedFactory.buildProtocol(addr)
--- a/standins/src/cardamomloft_standins/gateway.py
+++ b/standins/src/cardamomloft_standins/gateway.py
@@ -116,7 +116,7 @@
     def __init__(self, *outcomes) -> None:
         self.outcomes = deque(outcomes)
         self.sent = []
-        self.pending = []
+        self.pending: list[Deferred] = []
         self.forgotten_addresses = []
         self.cancelled = 0
         self.observers = LinkObservers()
