Let a test of stops begin once its pipelined requests were passed on

The test sent SIGTERM 0.2 s after its requests. It waits until endpoints have both now, and an early end fails the test.

--- a/packages/gateway/tests/test_stop_processes.py
+++ b/packages/gateway/tests/test_stop_processes.py
@@ -88,6 +88,9 @@
         with self.connect() as conn:
             return exchange(conn, path)
 
+    def has_passed_on(self, *paths):
+        return set(paths) <= {arrival.path for arrival in self.arrivals}
+
     def events(self, name):
         rows = [json.loads(line) for line in self.log.read_text().splitlines() if name in line]
         return [row for row in rows if row["message_type"].endswith(f":{name}")]
@@ -144,7 +147,11 @@
 
 
 def read_pipelined(stream):
-    head = b"".join(iter(stream.readline, b"\r\n")).decode()
+    head = ""
+    while not head.endswith("\r\n\r\n"):
+        line = stream.readline().decode()
+        assert line, "the connection ended without an answer"
+        head += line
     length = int(head.lower().partition("content-length: ")[2].split("\r\n")[0])
     return int(head.split()[1]), "connection: close" in head.lower(), len(stream.read(length))
 
@@ -191,7 +198,7 @@
         uploaded = run.submit(0, upload, uploader, 36, 0.1)
         read = run.submit(0, read_slowly, reader, 4.0)
         piped = run.submit(0, pipeline, pipelining, ["/menus/900/1", "/menus/1800/2"])
-        run.sleep_until(0.2)
+        assert processes.eventually(lambda: run.has_passed_on("/menus/900/1", "/menus/1800/2"), 5)
         run.stop()
         run.submit(0.1, disturb, run).result()
         refused = run.submit(3.2, exchange, kept, "/menus/0/3")
