Compare probes with later connections before an endpoint is lost

What callers saw: at gateways whose own link or processor was slow for a moment, idempotent requests were broken off at endpoints that worked on them, and others opened connection after connection.

Cause: an endpoint was lost once a single probe, or a connection of a request, took longer than 100 to 500 ms. On a slow link all connections do. Each loss raised an alarm, for which all requests opened connections. As probes were given up at that time, long times were never measured.

Why it works: connections of a gateway wait in the same queues, in order. Two probes of an endpoint must be slower than connections to others that were opened later, and the endpoint must have given no sign since. The delay of recent connections is added to the patience and to the time until an alarm. The monitors tell each other of accepted probes.

--- a/packages/core/src/cardamomloft/core/connectivity/outages.py
+++ b/packages/core/src/cardamomloft/core/connectivity/outages.py
@@ -10,20 +10,9 @@
 from collections.abc import Container
 from datetime import timedelta
 
+from cardamomloft.core.connectivity.probes import MAX_PATIENCE, EndpointProbes
 from cardamomloft.core.connectivity.silence import AwaitedAnswers
 
-MIN_PATIENCE = timedelta(milliseconds=100)
-"""Minimum time in which a connection must be established while other endpoints can be tried."""
-
-MAX_PATIENCE = timedelta(milliseconds=500)
-"""Maximum of that time, which covers several round trips between regions."""
-
-DEFAULT_PATIENCE = timedelta(milliseconds=250)
-"""That time for an endpoint to which no connection was opened yet."""
-
-PATIENCE_FACTOR = 4
-"""That time as a multiple of the usual time to establish a connection."""
-
 PROBE_INTERVAL = timedelta(milliseconds=200)
 """Interval after which an endpoint that accepted no connection is probed again, at first."""
 
@@ -34,12 +23,6 @@
 MAX_PROBES_PER_TICK = 2
 """Maximum number of lost endpoints that are probed at a time, which bounds the load of probes."""
 
-EARLY_ALARM_TIME = timedelta(milliseconds=30)
-"""Time after which a probe without a result causes an alarm."""
-
-EARLY_ALARM_FACTOR = 2
-"""Minimum of that time as a multiple of the usual time to establish a connection."""
-
 ALARM_TIME = timedelta(seconds=2)
 """Duration of an alarm. An endpoint that has gone silent may not be the only one, so others must
 prove that they can be reached before a request is sent to them on a connection that was idle."""
@@ -54,8 +37,6 @@
 MAX_RETURN_TIME = timedelta(seconds=3)
 """Time after which an endpoint that is back is used as before, even without an answer."""
 
-_SMOOTHING = 0.2
-
 
 class Evidence(t.NamedTuple):
     """What one entry knows of an endpoint that accepts no connection.
@@ -108,10 +89,8 @@
     def __init__(self) -> None:
         self._lost: dict[str, _Outage] = {}
         self._returned: dict[str, timedelta] = {}
-        self._heard: dict[str, timedelta] = {}
         self._awaited = AwaitedAnswers()
-        self._connect_times: dict[str, timedelta] = {}
-        self._probing: dict[str, timedelta] = {}
+        self._probes = EndpointProbes()
         self._alarm_at: timedelta | None = None
 
     def __bool__(self) -> bool:
@@ -122,6 +101,7 @@
     def record_sent(self, address: str, now: timedelta) -> None:
         """Record that an answer of an endpoint is awaited."""
         self._awaited.record_sent(address, now)
+        self._probes.expire(now)
 
     def record_end(self, address: str) -> None:
         """Record that an answer is not awaited any more."""
@@ -129,7 +109,7 @@
 
     def record_answer(self, address: str, now: timedelta) -> None:
         """Record that an endpoint has begun to answer on an open connection."""
-        self._heard[address] = now
+        self._probes.record_answer(address, now)
         self._awaited.record_answer(address, now)
         self._returned.pop(address, None)
         if address in self._lost:
@@ -137,12 +117,8 @@
 
     def record_connected(self, address: str, took: timedelta, now: timedelta) -> bool:
         """Record that an endpoint has accepted a connection; return whether it was lost before."""
-        self._heard[address] = now
         self._awaited.record_sign(address, now)
-        usual = self._connect_times.get(address)
-        self._connect_times[address] = (
-            took if usual is None else usual + (took - usual) * _SMOOTHING
-        )
+        self._probes.record_connected(address, took, now)
         if self._lost.pop(address, None) is None:
             return False
         self._returned[address] = now
@@ -173,10 +149,10 @@
 
     def evidence(self, address: str, now: timedelta) -> Evidence:
         """Return what is known of an endpoint, for the log."""
-        heard_at = self._heard.get(address)
+        heard_at = self._probes.heard_at(address)
         return Evidence(
             None if heard_at is None else now - heard_at,
-            self._connect_times.get(address),
+            self._probes.usual(address),
             self._awaited.count(address),
         )
 
@@ -189,7 +165,8 @@
     def retain(self, addresses: Container[str]) -> None:
         """Forget the endpoints that are not in `addresses`; call it periodically."""
         self._awaited.retain(addresses)
-        for known in (self._lost, self._returned, self._heard, self._connect_times):
+        self._probes.retain(addresses)
+        for known in (self._lost, self._returned):
             for address in [address for address in known if address not in addresses]:
                 del known[address]
 
@@ -244,10 +221,7 @@
 
     def patience(self, address: str) -> timedelta:
         """Return how long a connection may take while another endpoint can be tried."""
-        usual = self._connect_times.get(address)
-        if usual is None:
-            return DEFAULT_PATIENCE
-        return min(max(usual * PATIENCE_FACTOR, MIN_PATIENCE), MAX_PATIENCE)
+        return self._probes.patience(address)
 
     def needs_new_connection(self, address: str, now: timedelta) -> bool:
         """Return whether an endpoint must accept a connection before a request is sent to it.
@@ -258,20 +232,14 @@
         alarm_at = self._alarm_since(now)
         if alarm_at is None:
             return False
-        heard_at = self._heard.get(address)
+        heard_at = self._probes.heard_at(address)
         return heard_at is None or heard_at < alarm_at
 
     def _alarm_since(self, now: timedelta) -> timedelta | None:
         """Return when the last endpoint went silent, or seems to have; None without an alarm."""
         if self._alarm_at is not None and now - self._alarm_at < ALARM_TIME:
             return self._alarm_at
-        for address, since in self._probing.items():
-            if address in self._lost:
-                continue
-            usual = self._connect_times.get(address, DEFAULT_PATIENCE / EARLY_ALARM_FACTOR)
-            if now - since >= max(EARLY_ALARM_TIME, usual * EARLY_ALARM_FACTOR):
-                return since
-        return None
+        return self._probes.overdue_since(self._lost, now)
 
     # Probes.
 
@@ -280,6 +248,20 @@
         alarm = self._alarm_since(now) is not None
         return self._awaited.suspects(now, self._lost, alarm=alarm)
 
+    def silent(self, read_at: timedelta) -> list[str]:
+        """Return the endpoints that have gone silent; call it at each tick.
+
+        Parameters
+        ----------
+        read_at
+            The instant since which all sockets were read. What has happened later may be unread.
+        """
+        return self._probes.silent(self._lost, read_at)
+
+    def checks(self, now: timedelta) -> list[str]:
+        """Return the endpoints to probe for a decision about those whose probes are overdue."""
+        return self._probes.checks(self._lost, now)
+
     def due_probes(self, now: timedelta) -> list[str]:
         """Return the lost endpoints to probe now, those that were due first."""
         due = [
@@ -291,19 +273,28 @@
 
     def start_probe(self, address: str, now: timedelta) -> None:
         """Record the start of a probe."""
-        self._probing[address] = now
+        self._probes.start(address, now)
         self._awaited.record_probe(address, now)
         if address in self._lost:
             self._lost[address].probe_at = now + MAX_PATIENCE
 
-    def end_probe(self, address: str) -> None:
+    def is_probed(self, address: str) -> bool:
+        """Return whether a probe of an endpoint has no result yet."""
+        return self._probes.is_probed(address)
+
+    def end_probe(self, address: str, started_at: timedelta) -> None:
         """Record the end of a probe; its result is recorded besides."""
-        self._probing.pop(address, None)
+        self._probes.end(address, started_at)
+
+    def has_given_sign(self, address: str, since: timedelta) -> bool:
+        """Return whether an endpoint has answered or accepted a connection after an instant."""
+        heard_at = self._probes.heard_at(address)
+        return heard_at is not None and heard_at > since
 
     @property
     def is_idle(self) -> bool:
-        """Whether no answer is awaited and no endpoint is lost, so that nothing can be due."""
-        return not (self._awaited or self._lost)
+        """Whether no answer or probe is awaited and none is lost, so that nothing can be due."""
+        return not (self._awaited or self._lost or self._probes)
 
 
 def _ms(duration: timedelta | None) -> float | None:
--- a/packages/gateway/src/cardamomloft/gateway/endpointmonitor.py
+++ b/packages/gateway/src/cardamomloft/gateway/endpointmonitor.py
@@ -6,6 +6,7 @@
 
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.connectivity.outages import EndpointOutages
+from cardamomloft.core.connectivity.probes import PROBE_TIME
 from cardamomloft.core.upstreamtable import UpstreamTable
 from cardamomloft.gateway.linkmonitor import Probe
 from cardamomloft.runtime.logs import log
@@ -68,9 +69,9 @@
         self._links_down = links_down
         self._metrics = metrics
         self._probe = probe
-        self._probing: set[str] = set()
         self._timer: IDelayedCall | None = None
         self._due = timedelta(0)
+        self._checked_at = timedelta(0)
         self._retained_at = timedelta(0)
         self._stopped = False
         client.observers.add(self)
@@ -84,6 +85,10 @@
 
     def connected(self, address: str, took: timedelta) -> None:
         """Observe that a new connection is established."""
+        self.reached(address, took)
+
+    def reached(self, address: str, took: timedelta) -> None:
+        """Observe that a probe was accepted."""
         if self._outages.record_connected(address, took, self._clock.monotonic()):
             self._record_return(address)
 
@@ -95,9 +100,9 @@
         """Observe that there is no connection, or that one was lost before an answer began."""
         if self._links_down() or self._stopped:
             return
-        if reason in (ConnectionFailure.REFUSED, ConnectionFailure.TIMEOUT):
-            self._record_loss(address, silent=reason is ConnectionFailure.TIMEOUT)
-        else:
+        if reason is ConnectionFailure.REFUSED:
+            self._record_loss(address, silent=False)
+        elif not self._outages.is_probed(address):
             self._start_probe(address)
 
     def ended(self, address: str) -> None:
@@ -134,35 +139,53 @@
         self._timer = None
         now = self._clock.monotonic()
         if now - self._due <= MAX_LATENESS and not self._links_down():
-            for address in (*self._outages.suspects(now), *self._outages.due_probes(now)):
-                self._start_probe(address)
+            self._judge(now)
+        self._checked_at = now
         if now - self._retained_at >= RETAIN_INTERVAL:
             self._retained_at = now
             self._outages.retain({up.registration.address for up in self._upstream_table.all()})
         self._schedule()
 
+    def _judge(self, now: timedelta) -> None:
+        """Record the endpoints that have gone silent, and probe those that may have."""
+        outages = self._outages
+        for address in outages.silent(self._checked_at):
+            self._record_loss(address, silent=True)
+        for address in outages.suspects(now):
+            if not outages.is_probed(address):
+                self._start_probe(address)
+        for address in (*outages.checks(now), *outages.due_probes(now)):
+            self._start_probe(address)
+
     def _start_probe(self, address: str) -> None:
-        if address in self._probing:
-            return
-        self._probing.add(address)
         self._metrics.count("probes.endpoints")
-        now, patience = self._clock.monotonic(), self._outages.patience(address)
+        now, was_lost = self._clock.monotonic(), self._outages.is_lost(address)
+        limit = self._outages.patience(address) if was_lost else PROBE_TIME
         self._outages.start_probe(address, now)
-        outcome = self._probe(self._reactor, address, patience)
-        outcome.addCallback(self._end_probe, address, now, patience)
+        outcome = self._probe(self._reactor, address, limit)
+        outcome.addCallback(self._end_probe, address, now, limit, was_lost)
+        self._schedule()
 
     def _end_probe(
-        self, connected: bool, address: str, started_at: timedelta, patience: timedelta
+        self,
+        connected: bool,
+        address: str,
+        started_at: timedelta,
+        limit: timedelta,
+        was_lost: bool,
     ) -> None:
-        self._probing.discard(address)
-        self._outages.end_probe(address)
+        self._outages.end_probe(address, started_at)
         took = self._clock.monotonic() - started_at
         if self._stopped:
             return
         if connected:
-            self.connected(address, took)
-        elif not self._links_down():
-            self._record_loss(address, silent=took >= patience)
+            self._client.observers.reached(address, took)
+        elif self._links_down() or self._outages.is_lost(address) != was_lost:
+            return
+        elif took < limit:
+            self._record_loss(address, silent=False)
+        elif not self._outages.has_given_sign(address, started_at):
+            self._record_loss(address, silent=True)
 
     # Losses and returns.
 
--- a/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
+++ b/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
@@ -99,8 +99,12 @@
 
     def connected(self, address: str, took: timedelta) -> None:
         """Observe that a new connection is established."""
-        now = self._clock.monotonic()
         self._metrics.count("connections.opened")
+        self.reached(address, took)
+
+    def reached(self, address: str, took: timedelta) -> None:
+        """Observe that a probe was accepted."""
+        now = self._clock.monotonic()
         self._reachability.record_connected(address, now)
         self._confirm_failures_before(now - SIGN_DELAY)
 
@@ -233,10 +237,11 @@
 
     def _probe_one(self, address: str) -> "Deferred[bool]":
         self._metrics.count("probes")
+        started_at = self._clock.monotonic()
 
         def record(connected: bool) -> bool:
-            if connected:
-                self._reachability.record_connected(address, self._clock.monotonic())
+            if connected and not self._stopped:
+                self._client.observers.reached(address, self._clock.monotonic() - started_at)
             return connected
 
         return self._probe(self._reactor, address, PROBE_TIMEOUT).addCallback(record)
--- a/packages/upstreams/src/cardamomloft/upstreams/observers.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/observers.py
@@ -33,6 +33,10 @@
         """Observe that a new connection is established, after a time."""
         ...
 
+    def reached(self, address: str, took: timedelta) -> None:
+        """Observe that a probe was accepted, after a time."""
+        ...
+
     def answered(self, address: str) -> None:
         """Observe the head of an answer; `ended` follows."""
         ...
@@ -66,6 +70,11 @@
         for observer in self._observers:
             observer.connected(address, took)
 
+    def reached(self, address: str, took: timedelta) -> None:
+        """Tell of a probe that was accepted."""
+        for observer in self._observers:
+            observer.reached(address, took)
+
     def answered(self, address: str) -> None:
         """Tell of an answer."""
         for observer in self._observers:
