Tell links that are slow from links that are down by what arrives

What callers saw: a gateway whose own link was slow for a moment took all its links to be down. Its requests were broken off, or took the way through another gateway or were refused.

Cause: links were down once none of up to four connections was established in 300 ms, although answers went on to arrive and requests had got connections meanwhile. Connections were given up at that time, so a link with a longer delay was down until the delay had gone.

Why it works: links are not down if any connection was established since the probe began, or, unless the probes were refused, if an answer arrived since. The time of a probe grows with the delay of recent connections, up to 1 s.

--- a/packages/core/src/cardamomloft/core/connectivity/reachability.py
+++ b/packages/core/src/cardamomloft/core/connectivity/reachability.py
@@ -11,12 +11,21 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
+from cardamomloft.core.connectivity.connecttimes import ConnectTimes
+
 PROBED_ENDPOINTS = 4
 """Number of endpoints to which connections are opened at a time."""
 
 PROBE_TIMEOUT = timedelta(milliseconds=300)
 """Time in which a connection must be established, which is several round trips between regions."""
 
+MAX_PROBE_TIMEOUT = timedelta(seconds=1)
+"""Maximum of that time while connections to all endpoints are slow."""
+
+SIGN_DELAY = timedelta(milliseconds=20)
+"""Time after a failure, or the start of a probe, from which an answer shows that links work. One
+that is read earlier may have arrived before they failed."""
+
 PROBE_INTERVAL = timedelta(milliseconds=200)
 """Minimum interval of probes, and their interval while links are down."""
 
@@ -56,6 +65,8 @@
     def __init__(self) -> None:
         self._heard: dict[str, timedelta] = {}
         self._heard_at: timedelta | None = None
+        self._connected_at: timedelta | None = None
+        self._connect_times = ConnectTimes()
         self._silent_since = _ZERO
         self._awaited = 0
         self._mean_gap: timedelta | None = None
@@ -68,6 +79,7 @@
 
     def record_sent(self, now: timedelta) -> None:
         """Record that an answer is awaited."""
+        self._connect_times.expire(now)
         if not self._awaited:
             self._silent_since = now
         self._awaited += 1
@@ -83,8 +95,11 @@
         self._mean_gap = gap if mean is None else mean + (gap - mean) * _SMOOTHING
         self._record_sign(address, now)
 
-    def record_connected(self, address: str, now: timedelta) -> None:
-        """Record that an endpoint has accepted a connection."""
+    def record_connected(self, address: str, now: timedelta, took: timedelta | None = None) -> None:
+        """Record that an endpoint has accepted a connection, after a time if that is known."""
+        self._connected_at = now
+        if took is not None:
+            self._connect_times.record(address, took, now)
         self._record_sign(address, now)
 
     def record_failure(self, address: str, now: timedelta) -> None:
@@ -170,6 +185,7 @@
         rows = list(known)
         addresses = {row.address for row in rows}
         self._heard = {key: at for key, at in self._heard.items() if key in addresses}
+        self._connect_times.retain(addresses)
         rows.sort(key=lambda row: self._heard.get(row.address, timedelta.min), reverse=True)
         drawn = rng.sample(rows, min(PROBED_ENDPOINTS // 2, len(rows))) if self.down else []
         zones: set[str] = set()
@@ -184,7 +200,13 @@
         """Record the start of a probe."""
         self._probed_at = now
 
-    def end_probe(self, started_at: timedelta, *, connected: bool) -> bool:
+    @property
+    def probe_timeout(self) -> timedelta:
+        """Time in which a probe is expected to be established."""
+        delayed = PROBE_TIMEOUT + self._connect_times.reserve
+        return min(delayed, MAX_PROBE_TIMEOUT)
+
+    def end_probe(self, started_at: timedelta, *, connected: bool, definite: bool = True) -> bool:
         """Record the end of a probe; return whether links went down or came back.
 
         Parameters
@@ -193,10 +215,20 @@
             The start of the probe.
         connected
             Whether any endpoint has accepted a connection.
+        definite
+            Whether connections were refused, or given up for good. Otherwise they may still be
+            established, and links that are slow are told from those that are down by the answers
+            on open connections.
         """
         was_down = self.down
         if connected:
             self._down_since = None
-        elif not was_down:
+        elif not was_down and not self._works_since(started_at, definite):
             self._down_since = started_at
         return self.down != was_down
+
+    def _works_since(self, started_at: timedelta, definite: bool) -> bool:
+        if self._connected_at is not None and self._connected_at > started_at:
+            return True
+        heard_at = self._heard_at
+        return not definite and heard_at is not None and heard_at > started_at + SIGN_DELAY
--- a/packages/core/tests/test_reachability.py
+++ b/packages/core/tests/test_reachability.py
@@ -138,3 +138,41 @@
     links.record_connected("10.9.9.9:80", 0 * MS)
     assert links.targets(TARGETS[:1], random.Random(1)) == TARGETS[:1]
     assert links.targets([], random.Random(1)) == []
+
+
+def silent_links() -> Reachability:
+    """Return links on which an answer is awaited and a probe has started at 1 s."""
+    links = Reachability()
+    links.record_sent(0 * MS)
+    links.start_probe(1000 * MS)
+    return links
+
+
+@pytest.mark.parametrize("definite", [True, False])
+def test_links_on_which_nothing_arrives_are_down_after_a_probe(definite):
+    links = silent_links()
+    links.record_answer(ADDRESSES[0], 1010 * MS)
+    assert links.end_probe(1000 * MS, connected=False, definite=definite)
+
+
+def test_links_with_answers_are_not_down_while_connections_may_still_be_established():
+    links = silent_links()
+    links.record_answer(ADDRESSES[0], 1100 * MS)
+    assert not links.end_probe(1000 * MS, connected=False, definite=False)
+    assert links.end_probe(1000 * MS, connected=False, definite=True)
+
+
+def test_links_are_not_down_after_a_connection_of_another_origin():
+    links = silent_links()
+    links.record_connected(ADDRESSES[0], 1100 * MS)
+    assert not links.end_probe(1000 * MS, connected=False)
+
+
+def test_probes_are_awaited_longer_while_connections_are_slow():
+    links = silent_links()
+    assert links.probe_timeout == reachability.PROBE_TIMEOUT
+    for took in (1, 300, 300):
+        links.record_connected(ADDRESSES[0], 1000 * MS, took * MS)
+    assert 600 * MS < links.probe_timeout <= reachability.MAX_PROBE_TIMEOUT
+    links.record_sent(4000 * MS)
+    assert links.probe_timeout == reachability.PROBE_TIMEOUT
--- a/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
+++ b/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
@@ -9,9 +9,10 @@
 from datetime import timedelta
 
 from cardamomloft.core.clock import Clock
+from cardamomloft.core.connectivity.probes import PROBE_TIME
 from cardamomloft.core.connectivity.reachability import (
     ONE_FAILED_TIME,
-    PROBE_TIMEOUT,
+    SIGN_DELAY,
     ProbeTarget,
     Reachability,
 )
@@ -27,9 +28,8 @@
 """Lateness of a timer above which the process was suspended or busy. Silence until then says
 nothing, so that what has arrived meanwhile is read before links are probed."""
 
-SIGN_DELAY = timedelta(milliseconds=20)
-"""Time after a failure from which an answer shows that links work. One that is read earlier may
-have arrived before they failed."""
+READ_DELAY = timedelta(milliseconds=20)
+"""Time after a timer in which a connection that is already established is still noticed."""
 
 _EVIDENCE = "links are down"
 
@@ -43,6 +43,13 @@
     confirmed: "Deferred[bool]"
 
 
+class _Round(t.NamedTuple):
+    """Probes that were started together."""
+
+    started_at: timedelta
+    targets: list[ProbeTarget]
+
+
 class LinkMonitor:
     """Observes the exchanges of a client, and decides whether its links work.
 
@@ -84,7 +91,8 @@
         self._reachability = Reachability()
         self._timer: IDelayedCall | None = None
         self._due = timedelta(0)
-        self._probing = False
+        self._round: _Round | None = None
+        self._round_timer: IDelayedCall | None = None
         self._waiting: list[Deferred[None]] = []
         self._unconfirmed: list[_UnconfirmedFailure] = []
         self._stopped = False
@@ -105,7 +113,7 @@
     def reached(self, address: str, took: timedelta) -> None:
         """Observe that a probe was accepted."""
         now = self._clock.monotonic()
-        self._reachability.record_connected(address, now)
+        self._reachability.record_connected(address, now, took)
         self._confirm_failures_before(now - SIGN_DELAY)
 
     def answered(self, address: str) -> None:
@@ -144,16 +152,16 @@
 
     def is_suspected(self) -> bool:
         """Return whether several endpoints have failed and none has given a sign since."""
-        return self.down or self._probing or self._reachability.failed_count > 1
+        return self.down or self._round is not None or self._reachability.failed_count > 1
 
     def verdict(self) -> "Deferred[None]":
         """Return a Deferred that fires once it is known whether failures are those of the links."""
         may_probe = self._reachability.may_probe(self._clock.monotonic())
-        if self._stopped or self.down or not (self._probing or may_probe):
+        if self._stopped or self.down or not (self._round or may_probe):
             return succeed(None)
         waiting: Deferred[None] = Deferred()
         self._waiting.append(waiting)
-        if not self._probing:
+        if self._round is None:
             self._start_probe()
         return waiting
 
@@ -183,8 +191,9 @@
     def stop(self) -> None:
         """Stop probing."""
         self._stopped = True
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        for timer in (self._timer, self._round_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
         self._release()
         self._end_unconfirmed(self._clock.monotonic(), works=False)
 
@@ -199,7 +208,7 @@
 
     def _schedule(self) -> None:
         due = self._next_probe()
-        if due is None or self._probing or self._stopped:
+        if due is None or self._round is not None or self._stopped:
             return
         if self._timer is not None and self._timer.active():
             if self._due <= due:
@@ -231,9 +240,11 @@
             self._end_unconfirmed(started_at, works=True)
             self._schedule()
             return
-        self._probing = True
+        self._round = current = _Round(started_at, targets)
+        limit = self._reachability.probe_timeout.total_seconds()
+        self._round_timer = self._reactor.callLater(limit, self._expire, current)
         probes = [self._probe_one(target.address) for target in targets]
-        any_true(probes).addCallback(self._end_probe, started_at, targets)
+        any_true(probes).addCallback(self._end_probe, current)
 
     def _probe_one(self, address: str) -> "Deferred[bool]":
         self._metrics.count("probes")
@@ -244,26 +255,42 @@
                 self._client.observers.reached(address, self._clock.monotonic() - started_at)
             return connected
 
-        return self._probe(self._reactor, address, PROBE_TIMEOUT).addCallback(record)
+        return self._probe(self._reactor, address, PROBE_TIME).addCallback(record)
 
-    def _end_probe(
-        self, connected: bool, started_at: timedelta, targets: list[ProbeTarget]
-    ) -> None:
-        self._probing = False
+    def _expire(self, expired: _Round) -> None:
+        """Wait until sockets are read, as timers run before, and judge what is known then."""
+        self._round_timer = self._reactor.callLater(
+            READ_DELAY.total_seconds(), self._end_round, expired, connected=False, definite=False
+        )
+
+    def _end_probe(self, connected: bool, ended: _Round) -> None:
         if self._stopped:
             return
+        if self._round is ended:
+            self._end_round(ended, connected=connected, definite=True)
+        elif connected or self._round is None:
+            self._record_verdict(ended, connected=connected, definite=True)
+            self._schedule()
+
+    def _end_round(self, ended: _Round, *, connected: bool, definite: bool) -> None:
+        self._round = None
+        if self._round_timer is not None and self._round_timer.active():
+            self._round_timer.cancel()
+        self._record_verdict(ended, connected=connected, definite=definite)
+        self._release()
+        self._end_unconfirmed(ended.started_at, works=not self.down)
+        self._schedule()
+
+    def _record_verdict(self, ended: _Round, *, connected: bool, definite: bool) -> None:
         now, down_since = self._clock.monotonic(), self._reachability.down_since
-        if self._reachability.end_probe(started_at, connected=connected):
+        if self._reachability.end_probe(ended.started_at, connected=connected, definite=definite):
             if self.down:
-                self._log_down(targets, now)
+                self._log_down(ended.targets, now)
             else:
                 down = now - (down_since or now)
                 log("endpoints-reachable", down_ms=down // _MS)
             self._on_changed()
         self._suspect_exchanges()
-        self._release()
-        self._end_unconfirmed(started_at, works=not self.down)
-        self._schedule()
 
     def _log_down(self, targets: list[ProbeTarget], now: timedelta) -> None:
         self._metrics.count("links_down")
--- a/packages/gateway/tests/test_link_monitor.py
+++ b/packages/gateway/tests/test_link_monitor.py
@@ -243,3 +243,45 @@
     run.time.advance(1000 * MS)
     assert results == [True]
     assert len(run.time.reactor.getDelayedCalls()) <= 1
+
+
+def wait_for_probes(run) -> None:
+    """Let answers be due until probes have started that have no result yet."""
+    run.reachable = None
+    run.monitor.sent(ADDRESSES[0])
+    run.time.advance(700 * MS)
+    assert run.pending
+
+
+def test_links_come_back_with_a_connection_that_is_established_late():
+    run = Run()
+    wait_for_probes(run)
+    late = run.pending[0]
+    run.time.advance(PROBE_TIMEOUT + 30 * MS)
+    assert run.monitor.down
+    late.callback(True)
+    assert run.changes == [True, False]
+
+
+def test_links_with_answers_are_not_down_while_connections_are_slow():
+    run = Run()
+    wait_for_probes(run)
+    for _ in range(20):
+        run.time.advance(50 * MS)
+        run.monitor.answered(ADDRESSES[1])
+    assert not run.changes
+    for pending in run.pending:
+        pending.callback(True)
+    assert not run.changes
+
+
+def test_links_that_establish_no_connection_are_down_although_open_ones_work():
+    run = Run()
+    wait_for_probes(run)
+    run.time.advance(50 * MS)
+    run.monitor.answered(ADDRESSES[1])
+    run.time.advance(PROBE_TIMEOUT)
+    assert not run.changes
+    for pending in run.pending:
+        pending.callback(False)
+    assert run.monitor.down
--- a/packages/gateway/tests/test_slow_links.py
+++ b/packages/gateway/tests/test_slow_links.py
@@ -8,7 +8,7 @@
 
 import pytest
 from cardamomloft.core.connectivity.outages import EndpointOutages
-from cardamomloft.core.connectivity.reachability import ProbeTarget
+from cardamomloft.core.connectivity.reachability import MAX_SILENCE, ProbeTarget
 from cardamomloft.core.registrations import Registration
 from cardamomloft.core.upstreamtable import UpstreamTable
 from cardamomloft.gateway.endpointmonitor import EndpointMonitor
@@ -31,6 +31,8 @@
 MORE_CONNECTIONS = 2.0
 """Bound of the connections, as a multiple of those on a link without a queue."""
 
+MAX_SILENCE_S = MAX_SILENCE.total_seconds()
+
 Delay = Callable[[float], float]
 
 
@@ -86,6 +88,8 @@
         self.counts: Counter[str] = Counter()
         self.found: dict[str, float] = {}
         self.tried: dict[str, float] = {}
+        self.gap = 0.0
+        self._arrived_at = 0.0
         self._queue_free = 0.0
         self.observers = LinkObservers()
         self.outages = EndpointOutages()
@@ -145,7 +149,16 @@
         if self.rng.random() < self.lost_fraction:
             self.reactor.callLater(SYN_RESENT_S, self._send_syn, address, established)
             return
-        self.reactor.callLater(leaves - self.now() + ROUND_TRIP_S, established)
+
+        def arrive() -> None:
+            self._arrive()
+            established()
+
+        self.reactor.callLater(leaves - self.now() + ROUND_TRIP_S, arrive)
+
+    def _arrive(self) -> None:
+        self.gap = max(self.gap, self.now() - self._arrived_at)
+        self._arrived_at = self.now()
 
     def _probe(self, reactor: t.Any, address: str, timeout: timedelta) -> "Deferred[bool]":
         outcome: Deferred[bool] = Deferred()
@@ -213,6 +226,7 @@
 
     def _answer(self, address: str) -> None:
         if address not in self.silent:
+            self._arrive()
             self.observers.answered(address)
             self.idle[address] = min(4, self.idle[address] + 1)
         self.observers.ended(address)
@@ -259,6 +273,8 @@
     gateway = Gateway(load, shape(longest), answers_wait=answers_wait)
     gateway.run(8.0)
     assert not gateway.counts["false_losses"], gateway.counts
+    # A link on which nothing arrives can't be told from one that is down.
+    assert gateway.gap > MAX_SILENCE_S or not gateway.counts["links_down"], gateway.counts
 
 
 @pytest.mark.parametrize("shape", SHAPES)
