--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
@@ -53,6 +53,8 @@
 
 _MS = timedelta(milliseconds=1)
 
+_REFUSED = "refused"
+
 _HELPER_REASONS = frozenset(
     {
         RefusalReason.NOT_READY,
@@ -320,7 +322,7 @@
             self._done = True
             for hop in tuple(self._open.values()):
                 hop.cancel()
-        if self._tried:
+        if self._hops and all(hop.outcome == _REFUSED for hop in self._hops):
             self._proxy.record_unreachable(self._req.call.service)
         return self._outcome(None, not_run=not self._req.may_have_run, detail=self._detail)
 
@@ -393,7 +395,7 @@
         return self._proxy.choose(req.call, self._tried)
 
     def _record(self, hop: HopOutcome, peer: EntryRecord, sent_at: timedelta) -> HopOutcome:
-        outcome = "refused" if hop.not_run else "failed" if hop.answer is None else "served"
+        outcome = _REFUSED if hop.not_run else "failed" if hop.answer is None else "served"
         duration = self._proxy.monotonic() - sent_at
         self._hops.append(Hop(peer.name, duration, outcome, hop.detail or hop.reason))
         return hop
--- a/packages/gateway/tests/test_peer_proxy.py
+++ b/packages/gateway/tests/test_peer_proxy.py
@@ -181,6 +181,20 @@
     assert run.send("/orders/2").answer.status == 200
 
 
+@pytest.mark.parametrize("outcome", [LOST, LATE], ids=["lost", "late"])
+def test_request_that_a_gateway_has_sent_on_is_not_held_against_its_service(outcome):
+    run = Run(outcome)
+    run.send("/orders/1")
+    call = run.reader.read(head(), run.clock.monotonic())
+    assert run.proxy.may_reach(call)
+
+
+def test_service_that_no_gateway_can_reach_is_not_asked_for_again_at_once():
+    run = Run(refused("upstream-unreachable"))
+    run.send()
+    assert not run.proxy.may_reach(run.reader.read(head(), run.clock.monotonic()))
+
+
 def test_answer_that_no_gateway_made_is_not_passed_on():
     outcome = Run(kit.answer(200, b"other")).send("/orders/1")
     assert outcome.answer is None
