--- a/packages/gateway/tests/test_slow_uploads.py
+++ b/packages/gateway/tests/test_slow_uploads.py
@@ -12,6 +12,7 @@
 from cardamomloft.gateway.calls import MAX_DEADLINE_MS
 from cardamomloft.upstreams.connections import USER_TIMEOUT
 from cardamomloft_standins import endpoints, processes
+from cardamomloft_standins.cutlinks import Cut, write_links
 
 PAUSE_S = 1.5
 """Time for which the endpoint reads nothing after the head of a request, in seconds."""
@@ -52,36 +53,58 @@
                 conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 
 
+def put_rules(store: str) -> None:
+    """Allow uploads that may run twice, and others that must not."""
+    document = json.loads(processes.ROUTES.read_text())
+    rule = document["rules"][0]
+    rule["then"]["timeout"] = "6s"
+    once = json.loads(json.dumps(rule)) | {"name": "stamps"}
+    once["when"]["path"], once["then"]["idempotent"] = "/stamps/", False
+    document["rules"] = [rule, once]
+    endpoints.put(f"http://{store}/v1/kv/gateway/routes/current", document)
+
+
 @pytest.fixture(scope="module")
-def gateway(tmp_path_factory):
+def endpoint():
     endpoint = PausingEndpoint()
+    yield endpoint
+    endpoint.listener.close()
+
+
+@pytest.fixture(scope="module")
+def gateways(tmp_path_factory, endpoint):
+    """Two gateways, of which the second reaches the endpoint through the first only."""
+    folder = tmp_path_factory.mktemp("gateways")
     with contextlib.ExitStack() as stack:
-        stack.callback(endpoint.listener.close)
         store = stack.enter_context(processes.store())
-        document = json.loads(processes.ROUTES.read_text())
-        rule = document["rules"][0]
-        rule["then"]["timeout"] = "6s"
-        once = json.loads(json.dumps(rule)) | {"name": "stamps"}
-        once["when"]["path"], once["then"]["idempotent"] = "/stamps/", False
-        document["rules"] = [rule, once]
-        endpoints.put(f"http://{store}/v1/kv/gateway/routes/current", document)
+        put_rules(store)
         endpoints.register(store, endpoint)
-        cfg = stack.enter_context(processes.settings(store))
-        launch = ("-m", "cardamomloft.gateway.main")
-        stack.enter_context(processes.gateway(tmp_path_factory.mktemp("gateway"), cfg, launch))
-        assert processes.eventually(lambda: processes.status(cfg)["upstreams"] == 1, 30)
-        yield cfg, endpoint
+        settings = []
+        for name, cut in (("e-1", Cut.NONE), ("e-2", Cut.REFUSE)):
+            settings.append(stack.enter_context(processes.settings(store, name)))
+            links = folder / f"{name}.links"
+            write_links(links, cut, [endpoint.address])
+            launch = ("-m", "cardamomloft_standins.cutlinks", str(links))
+            stack.enter_context(processes.gateway(folder, settings[-1], launch))
+        assert processes.eventually(lambda: all(map(has_converged, settings)), 30)
+        yield settings
+
+
+def has_converged(cfg) -> bool:
+    page = processes.status(cfg)
+    return page["state"] == "ready" and page["upstreams"] == 1 and len(page["entries"]) == 2
 
 
 @pytest.mark.parametrize("size", [BUFFERED, STREAMED])
 @pytest.mark.parametrize("path", ["/menus/7", "/stamps/7"])
+@pytest.mark.parametrize("number", [0, 1], ids=["direct", "through another gateway"])
 def test_endpoint_that_reads_slowly_gets_the_whole_body_once_and_its_answer_counts(
-    gateway, path, size
+    gateways, endpoint, number, path, size
 ):
-    cfg, endpoint = gateway
     endpoint.bodies.clear()
-    conn = http.client.HTTPConnection(cfg["callers"], timeout=10)
-    headers = {"Host": endpoints.HOST, "X-Request-Id": f"{path}-{size}", "X-Deadline-Ms": "6000"}
+    conn = http.client.HTTPConnection(gateways[number]["callers"], timeout=10)
+    request_id = f"{number}-{path}-{size}"
+    headers = {"Host": endpoints.HOST, "X-Request-Id": request_id, "X-Deadline-Ms": "6000"}
     conn.request("POST", path, bytes(size), headers)
     assert conn.getresponse().status == 200
     assert endpoint.bodies == [size]
