--- a/packages/gateway/tests/test_slow_links.py
+++ b/packages/gateway/tests/test_slow_links.py
@@ -129,7 +129,10 @@
     def close_idle(self, address: str) -> None:
         self.idle[address] = 0
 
-    def abort_unanswered(self, detail: str, **options: t.Any) -> int:
+    def abort_unsent(self, detail: str, addresses: t.Any = None) -> int:
+        return 0
+
+    def suspect(self, evidence: str, addresses: t.Any = None) -> int:
         return 0
 
     # The network.
