Count the phases of a stop from the signal, not from its handling

A gateway that handled SIGTERM late accepted new requests for as much longer than 3 s, and its hard stop came as much later: requests accepted in that time could be cut before they were answered.

Cause: the phases were counted from the call in the event loop, which runs only when the loop is free.

Evidence, with a gateway process whose event loop was busy, or which was paused, for 1.2 s around the signal: a request 3.1 s after the signal was accepted (200). Now it is refused at once as not run (503) in both, and a request that ends 5.0 s after the signal is answered.

The signal handler takes the time, which is right while the loop is busy. A process that gets no processor time handles the signal itself late; if a periodic check is overdue then, the signal may have come at any time since the last one. Requests are accepted for 3 s from the earliest of these instants, and cut no sooner than 5/6 of the stop time after the latest. A timer that fires late no longer makes requests be accepted late either: the clock decides.

Both cases of the test with a process failed before.

--- a/packages/core/src/cardamomloft/core/timekeeping.py
+++ b/packages/core/src/cardamomloft/core/timekeeping.py
@@ -56,3 +56,13 @@
             if found.late >= REPORT_THRESHOLD or abs(found.stepped) >= REPORT_THRESHOLD
             else None
         )
+
+    def last_running(self) -> timedelta:
+        """Return now, or the time of the last check if the next one is overdue.
+
+        The process has run until then; afterwards it may have been paused without noticing.
+        """
+        now = self._clock.monotonic()
+        if self._last_check is None or now - self._last_check[0] <= self._interval:
+            return now
+        return self._last_check[0]
--- a/packages/core/tests/test_timekeeping.py
+++ b/packages/core/tests/test_timekeeping.py
@@ -55,3 +55,14 @@
     assert check_after(INTERVAL + REPORT_THRESHOLD) is not None
     assert check_after(INTERVAL + REPORT_THRESHOLD - MS) is None
     assert check_after(INTERVAL, REPORT_THRESHOLD - MS) is None
+
+
+@pytest.mark.parametrize(
+    ("elapsed", "known"), [(150 * MS, 150 * MS), (INTERVAL, INTERVAL), (900 * MS, 0 * MS)]
+)
+def test_process_is_known_to_have_run_until_its_last_check_if_the_next_is_overdue(elapsed, known):
+    clocks = TwoClocks()
+    monitor = ClockMonitor(clocks, INTERVAL)
+    monitor.check()
+    clocks.advance(elapsed)
+    assert monitor.last_running() == known
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -49,6 +49,7 @@
 from cardamomloft.runtime.lifecycle import make_lifecycle
 from cardamomloft.runtime.logs import log
 from cardamomloft.runtime.metrics import Metrics
+from cardamomloft.runtime.stopplan import StopSignal
 from cardamomloft.runtime.timers import Timers
 from cardamomloft.upstreams.client import UpstreamClient
 from twisted.internet.defer import Deferred, ensureDeferred
@@ -299,9 +300,13 @@
         self._timers.every(COUNTERS_LOG_INTERVAL, self._log_counters)
         log("started", entry=self._cfg["name"], zone=self._cfg["zone"])
 
-    def stop(self) -> None:
-        """Start a graceful stop; further calls have no effect."""
-        self.lifecycle.stop()
+    def stop(self, signal: StopSignal | None = None) -> None:
+        """Start a graceful stop, by default as if a signal came now; further calls do nothing."""
+        self._stop.receive(signal or self.stop_signal())
+
+    def stop_signal(self) -> StopSignal:
+        """Return what is known of a signal that is being handled."""
+        return StopSignal(self._timekeeper.last_running(), self._clock.monotonic())
 
     def ready(self) -> bool:
         """Return whether look-ups may name this entry."""
--- a/packages/gateway/src/cardamomloft/gateway/running.py
+++ b/packages/gateway/src/cardamomloft/gateway/running.py
@@ -3,7 +3,6 @@
 import gc
 import signal
 import typing as t
-from collections.abc import Callable
 
 from cardamomloft.gateway.node import Gateway
 from cardamomloft.gateway.reloading import SettingsFile
@@ -28,11 +27,15 @@
         if cfg is not None:
             gateway.reconfigure(cfg)
 
+    def stop(*_: t.Any) -> None:
+        # The event loop may be busy; the time of the signal is taken before it continues.
+        reactor.callFromThread(gateway.stop, gateway.stop_signal())
+
     gateway.start()
     LoopingCall(reload).start(SETTINGS_CHECK_INTERVAL_S, now=False)
-    _on_signal(reactor, signal.SIGTERM, gateway.stop)
-    _on_signal(reactor, signal.SIGINT, gateway.stop)
-    _on_signal(reactor, signal.SIGHUP, reload)
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload))
     gateway.stopped.addCallback(lambda _: reactor.stop())
     exclude_start_from_collections()
     reactor.run(installSignalHandlers=False)
@@ -47,7 +50,3 @@
     """
     gc.collect()
     gc.freeze()
-
-
-def _on_signal(reactor: t.Any, signal_number: int, handler: Callable[[], t.Any]) -> None:
-    signal.signal(signal_number, lambda *_: reactor.callFromThread(handler))
--- a/packages/gateway/src/cardamomloft/gateway/stopping.py
+++ b/packages/gateway/src/cardamomloft/gateway/stopping.py
@@ -8,7 +8,7 @@
 from cardamomloft.core.clock import Clock
 from cardamomloft.runtime.lifecycle import Lifecycle
 from cardamomloft.runtime.logs import log
-from cardamomloft.runtime.stopplan import StopPlan, plan_stop
+from cardamomloft.runtime.stopplan import StopPlan, StopSignal, plan_stop
 from twisted.internet.defer import gatherResults
 from twisted.internet.interfaces import IDelayedCall
 
@@ -35,6 +35,8 @@
         self._clock = clock
         self._lifecycle = lifecycle
         self._apps = apps
+        self._signal: StopSignal | None = None
+        self._plan: StopPlan | None = None
         self._hard_stop: IDelayedCall | None = None
 
     @property
@@ -44,12 +46,20 @@
 
     def admits(self) -> bool:
         """Return whether new requests are served."""
-        return self._lifecycle.admits()
+        plan = self._plan
+        in_time = plan is None or self._clock.monotonic() < plan.admit_until
+        return in_time and self._lifecycle.admits()
+
+    def receive(self, signal: StopSignal) -> None:
+        """Start to stop; further signals have no effect."""
+        if self._signal is None:
+            self._signal = signal
+            self._lifecycle.stop()
 
     def leave(self, stop_time: timedelta) -> StopPlan:
         """Answer with ``Connection: close`` from now on, and plan the other phases."""
         log("leaving", in_flight=self.in_flight)
-        plan = plan_stop(self._clock.monotonic(), stop_time)
+        plan = self._plan = plan_stop(t.cast(StopSignal, self._signal), stop_time)
         for app in self._apps:
             app.start_closing()
         self._call_at(plan.admit_until, self._lifecycle.lookups_expired)
--- a/packages/gateway/tests/test_stop_processes.py
+++ b/packages/gateway/tests/test_stop_processes.py
@@ -13,6 +13,19 @@
 
 LAUNCH = ("-m", "cardamomloft.gateway.main")
 
+SLEEP_S = 1.2
+"""How long a busy process does not handle events, in seconds."""
+
+BUSY_SCRIPT = f"""
+import runpy, signal, sys, time
+def sleep(number, frame):
+    from twisted.internet import reactor
+    reactor.callFromThread(time.sleep, {SLEEP_S})
+signal.signal(signal.SIGUSR1, sleep)
+sys.argv = sys.argv[1:]
+runpy.run_module("cardamomloft.gateway.main", run_name="__main__", alter_sys=True)
+"""
+
 LARGE = 6_000_000
 """Size of an answer that does not fit into the buffers of a connection."""
 
@@ -88,9 +101,6 @@
         with self.connect() as conn:
             return exchange(conn, path)
 
-    def has_passed_on(self, *paths):
-        return set(paths) <= {arrival.path for arrival in self.arrivals}
-
     def events(self, name):
         rows = [json.loads(line) for line in self.log.read_text().splitlines() if name in line]
         return [row for row in rows if row["message_type"].endswith(f":{name}")]
@@ -99,7 +109,9 @@
 @pytest.fixture
 def run(tmp_path):
     with contextlib.ExitStack() as stack:
-        yield Running(stack, tmp_path)
+        run = Running(stack, tmp_path)
+        yield run
+        print(run.log.read_text())
 
 
 def request(path, method="GET", headers=""):
@@ -150,7 +162,7 @@
     head = ""
     while not head.endswith("\r\n\r\n"):
         line = stream.readline().decode()
-        assert line, "the connection ended without an answer"
+        assert line, f"the connection ended: {head!r}"
         head += line
     length = int(head.lower().partition("content-length: ")[2].split("\r\n")[0])
     return int(head.split()[1]), "connection: close" in head.lower(), len(stream.read(length))
@@ -198,7 +210,8 @@
         uploaded = run.submit(0, upload, uploader, 36, 0.1)
         read = run.submit(0, read_slowly, reader, 4.0)
         piped = run.submit(0, pipeline, pipelining, ["/menus/900/1", "/menus/1800/2"])
-        assert processes.eventually(lambda: run.has_passed_on("/menus/900/1", "/menus/1800/2"), 5)
+        # All but the upload have reached an endpoint.
+        assert processes.eventually(lambda: len(run.arrivals) == 6, 5)
         run.stop()
         run.submit(0.1, disturb, run).result()
         refused = run.submit(3.2, exchange, kept, "/menus/0/3")
@@ -221,3 +234,29 @@
         run.stop()
         assert run.submit(3.3, exchange, kept, "/menus/8000/3").result()[:2] == (503, True)
         assert before.result() == (200, True, 5)
+
+
+def keep_busy(run):
+    run.proc.send_signal(signal.SIGUSR1)
+    time.sleep(0.1)
+    run.stop()
+
+
+def freeze(run):
+    run.proc.send_signal(signal.SIGSTOP)
+    run.stop()
+    run.sleep_until(SLEEP_S)
+    run.proc.send_signal(signal.SIGCONT)
+
+
+@pytest.mark.parametrize("stop", [keep_busy, freeze])
+def test_phases_count_from_the_signal_if_it_is_handled_late(tmp_path, stop):
+    with contextlib.ExitStack() as stack:
+        run = Running(stack, tmp_path, launch=("-c", BUSY_SCRIPT, "gateway"))
+        kept = stack.enter_context(contextlib.closing(run.connect()))
+        exchange(kept, "/menus/0/3")
+        before = run.pool.submit(run.get, "/menus/5200/5")
+        time.sleep(0.2)
+        stop(run)
+        assert run.submit(3.1, exchange, kept, "/menus/0/3").result()[:2] == (503, True)
+        assert before.result() == (200, True, 5)
--- a/packages/runtime/src/cardamomloft/runtime/stopplan.py
+++ b/packages/runtime/src/cardamomloft/runtime/stopplan.py
@@ -18,6 +18,27 @@
 END_FRACTION = 0.92
 """Fraction of the stop time after which the process ends regardless of requests in flight."""
 
+MIN_END_FRACTION = 5 / 6
+"""Fraction of the stop time for which requests in flight are not cut, even if it is not known when
+the signal was sent."""
+
+
+class StopSignal(t.NamedTuple):
+    """When a process was told to stop.
+
+    A process that gets no processor time handles a signal late, and can't tell when it was sent.
+
+    Attributes
+    ----------
+    sent_after
+        Monotonic instant at which it was not sent yet.
+    handled
+        Monotonic instant at which it was handled.
+    """
+
+    sent_after: timedelta
+    handled: timedelta
+
 
 class StopPlan(t.NamedTuple):
     """Monotonic instants at which the phases of a stop end.
@@ -37,18 +58,19 @@
     end_at: timedelta
 
 
-def plan_stop(signal_at: timedelta, stop_time: timedelta) -> StopPlan:
+def plan_stop(signal: StopSignal, stop_time: timedelta) -> StopPlan:
     """Return when the phases of a stop end.
 
     Parameters
     ----------
-    signal_at
-        Monotonic instant of the signal.
+    signal
+        The signal.
     stop_time
         Time from the signal to the end of the process by force.
     """
+    sent_after, handled = signal
     return StopPlan(
-        admit_until=signal_at + min(stop_time * ADMIT_FRACTION, MAX_ADMIT_TIME),
-        answer_by=signal_at + stop_time * ANSWER_FRACTION,
-        end_at=signal_at + stop_time * END_FRACTION,
+        admit_until=sent_after + min(stop_time * ADMIT_FRACTION, MAX_ADMIT_TIME),
+        answer_by=sent_after + stop_time * ANSWER_FRACTION,
+        end_at=max(sent_after + stop_time * END_FRACTION, handled + stop_time * MIN_END_FRACTION),
     )
