Test that a caller who leaves has its request run by no second endpoint

Real gateways: ten safe requests on their way through another gateway, whose callers close their connections while the endpoints work.

--- a/packages/gateway/tests/test_hops_at_stops.py
+++ b/packages/gateway/tests/test_hops_at_stops.py
@@ -152,6 +152,21 @@
     check_runs(fleet, sent)
 
 
+def test_request_whose_caller_leaves_is_run_by_no_second_endpoint(fleet, callers):
+    host, port = fleet.cut_off[0]["callers"].split(":")
+    paths = [f"{IDEMPOTENT}/left/{number}" for number in range(10)]
+    with contextlib.ExitStack() as stack:
+        for number, path in enumerate(paths):
+            conn = http.client.HTTPConnection(host, int(port))
+            stack.callback(conn.close)
+            conn.request(
+                "GET", path, headers={"Host": endpoints.HOST, "X-Request-Id": f"l{number}"}
+            )
+        assert processes.eventually(lambda: fleet.runs().keys() >= set(paths), 5.0)
+    time.sleep(WORK_S)
+    assert [fleet.runs()[path] for path in paths] == [1] * len(paths)
+
+
 def test_helper_whose_link_goes_silent_costs_no_request_that_may_run_twice(fleet):
     path = fleet.folder / f"{fleet.cut_off[0]['name']}.links"
     links = dict.fromkeys((endpoint.address for endpoint in fleet.endpoints), Cut.RESET)
