Await probes of links no longer than links that are down may go unnoticed

With a probe time of up to 1 s after up to 0.6 s without a sign, links that are down could be noticed after 1.6 s. The silence before a probe counts for its time now, so that both stay within 0.9 s, and never under the 0.3 s that a probe always has.

--- a/packages/core/src/cardamomloft/core/connectivity/reachability.py
+++ b/packages/core/src/cardamomloft/core/connectivity/reachability.py
@@ -19,8 +19,9 @@
 PROBE_TIMEOUT = timedelta(milliseconds=300)
 """Time in which a connection must be established, which is several round trips between regions."""
 
-MAX_PROBE_TIMEOUT = timedelta(seconds=1)
-"""Maximum of that time while connections to all endpoints are slow."""
+MAX_NOTICE_TIME = timedelta(milliseconds=900)
+"""Maximum of that time and of the time without a sign before, while all connections are slow. Links
+that are down must be noticed within a second."""
 
 SIGN_DELAY = timedelta(milliseconds=20)
 """Time after a failure, or the start of a probe, from which an answer shows that links work. One
@@ -200,11 +201,10 @@
         """Record the start of a probe."""
         self._probed_at = now
 
-    @property
-    def probe_timeout(self) -> timedelta:
-        """Time in which a probe is expected to be established."""
+    def probe_timeout(self, now: timedelta) -> timedelta:
+        """Return the time in which a probe that starts now is expected to be established."""
         delayed = PROBE_TIMEOUT + self._connect_times.reserve
-        return min(delayed, MAX_PROBE_TIMEOUT)
+        return max(PROBE_TIMEOUT, min(delayed, MAX_NOTICE_TIME - self.silence(now)))
 
     def end_probe(self, started_at: timedelta, *, connected: bool, definite: bool = True) -> bool:
         """Record the end of a probe; return whether links went down or came back.
--- a/packages/core/tests/test_reachability.py
+++ b/packages/core/tests/test_reachability.py
@@ -170,9 +170,12 @@
 
 def test_probes_are_awaited_longer_while_connections_are_slow():
     links = silent_links()
-    assert links.probe_timeout == reachability.PROBE_TIMEOUT
+    assert links.probe_timeout(1000 * MS) == reachability.PROBE_TIMEOUT
     for took in (1, 300, 300):
         links.record_connected(ADDRESSES[0], 1000 * MS, took * MS)
-    assert 600 * MS < links.probe_timeout <= reachability.MAX_PROBE_TIMEOUT
+    assert links.probe_timeout(1000 * MS) > 600 * MS
+    assert links.probe_timeout(1200 * MS) <= 700 * MS
+    assert links.probe_timeout(1800 * MS) == reachability.PROBE_TIMEOUT
+    links.record_answer(ADDRESSES[0], 4000 * MS)
     links.record_sent(4000 * MS)
-    assert links.probe_timeout == reachability.PROBE_TIMEOUT
+    assert links.probe_timeout(4000 * MS) == reachability.PROBE_TIMEOUT
--- a/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
+++ b/packages/gateway/src/cardamomloft/gateway/linkmonitor.py
@@ -241,7 +241,7 @@
             self._schedule()
             return
         self._round = current = _Round(started_at, targets)
-        limit = self._reachability.probe_timeout.total_seconds()
+        limit = self._reachability.probe_timeout(started_at).total_seconds()
         self._round_timer = self._reactor.callLater(limit, self._expire, current)
         probes = [self._probe_one(target.address) for target in targets]
         any_true(probes).addCallback(self._end_probe, current)
