Cut only the links to listed addresses in the stand-in

A change of links was applied to all open connections of a gateway, also to those of addresses that were not listed, against what the stand-in states: with "four of six endpoints hang" the open connections to the other two hung as well, and only new ones to them worked. Connections that were opened to an address while it was not listed could never be cut, as was so after a restart while some links were cut.

--- a/standins/src/cardamomloft_standins/cutlinks.py
+++ b/standins/src/cardamomloft_standins/cutlinks.py
@@ -43,13 +43,18 @@
 Links = dict[str, Cut]
 """The states of the links to addresses; others always work.
 
-An address must be listed before a connection to it is opened, or that connection is never cut.
+Connections are cut only if their address was listed, in any state, before they were opened.
 """
 
 
-def write_links(path: pathlib.Path, cut: Cut, addresses: t.Iterable[str]) -> None:
-    """Change the links to `addresses` of the process that reads `path`; others work."""
-    write_each(path, dict.fromkeys(addresses, cut))
+def write_links(
+    path: pathlib.Path, cut: Cut, addresses: t.Iterable[str], known: t.Iterable[str] = ()
+) -> None:
+    """Change the links to `addresses` of the process that reads `path`; others work.
+
+    Connections to `known` can be cut later.
+    """
+    write_each(path, dict.fromkeys(known, Cut.NONE) | dict.fromkeys(addresses, cut))
 
 
 def write_each(path: pathlib.Path, links: Links) -> None:
@@ -80,6 +85,7 @@
         self._read_at = 0
         self._connect = reactor.connectTCP
         self.links = read_links(path)
+        self._known = set(self.links)
         self.open: set[_Link] = set()
         self._silent = _SilentListener()
         self._closed = socket.socket()
@@ -99,9 +105,9 @@
     ) -> t.Any:
         """Connect to an address, or fail as the state of its link implies."""
         address = f"{host}:{port}"
-        if address not in self.links:
+        if address not in self._known:
             return self._connect(host, port, factory, timeout, bindAddress)
-        cut = self.links[address]
+        cut = self.cut_of(address)
         if cut in (Cut.HANG, Cut.STALL):
             port = self._silent.port
         elif cut in (Cut.RESET, Cut.REFUSE):
@@ -119,6 +125,7 @@
             return
         self._read_at = changed_at
         self.links = read_links(self._path)
+        self._known |= self.links.keys()
         for link in tuple(self.open):
             link.apply(self.cut_of(link.factory.address))
 
--- a/standins/src/cardamomloft_standins/linkfleet.py
+++ b/standins/src/cardamomloft_standins/linkfleet.py
@@ -244,7 +244,8 @@
         `endpoints` is the number of endpoints whose links change.
         """
         for cfg in self.cut_off if settings is None else settings:
-            write_links(self._links_path(cfg), cut, self._addresses()[:endpoints])
+            known = self._addresses()
+            write_links(self._links_path(cfg), cut, known[:endpoints], known)
 
     def runs(self) -> Counter[str]:
         """Return how often each path was run."""
