--- a/standins/src/cardamomloft_standins/cutlinks.py
+++ b/standins/src/cardamomloft_standins/cutlinks.py
@@ -1,7 +1,8 @@
 """Gateway process whose links to upstream endpoints can be cut.
 
-``python -m cardamomloft_standins.cutlinks LINKS ARGUMENTS`` runs a gateway with the ARGUMENTS.
-The file LINKS states which addresses are cut and how; it is read again whenever it changes.
+``python -m cardamomloft_standins.cutlinks LINKS SOURCE ARGUMENTS`` runs a gateway with the
+ARGUMENTS. The file LINKS states which addresses are cut and how; it is read again whenever it
+changes. SOURCE is the local IP address of connections to these addresses.
 """
 
 import enum
@@ -78,10 +79,13 @@
         The event loop.
     path
         The file with the state of the links.
+    source
+        Local IP address of the connections on the links.
     """
 
-    def __init__(self, reactor: t.Any, path: pathlib.Path) -> None:
+    def __init__(self, reactor: t.Any, path: pathlib.Path, source: str) -> None:
         self._path = path
+        self._source = source
         self._read_at = 0
         self._connect = reactor.connectTCP
         self.links = read_links(path)
@@ -113,7 +117,8 @@
         elif cut in (Cut.RESET, Cut.REFUSE):
             port = self._closed.getsockname()[1]
         wrapped = _LinkFactory(factory, self, address)
-        return self._connect(host, port, wrapped, timeout, bindAddress)
+        source = bindAddress or (self._source, 0)
+        return self._connect(host, port, wrapped, timeout, source)
 
     def cut_of(self, address: str) -> Cut:
         """Return the state of the link to an address."""
@@ -220,8 +225,8 @@
     from cardamomloft.gateway.process import run_gateway
     from twisted.internet import reactor
 
-    links = CuttableLinks(reactor, pathlib.Path(arguments[0]))
-    options = parse_arguments(arguments[1:])
+    links = CuttableLinks(reactor, pathlib.Path(arguments[0]), arguments[1])
+    options = parse_arguments(arguments[2:])
     code = run_gateway(options.settings, options.prefix, options.check)
     del links
     return code
--- a/standins/src/cardamomloft_standins/endpoints.py
+++ b/standins/src/cardamomloft_standins/endpoints.py
@@ -116,9 +116,10 @@
         endpoint.behaviour(endpoint, self)
 
     def do_POST(self) -> None:  # noqa: N802
-        """Read the body, which must have a length, then continue as for GET."""
-        self.rfile.read(int(self.headers["Content-Length"]))
-        self.do_GET()
+        """Read the body, which must have a length, then continue as for GET if it is whole."""
+        length = int(self.headers["Content-Length"])
+        if len(self.rfile.read(length)) == length:
+            self.do_GET()
 
     def log_message(self, *args: t.Any) -> None:
         """Write no access log."""
--- a/standins/src/cardamomloft_standins/linkfleet.py
+++ b/standins/src/cardamomloft_standins/linkfleet.py
@@ -43,6 +43,9 @@
 QUEUE = 4
 """Requests that wait at such an endpoint for a slot."""
 
+POLL_INTERVAL_S = 0.01
+"""Interval at which the connections of waiting requests are checked, in seconds."""
+
 _ONCE_RULE = {
     "name": "stamps",
     "when": {"host": endpoints.HOST, "path": f"{ONCE}/"},
@@ -79,9 +82,12 @@
     durations
         How long requests have held a slot since then, in seconds; on a busy machine that is longer
         than `WORK_S`.
+    accepted
+        The paths of the requests that were not refused.
     """
 
     def __init__(self) -> None:
+        self.accepted: list[str] = []
         self.refused: list[str] = []
         self.durations: list[float] = []
         self._present: Counter[str] = Counter()
@@ -98,40 +104,56 @@
             present = self._present[endpoint.name]
             accepted = present < SLOTS + QUEUE
             self._present[endpoint.name] += accepted
-            if not accepted:
+            if accepted:
+                self.accepted.append(handler.path)
+            else:
                 self.refused.append(endpoint.name)
             slots = self._slots.setdefault(endpoint.name, threading.Semaphore(SLOTS))
         if not accepted:
             handler.answer(503, **{"X-Not-Run": "1", "X-Load": _load(present)})
             return
         try:
-            with slots:
+            self.wait(slots, endpoint, handler)
+            try:
                 started = time.monotonic()
                 self.work(endpoint, handler)
                 self.durations.append(time.monotonic() - started)
+            finally:
+                slots.release()
         finally:
             with self._lock:
                 present = self._present[endpoint.name]
                 self._present[endpoint.name] -= 1
         handler.answer(**{"X-Load": _load(present)})
 
+    def wait(
+        self, slots: threading.Semaphore, endpoint: endpoints.Endpoint, handler: t.Any
+    ) -> None:
+        """Wait for a slot."""
+        slots.acquire()
+
     def work(self, endpoint: endpoints.Endpoint, handler: t.Any) -> None:
         """Hold a slot for the time of a request."""
         time.sleep(WORK_S)
 
 
 class BrokenOff(t.NamedTuple):
-    """A request whose connection was closed `after` seconds of work on it."""
+    """A request whose connection was closed `after` seconds of work on it, 0 before the work.
+
+    `at` is a time of ``time.monotonic``, and `source` the IP address of the connection's peer.
+    """
 
     path: str
     endpoint: str
+    source: str
+    at: float
     after: float
 
 
 class RecordedWork(LimitedWork):
-    """Like `LimitedWork`, and records the requests that are broken off while they are at work.
+    """Like `LimitedWork`, and records the requests that are broken off after they were accepted.
 
-    Endpoints finish their work on such requests.
+    Endpoints work on such requests all the same.
 
     Parameters
     ----------
@@ -149,15 +171,29 @@
         self.broken_off: list[BrokenOff] = []
         self._work_s = work_s
 
+    def wait(
+        self, slots: threading.Semaphore, endpoint: endpoints.Endpoint, handler: t.Any
+    ) -> None:
+        """Wait for a slot, and watch the connection."""
+        while not slots.acquire(timeout=POLL_INTERVAL_S):
+            if _is_closed(handler.connection, time.monotonic()):
+                self._record(endpoint, handler, 0.0)
+                slots.acquire()
+                return
+
     def work(self, endpoint: endpoints.Endpoint, handler: t.Any) -> None:
         """Hold a slot for the time of a request, and watch its connection."""
         started = time.monotonic()
         end = started + self._work_s(handler.path)
         if _is_closed(handler.connection, end):
-            after = time.monotonic() - started
-            self.broken_off.append(BrokenOff(handler.path, endpoint.name, after))
+            self._record(endpoint, handler, time.monotonic() - started)
         time.sleep(max(0.0, end - time.monotonic()))
 
+    def _record(self, endpoint: endpoints.Endpoint, handler: t.Any, after: float) -> None:
+        source = handler.client_address[0]
+        one = BrokenOff(handler.path, endpoint.name, source, time.monotonic(), after)
+        self.broken_off.append(one)
+
 
 class LinkFleet:
     """Gateways in two zones, and the endpoints of one service.
@@ -203,17 +239,26 @@
             self.start(cfg)
         self.cut_off = self.settings[:cut_off]
 
-    def configure(self, timeout_ms: int) -> None:
-        """Put a configuration in force with a timeout of the requests that must not run twice."""
+    def configure(self, timeout_ms: int, slow_timeout_ms: int = 3000) -> None:
+        """Put a configuration in force with a timeout of the requests that must not run twice.
+
+        `slow_timeout_ms` is the timeout of slow requests.
+        """
         document = json.loads(processes.ROUTES.read_text())
-        rule = json.loads(json.dumps(_ONCE_RULE))
-        rule["then"]["timeout"] = f"{timeout_ms}ms"
-        document["rules"] += [rule, _SLOW_RULE]
+        document["rules"] += [
+            _with_timeout(_ONCE_RULE, timeout_ms),
+            _with_timeout(_SLOW_RULE, slow_timeout_ms),
+        ]
         endpoints.put(f"http://{self.store}/v1/kv/gateway/routes/current", document)
 
     def start(self, cfg: dict[str, t.Any]) -> None:
-        """Start a gateway."""
-        launch = ("-m", "cardamomloft_standins.cutlinks", str(self._links_path(cfg)))
+        """Start a gateway; the logs of its earlier processes are kept."""
+        log = processes.log_path(self.folder, cfg)
+        if log.exists():
+            number = sum(1 for _ in self.folder.glob(f"{cfg['name']}.*.log"))
+            log.rename(log.with_suffix(f".{number}.log"))
+        links = str(self._links_path(cfg))
+        launch = ("-m", "cardamomloft_standins.cutlinks", links, source_of(cfg["name"]))
         process = processes.gateway(self.folder, cfg, launch)
         self._running[cfg["name"]] = self._stack.enter_context(process)
 
@@ -258,6 +303,11 @@
         return [endpoint.address for endpoint in self.endpoints]
 
 
+def source_of(name: str) -> str:
+    """Return the IP address from which the gateway with a name connects to endpoints."""
+    return f"127.0.1.{int(name.rpartition('-')[2]) + 1}"
+
+
 def _is_closed(conn: socket.socket, end: float) -> bool:
     """Return whether the peer closes a connection before it sends on it, and before `end`.
 
@@ -272,6 +322,11 @@
         return True
 
 
+def _with_timeout(rule: dict[str, t.Any], timeout_ms: int) -> dict[str, t.Any]:
+    """Return a copy of `rule` with the timeout."""
+    return rule | {"then": rule["then"] | {"timeout": f"{timeout_ms}ms"}}
+
+
 def _load(present: int) -> str:
     """Return the header value for a number of requests at an endpoint."""
     running = min(present, SLOTS)
