Draw stalls, slow work and stops in series in the soak

Drawn as well: endpoints that accept no new connection for 0.3 to 2 s, at one gateway or several; work of 0.05 to 1.5 s, on slots; two or three gateways that get SIGTERM at once or in a row, then a second one or SIGHUP, and a configuration with a shorter timeout; callers that pipeline two or three requests, upload 200 KB in half a second, or send slow requests, beside the eight there were. A gateway may be stopped again once it is back.

New check: no request is broken off after an endpoint has accepted it and ends without a 200, before its timeout and deadline, unless a process was killed, a link cut, or the last sixth of the grace time had begun. The checks there were stay; "run" now means accepted by an endpoint, as endpoints with slots refuse what is beyond their queues.

--- a/tests/soak/test_lost_links.py
+++ b/tests/soak/test_lost_links.py
@@ -2,137 +2,200 @@
 
 Callers keep their connections while they can.
 
-``SOAK_SEEDS=50 python -m pytest tests/soak`` runs more seeds.
+``SOAK_SEEDS=50 python -m pytest tests/soak`` runs more seeds, from ``SOAK_FIRST_SEED`` on.
 """
 
 import contextlib
-import http.client
 import os
 import random
 import signal
+import subprocess
 import threading
 import time
-import typing as t
+from collections import Counter
 
 import pytest
-from cardamomloft_standins import endpoints, processes
+from cardamomloft_standins import processes
 from cardamomloft_standins.cutlinks import Cut
-from cardamomloft_standins.linkfleet import ENDPOINTS, ONCE, LinkFleet
-
-SEEDS = range(int(os.environ.get("SOAK_SEEDS", "2")))
+from cardamomloft_standins.keepingcallers import (
+    KeepingCaller,
+    PipeliningCaller,
+    UploadingCaller,
+)
+from cardamomloft_standins.linkfleet import ENDPOINTS, ONCE, SLOW, LinkFleet, RecordedWork
+from cardamomloft_standins.linkhistory import Change, LinkHistory, Signalled, Timeouts
+
+FIRST_SEED = int(os.environ.get("SOAK_FIRST_SEED", "0"))
+SEEDS = range(FIRST_SEED, FIRST_SEED + int(os.environ.get("SOAK_SEEDS", "2")))
 GATEWAYS = 4
-CALLERS = 8
+CALLERS = {KeepingCaller: 5, PipeliningCaller: 2, UploadingCaller: 2}
+"""Number of callers of slow requests."""
+
+ONCE_CALLERS = 8
+ONCE_DEADLINE_S = 2.0
+SLOW_DEADLINE_S = 3.0
 DURATION_S = 8.0
 EVENT_INTERVAL_S = (0.1, 0.9)
-PAUSE_S = 0.05
 STOP_TIMEOUT_S = 7.0
+READY_TIMEOUT_S = 20.0
 RECOVERY_S = 3.0
 SERVED_FRACTION = 0.95
 """Fraction of the requests that is served once nothing is disturbed any more."""
 
-
-class Result(t.NamedTuple):
-    """A request, and the status of its answer; 0 without a complete one."""
-
-    path: str
-    at: float
-    status: int
-
-
-class Caller(threading.Thread):
-    """Sends requests one after the other on a connection that it keeps while it can."""
-
-    def __init__(self, fleet: LinkFleet, number: int, seed: int) -> None:
-        super().__init__(daemon=True)
-        self.fleet = fleet
-        self.number = number
-        self.rng = random.Random(f"{seed}/{number}")
-        self.results: list[Result] = []
-        self.stopped = threading.Event()
-        self.conn: http.client.HTTPConnection | None = None
-
-    def run(self) -> None:
-        while not self.stopped.is_set():
-            path = f"{ONCE}/{self.number}/{len(self.results)}"
-            at = time.monotonic()
-            self.results.append(Result(path, at, self.send(path)))
-            time.sleep(PAUSE_S)
-
-    def send(self, path: str) -> int:
-        if self.conn is None:
-            cfg = self.rng.choice(self.fleet.settings)
-            self.conn = http.client.HTTPConnection(cfg["callers"], timeout=5)
-        headers = {"Host": endpoints.HOST, "X-Request-Id": path, "X-Deadline-Ms": "2000"}
-        try:
-            self.conn.request("GET", path, headers=headers)
-            answer = self.conn.getresponse()
-            answer.read()
-        except (OSError, http.client.HTTPException):
-            self.conn = None
-            return 0
-        if answer.will_close:
-            self.conn = None
-        return answer.status
+KINDS = {
+    "cut": 3,
+    "lose": 2,
+    "stall": 4,
+    "restore": 1,
+    "stop": 1,
+    "stop some": 2,
+    "kill": 1,
+    "configure": 1,
+    "hup": 1,
+}
+"""How often each kind of event is drawn, relative to the others."""
 
 
 class Disturber:
     """Draws what happens to the fleet; restarts overlap with whatever comes next."""
 
-    def __init__(self, fleet: LinkFleet, seed: int) -> None:
+    def __init__(self, fleet: LinkFleet, history: LinkHistory, seed: int) -> None:
         self.fleet = fleet
+        self.history = history
         self.rng = random.Random(seed)
         self.log: list[str] = []
         self.restarts: dict[str, threading.Thread] = {}
+        self.others: list[threading.Thread] = []
 
     def disturb(self) -> None:
         cfg = self.rng.choice(self.fleet.settings)
-        kind = self.rng.choice(
-            ["cut", "cut", "cut", "lose", "lose", "restore", "stop", "kill", "configure", "hup"]
-        )
-        self.log.append(f"{kind} {cfg['name']}")
+        kind = self.rng.choices(list(KINDS), list(KINDS.values()))[0]
+        self.note(f"{kind} {cfg['name']}")
         if kind == "cut":
-            self.fleet.cut(self.draw_cut(), [cfg], endpoints=self.rng.randint(3, ENDPOINTS))
+            self.cut(self.draw_cut(), [cfg], self.rng.randint(3, ENDPOINTS))
         elif kind == "lose":
-            concerned = self.rng.sample(self.fleet.settings, self.rng.randint(1, GATEWAYS))
-            self.fleet.cut(self.draw_cut(), concerned, endpoints=self.rng.randint(1, ENDPOINTS - 1))
+            self.cut(self.draw_cut(), self.draw_gateways(1), self.rng.randint(1, ENDPOINTS - 1))
+        elif kind == "stall":
+            self.stall()
         elif kind == "restore":
-            self.fleet.cut(Cut.NONE, [cfg])
+            self.cut(Cut.NONE, [cfg], ENDPOINTS)
         elif kind == "configure":
-            self.fleet.configure(self.rng.randrange(800, 1200))
-        elif cfg["name"] not in self.restarts:
+            self.configure(self.rng.randrange(800, 1200), self.rng.randrange(2000, 3001))
+        elif kind == "stop some":
+            self.stop_some()
+        elif not self.is_restarting(cfg):
             if kind == "hup":
                 self.fleet.signal(cfg, signal.SIGHUP)
             else:
                 self.restart(cfg, signal.SIGTERM if kind == "stop" else signal.SIGKILL)
 
+    def note(self, text: str) -> None:
+        self.log.append(f"{time.monotonic():.2f} {text}")
+
     def draw_cut(self) -> Cut:
         return self.rng.choice([Cut.HANG, Cut.RESET, Cut.REFUSE])
 
-    def restart(self, cfg, number: signal.Signals) -> None:
+    def draw_gateways(self, least: int) -> list:
+        return self.rng.sample(self.fleet.settings, self.rng.randint(least, GATEWAYS))
+
+    def cut(self, cut: Cut, settings: list, endpoints: int) -> None:
+        now = time.monotonic()
+        self.history.changes += [Change(cfg["name"], now, cut, endpoints) for cfg in settings]
+        self.fleet.cut(cut, settings, endpoints=endpoints)
+
+    def configure(self, once_ms: int, slow_ms: int) -> None:
+        self.history.timeouts.append(Timeouts(time.monotonic(), once_ms / 1000, slow_ms / 1000))
+        self.fleet.configure(once_ms, slow_ms)
+
+    def stall(self) -> None:
+        settings, endpoints = self.draw_gateways(1), self.rng.randint(1, ENDPOINTS)
+        duration = self.rng.uniform(0.3, 2.0)
+        self.note(f"{endpoints} at {len(settings)} for {duration:.1f} s")
+        self.cut(Cut.STALL, settings, endpoints)
+        self.later(duration, lambda: self.cut(Cut.NONE, settings, ENDPOINTS))
+
+    def stop_some(self) -> None:
+        """Stop two or three gateways in a row or at once, and let more happen to them."""
+        gap = self.rng.choice([0.0, self.rng.uniform(0.1, 0.8)])
+        settings = self.rng.sample(self.fleet.settings, self.rng.randint(2, 3))
+        for number, cfg in enumerate(settings):
+            second = self.rng.choice([None, signal.SIGTERM, signal.SIGHUP])
+            self.note(f"{cfg['name']} at {number * gap:.1f} s, then {second}")
+            self.later(number * gap, lambda cfg=cfg, second=second: self.stop(cfg, second))
+        if self.rng.random() < 0.5:
+            self.note("then a shorter timeout")
+            self.later(self.rng.uniform(0.2, 1.5), lambda: self.configure(800, 2000))
+
+    def stop(self, cfg, second: signal.Signals | None) -> None:
+        if self.is_restarting(cfg):
+            return
+        proc = self.restart(cfg, signal.SIGTERM)
+        if second is not None:
+            self.later(0.5, lambda: proc.send_signal(second))
+
+    def is_restarting(self, cfg) -> bool:
+        return cfg["name"] in self.restarts and self.restarts[cfg["name"]].is_alive()
+
+    def restart(self, cfg, number: signal.Signals) -> "subprocess.Popen[bytes]":
+        signalled = Signalled(cfg["name"], time.monotonic())
+        (self.history.killed if number is signal.SIGKILL else self.history.stopped).append(
+            signalled
+        )
         proc = self.fleet.signal(cfg, number)
 
         def run() -> None:
             proc.wait(STOP_TIMEOUT_S)
             self.fleet.start(cfg)
+            # Until then, SIGHUP ends the process.
+            processes.eventually(lambda: processes.status(cfg)["state"] == "ready", READY_TIMEOUT_S)
 
         self.restarts[cfg["name"]] = threading.Thread(target=run)
         self.restarts[cfg["name"]].start()
+        return proc
+
+    def later(self, delay: float, action) -> None:
+        timer = threading.Timer(delay, action)
+        self.others.append(timer)
+        timer.start()
 
     def settle(self) -> None:
+        # Actions may start others.
+        for thread in self.others:
+            thread.join()
         for thread in self.restarts.values():
-            thread.join(STOP_TIMEOUT_S)
-        self.fleet.cut(Cut.NONE, self.fleet.settings)
+            thread.join(STOP_TIMEOUT_S + READY_TIMEOUT_S)
+        self.cut(Cut.NONE, self.fleet.settings, ENDPOINTS)
+
+
+def start_callers(fleet: LinkFleet, seed: int) -> list[KeepingCaller]:
+    callers = []
+    for number in range(ONCE_CALLERS):
+        prefix = f"{ONCE}/{number}"
+        callers.append(KeepingCaller(fleet, prefix, ONCE_DEADLINE_S, f"{seed}{prefix}"))
+    for kind, count in CALLERS.items():
+        for number in range(count):
+            prefix = f"{SLOW}/{kind.__name__}-{number}"
+            callers.append(kind(fleet, prefix, SLOW_DEADLINE_S, f"{seed}{prefix}"))
+    for caller in callers:
+        caller.start()
+    return callers
+
+
+def work_s(seed: int, path: str) -> float:
+    rng = random.Random(f"{seed}{path}")
+    return rng.uniform(0.05, 1.5) if path.startswith(SLOW) else rng.choice([0.05, 0.05, 0.05, 0.4])
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-def test_no_request_runs_twice_or_after_its_refusal_while_links_and_processes_fail(tmp_path, seed):
+def test_no_request_runs_twice_or_is_given_up_while_links_and_processes_fail(tmp_path, seed):
+    work = RecordedWork(lambda path: work_s(seed, path))
     with contextlib.ExitStack() as stack:
-        fleet = LinkFleet(stack, tmp_path, GATEWAYS, 2)
+        fleet = LinkFleet(stack, tmp_path, GATEWAYS, 2, work)
+        history = LinkHistory(endpoint.name for endpoint in fleet.endpoints)
+        disturber = Disturber(fleet, history, seed)
+        disturber.configure(1000, 3000)
         assert processes.eventually(fleet.has_converged, 60)
-        callers = [Caller(fleet, number, seed) for number in range(CALLERS)]
-        for caller in callers:
-            caller.start()
-        disturber = Disturber(fleet, seed)
+        callers = start_callers(fleet, seed)
         end = time.monotonic() + DURATION_S
         while time.monotonic() < end:
             disturber.disturb()
@@ -147,10 +210,13 @@
         for caller in callers:
             caller.join(10)
         results = [result for caller in callers for result in caller.results]
-        runs = fleet.runs()
-    assert not [path for path, count in runs.items() if count > 1], disturber.log
+        runs = Counter(work.accepted)
+    once = [path for path, count in runs.items() if path.startswith(ONCE) and count > 1]
+    assert not once, disturber.log
     refused = [result.path for result in results if result.status == 503]
     assert not [path for path in refused if path in runs], disturber.log
     assert all(runs[result.path] for result in results if result.status == 200)
+    given_up = history.given_up(results, work.broken_off)
+    assert not given_up, "\n".join(map(str, (*given_up, disturber.log)))
     after = [result.status == 200 for result in results if result.at > settled_at]
     assert sum(after) >= SERVED_FRACTION * len(after), (disturber.log, sum(after), len(after))
