--- a/standins/src/cardamomloft_standins/linkfleet.py
+++ b/standins/src/cardamomloft_standins/linkfleet.py
@@ -258,7 +258,8 @@
             number = sum(1 for _ in self.folder.glob(f"{cfg['name']}.*.log"))
             log.rename(log.with_suffix(f".{number}.log"))
         links = str(self._links_path(cfg))
-        launch = ("-m", "cardamomloft_standins.cutlinks", links, source_of(cfg["name"]))
+        source = ("--source", source_of(cfg["name"]))
+        launch = ("-m", "cardamomloft_standins.cutlinks", links, *source)
         process = processes.gateway(self.folder, cfg, launch)
         self._running[cfg["name"]] = self._stack.enter_context(process)
 
