Log how long after its signal a gateway stops, and what that cuts

Whether a stop had cut requests, and when, could not be read from the logs: "stopped" was written after the waiting requests were refused, its time was not related to the signal, and the lines of requests that the end of the process cut named a lost connection.

The lines of the phases state the time since the signal and by how much it may have been handled late, "stopped" also the open connections, and lines of requests that the end cuts say so.

--- a/packages/callers/src/cardamomloft/callers/app.py
+++ b/packages/callers/src/cardamomloft/callers/app.py
@@ -115,6 +115,11 @@
             self._factory.closing = self._closing
         return self._factory
 
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return 0 if self._factory is None else len(self._factory.channels)
+
     def set_idle_timeout(self, duration: timedelta) -> None:
         """Set how long an idle connection is kept open."""
         if self._factory is not None:
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -332,12 +332,12 @@
 
     def on_stopped(self) -> None:
         """Release all resources and end the process."""
+        self.records.cut_by_stop = self._stop.end()
         self._timers.stop()
         self.forwarder.queue.close()
         self.feed.stop()
         self.follower.stop()
         self.fallback.stop()
-        self._stop.end()
         if not self.stopped.called:
             self.stopped.callback(None)
 
--- a/packages/gateway/src/cardamomloft/gateway/records.py
+++ b/packages/gateway/src/cardamomloft/gateway/records.py
@@ -79,9 +79,15 @@
     ----------
     version
         Returns the revision of the configuration in force.
+
+    Attributes
+    ----------
+    cut_by_stop
+        Whether requests end because the process does.
     """
 
     def __init__(self, version: t.Callable[[], int]) -> None:
+        self.cut_by_stop = False
         self._version = version
         self._window_start = timedelta(0)
         self._lines = 0
@@ -108,6 +114,8 @@
             fields["endpoint"] = upstream.id
         if "sends" in fields:
             fields["sends"] = [send_record.fields() for send_record in fields["sends"]]
+        if self.cut_by_stop:
+            fields["cut_by"] = "hard-stop"
         log(
             "request",
             id=call.id,
--- a/packages/gateway/src/cardamomloft/gateway/stopping.py
+++ b/packages/gateway/src/cardamomloft/gateway/stopping.py
@@ -12,6 +12,8 @@
 from twisted.internet.defer import gatherResults
 from twisted.internet.interfaces import IDelayedCall
 
+_MS = timedelta(milliseconds=1)
+
 
 class GracefulStop:
     """Moves one gateway from phase to phase, and finishes the requests in flight.
@@ -58,7 +60,7 @@
 
     def leave(self, stop_time: timedelta) -> StopPlan:
         """Answer with ``Connection: close`` from now on, and plan the other phases."""
-        log("leaving", in_flight=self.in_flight)
+        self._log("leaving")
         plan = self._plan = plan_stop(t.cast(StopSignal, self._signal), stop_time)
         for app in self._apps:
             app.start_closing()
@@ -68,17 +70,30 @@
 
     def close(self) -> None:
         """Finish the requests in flight, then report that the process may end."""
-        log("closing", in_flight=self.in_flight)
+        self._log("closing")
         finished = gatherResults([app.drained() for app in self._apps])
         # The last answers may still be in send buffers: wait until their connections are closed.
         finished.addCallback(lambda _: gatherResults([app.disconnect() for app in self._apps]))
         finished.addCallback(lambda _: self._reactor.callLater(0, self._lifecycle.drained))
 
-    def end(self) -> None:
-        """Cancel the hard stop: the process ends."""
+    def end(self) -> bool:
+        """Log what is in flight when the process ends, and return whether that cuts requests."""
         if self._hard_stop is not None and self._hard_stop.active():
             self._hard_stop.cancel()
-        log("stopped", in_flight=self.in_flight)
+        self._log("stopped", connections=sum(app.connections for app in self._apps))
+        return self.in_flight > 0
+
+    def _log(self, event: str, **fields: int) -> None:
+        signal = t.cast(StopSignal, self._signal)
+        since = self._clock.monotonic() - signal.handled
+        late = signal.handled - signal.sent_after
+        log(
+            event,
+            in_flight=self.in_flight,
+            since_signal_ms=since // _MS,
+            signal_late_ms=late // _MS,
+            **fields,
+        )
 
     def _call_at(self, instant: timedelta, action: t.Callable[[], None]) -> IDelayedCall:
         delay = max(timedelta(0), instant - self._clock.monotonic())
--- a/packages/gateway/tests/test_stop_processes.py
+++ b/packages/gateway/tests/test_stop_processes.py
@@ -260,3 +260,18 @@
         stop(run)
         assert run.submit(3.1, exchange, kept, "/menus/0/3").result()[:2] == (503, True)
         assert before.result() == (200, True, 5)
+
+
+def test_log_names_the_requests_that_the_hard_stop_cuts(run):
+    cut = run.pool.submit(run.get, "/menus/9000/5")
+    assert processes.eventually(lambda: run.arrivals, 5)
+    run.stop()
+    with pytest.raises(http.client.HTTPException):
+        cut.result()
+    run.proc.wait(timeout=5)
+    phases = {name: run.events(name)[0] for name in ("leaving", "closing", "stopped")}
+    assert [row["in_flight"] for row in phases.values()] == [1, 1, 1]
+    assert 5000 <= phases["stopped"]["since_signal_ms"] < 6000
+    assert phases["stopped"]["connections"] == 1
+    (ended,) = run.events("request")
+    assert ended["cut_by"] == "hard-stop"
