Reset connections whose upload was stopped by an error answer

After an upstream answered an upload with an error before it had read the body, the connection was closed, which waits until what is in the send buffer has been read.

The answer is whole and the rest of the body is not sent, so nothing is lost by a reset. The check that the connection is being closed is replaced by the stricter one that it was reset, which failed before in both cases.

--- a/packages/upstreams/src/cardamomloft/upstreams/connections.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -59,6 +59,7 @@
     exchange = 0
     closed_cleanly = False
     idle_s = IDLE_TIMEOUT_S
+    _upload_stopped = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Set `TCP_USER_TIMEOUT` to `USER_TIMEOUT`."""
@@ -98,10 +99,13 @@
             return response
         request.stopWriting()
         request.persistent = False
+        self._upload_stopped = True
         self.transport.unregisterProducer()
         if self.state == _TRANSMITTING:
             self._state = _WAITING
             self._responseDeferred.chainDeferred(self._finishedRequest)
+        else:
+            self.transport.abortConnection()
         return response
 
     def _finishResponse_WAITING(self, rest: bytes) -> None:  # noqa: N802
@@ -112,6 +116,9 @@
         if granted:
             self.idle_s = usable_idle_s(granted[0])
         super()._finishResponse_WAITING(rest)
+        if self._upload_stopped:
+            # Closing would wait until the upstream has read what is still in the send buffer.
+            self.transport.abortConnection()
 
 
 def usable_idle_s(granted: bytes) -> float:
--- a/packages/upstreams/tests/test_upstreams_client.py
+++ b/packages/upstreams/tests/test_upstreams_client.py
@@ -350,7 +350,8 @@
     assert result.result.ok.not_run and upload.stopProducing.called
     delivery, sink = delivered(result)
     assert delivery.result.complete and sink.value() == (b"no" if body else b"")
-    assert wire.transport.disconnecting
+    # An upstream that reads no further must not keep the connection open.
+    assert wire.transport.disconnected
     harness.send()
     assert len(harness.reactor.tcpClients) == 2
 
