--- a/packages/gateway/tests/test_hops_at_stops.py
+++ b/packages/gateway/tests/test_hops_at_stops.py
@@ -124,7 +124,6 @@
     timer.start()
     sent = callers.run(duration)
     timer.join()
-    print(sorted((one.status, one.path, round(one.took, 2)) for one in sent if one.status != 200))
     return sent
 
 
