--- a/packages/gateway/tests/test_slow_links.py
+++ b/packages/gateway/tests/test_slow_links.py
@@ -317,7 +317,7 @@
         if tried_at < silent_since + 1.0
     }
     # A probe, the next one and the connections to compare with wait in the queue.
-    assert not [time for time in took.values() if time > NOTICE_S + 4 * delay], took
+    assert max(took.values(), default=0.0) <= NOTICE_S + 4 * delay, took
     # Those before the first probe is overdue, and those that were running.
     noticed_s = 0.3 + 2 * delay
     assert gateway.counts["sent_to_silent"] <= noticed_s * load.rate * silent / len(ENDPOINTS) + 3
