Test a second signal, a stop before readiness, and late timers

The test of late timers fails without the decision by the clock; the other two passed before. The second SIGTERM of the test with a process now comes after the changed settings are known to be read.

--- a/packages/gateway/tests/test_gateway.py
+++ b/packages/gateway/tests/test_gateway.py
@@ -92,6 +92,36 @@
     assert run.gateway.stopped.called
 
 
+def test_further_signals_do_not_move_the_phases_of_a_stop():
+    run = GatewayHarness()
+    run.gateway.app.in_flight = 1
+    run.gateway.stop()
+    run.time.advance(2900 * MS)
+    run.gateway.stop()
+    assert run.send_request().status == 200
+    run.time.advance(200 * MS)
+    assert run.send_request().status == 503
+    run.time.advance(2500 * MS)
+    assert run.gateway.stopped.called
+
+
+def test_gateway_that_is_stopped_before_it_is_ready_refuses_requests_and_ends():
+    run = GatewayHarness(kit.FakeControl())
+    run.gateway.stop()
+    assert run.send_request().status == 503
+    run.time.advance(3100 * MS)
+    assert run.gateway.stopped.called
+    assert not run.gateway.ready()
+
+
+def test_clock_decides_until_when_requests_are_served_if_timers_are_late():
+    run = GatewayHarness()
+    run.gateway.app.in_flight = 1
+    run.gateway.stop()
+    run.time.clock.advance(3100 * MS)
+    assert run.send_request().status == 503
+
+
 def test_stopped_gateway_makes_no_store_calls():
     run = GatewayHarness()
     run.gateway.stop()
--- a/packages/gateway/tests/test_stop_processes.py
+++ b/packages/gateway/tests/test_stop_processes.py
@@ -176,6 +176,7 @@
     """Send SIGTERM again, and SIGHUP with settings that would end the process at once."""
     run.path.write_text(json.dumps(run.cfg | {"stop_time": "1s"}))
     run.proc.send_signal(signal.SIGHUP)
+    assert processes.eventually(lambda: run.events("reloaded"), 2)
     run.proc.send_signal(signal.SIGTERM)
 
 
