Count and judge attempts through other gateways like those of one's own

It is kept as the answer if nothing better comes;
It ends 502 now;
It may use one;
- a fault of ours that ended the attempts was held against endpoints.

Cause of all: the attempt through another gateway had rules of its own.

--- a/packages/gateway/src/cardamomloft/gateway/attempts.py
+++ b/packages/gateway/src/cardamomloft/gateway/attempts.py
@@ -23,14 +23,14 @@
         Whether others were in progress when it began.
     suspicion
         Why it seems to be in vain, empty if nothing speaks against it.
-    superseded
-        Whether it was cancelled because another one was answered.
+    cancelled
+        Whether it was cancelled here, so that its outcome says nothing about its endpoint.
     """
 
     def __init__(self, attempts: "Attempts", *, beside: bool) -> None:
         self.beside = beside
         self.suspicion = ""
-        self.superseded = False
+        self.cancelled = False
         self._attempts = attempts
 
     def suspect(self, evidence: str) -> None:
@@ -80,15 +80,10 @@
             outcome.raiseException()
         return outcome
 
-    def supersede(self) -> None:
-        """Cancel all attempts in progress, as one was answered."""
-        for attempt in self._running:
-            attempt.superseded = True
-        self.cancel()
-
     def cancel(self) -> None:
         """Cancel all attempts in progress."""
-        for sending in tuple(self._running.values()):
+        for attempt, sending in tuple(self._running.items()):
+            attempt.cancelled = True
             sending.cancel()
 
     def wake_up(self) -> None:
--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
@@ -4,6 +4,7 @@
 import typing as t
 from collections.abc import Callable
 from datetime import timedelta
+from http import HTTPStatus
 
 from cardamomloft.callers.body import RequestBody
 from cardamomloft.callers.exchange import (
@@ -92,6 +93,11 @@
     outcome: str
     detail: str
 
+    @property
+    def delivered(self) -> bool:
+        """Whether an endpoint may have got the request."""
+        return self.outcome != _REFUSED
+
     def fields(self) -> dict[str, t.Any]:
         """Return the values for a log line."""
         return {
@@ -271,6 +277,13 @@
     lost: bool = False
     complete: bool = False
 
+    @property
+    def is_good(self) -> bool:
+        """Whether an endpoint has answered, and reports no failure of its own."""
+        answer = self.answer
+        failed = answer is not None and answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        return self.complete and not failed
+
     @property
     def unable(self) -> bool:
         """Whether another gateway may be able to help where this one isn't."""
@@ -308,6 +321,7 @@
         self._events: DeferredQueue[_Ended | _Verdict | Failure] = DeferredQueue()
         self._done = False
         self._detail = "no other entry can be asked"
+        self._error: HopOutcome | None = None
 
     async def run(self) -> ProxyOutcome:
         self._send_next()
@@ -324,7 +338,8 @@
                 hop.cancel()
         if self._hops and all(hop.outcome == _REFUSED for hop in self._hops):
             self._proxy.record_unreachable(self._req.call.service)
-        return self._outcome(None, not_run=not self._req.may_have_run, detail=self._detail)
+        answer = None if self._error is None else self._error.answer
+        return self._outcome(answer, not_run=not self._req.may_have_run, detail=self._detail)
 
     def _apply(self, event: _Ended | _Verdict | Failure) -> ProxyOutcome | None:
         """Return the outcome of the request if an event has decided it."""
@@ -352,12 +367,20 @@
         elif hop.answer is not None:
             if hop.reason == RefusalReason.OVERLOAD:
                 self._proxy.record_unreachable(self._req.call.service)
-            if hop.complete or not self._open:
+            if hop.is_good or not self._open:
                 return self._outcome(hop.answer, not_run=hop.not_run, detail=hop.detail)
+            self._keep(hop)
             return None
         self._send_next()
         return None
 
+    def _keep(self, hop: HopOutcome) -> None:
+        """Keep an endpoint's error as the answer if the other hops get none."""
+        if hop.complete and hop.answer is not None and isinstance(hop.answer.body, bytes):
+            self._error = hop
+        elif hop.answer is not None and not isinstance(hop.answer.body, bytes):
+            hop.answer.body.abort()
+
     def _send_next(self) -> None:
         """Send the request through another gateway, unless one that isn't silent has it."""
         if self._open.keys() - self._silent or (peer := self._next_peer()) is None:
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -125,10 +125,7 @@
                 last = outcome or last
                 if isinstance(outcome, Served):
                     self._answer = outcome
-                if self._caller.disconnected:
-                    break
-                if is_good(outcome):
-                    attempts.supersede()
+                if self._caller.disconnected or is_good(outcome):
                     break
                 if attempts.are_suspected():
                     self._attempt_beside(attempts)
@@ -170,9 +167,9 @@
         needed = await self._peers.is_needed(outcome, refusal)
         return needed and not self._caller.disconnected
 
-    async def _ask_peer(self, *, may_have_run: bool) -> ProxyOutcome:
+    async def _ask_peer(self, deliveries: int, *, may_have_run: bool) -> ProxyOutcome:
         outcome = await self._peers.send(
-            self._counts.deliveries, counted=self._counted, may_have_run=may_have_run
+            deliveries, counted=self._counted, may_have_run=may_have_run
         )
         self._sends.extend(outcome.hops)
         return outcome
@@ -181,7 +178,7 @@
         """Send the request through another gateway, unless it came from one; return the answer."""
         if not self._peers.exists:
             return self._finish(last, _NO_ENDPOINT)
-        outcome = await self._ask_peer(may_have_run=self._may_have_run)
+        outcome = await self._ask_peer(self._counts.deliveries, may_have_run=self._may_have_run)
         if self._caller.disconnected:
             return self._context.record_caller_left(self._call, self._sends)
         self._may_have_run = outcome.may_have_run
@@ -194,15 +191,24 @@
         return self._finish_served(answer)
 
     async def _send_through_peer_beside(self, attempt: Attempt) -> Outcome:
-        """Send the request through another gateway while an attempt of this one goes on."""
-        outcome = await self._ask_peer(may_have_run=True)
-        self._counts.deliveries += sum(hop.outcome != "refused" for hop in outcome.hops)
+        """Send the request through another gateway while an attempt of this one goes on.
+
+        The other gateway may send it to one endpoint.
+        """
+        outcome = await self._ask_peer(self._call.rule.attempts - 1, may_have_run=True)
+        delivered = sum(hop.delivered for hop in outcome.hops)
+        self._counts.deliveries += delivered
+        self._may_have_run = self._may_have_run or delivered > 0
         answer = outcome.answer
         if answer is None:
             return Failed(False, outcome.detail, self._is_late())
         if outcome.refused:
             return Refused(outcome.detail, misdirected=False)
-        return Served(answer, faulty=answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR)
+        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            if not isinstance(answer.body, bytes):
+                answer.body.abort()
+            return Failed(False, f"status {answer.status} by another entry", self._is_late())
+        return Served(answer)
 
     def _now(self) -> timedelta:
         return self._context.clock.monotonic()
@@ -254,7 +260,7 @@
             outcome = await read_outcome(result, status, self._dialect, self._is_late)
         finally:
             selector.record_end(upstream)
-        if attempt.superseded and isinstance(outcome, Failed):
+        if attempt.cancelled and isinstance(outcome, Failed) and not self._caller.disconnected:
             outcome = outcome._replace(ended_by=EndedBy.OTHER_ATTEMPT)
         self._record_outcome(upstream, outcome, now, load)
         duration = self._now() - now
--- a/packages/gateway/tests/test_attempts_beside.py
+++ b/packages/gateway/tests/test_attempts_beside.py
@@ -1,10 +1,13 @@
 """Attempts that are started beside those which seem to be in vain."""
 
 import pytest
+from cardamomloft.callers.exchange import Answer
+from cardamomloft.gateway.peerproxy.client import Hop, ProxyOutcome
 from cardamomloft.upstreams.client import SendFailure
 from cardamomloft_standins import gateway as kit
 from cardamomloft_standins.forwarderharness import NOT_CONNECTED, RESET, SHED, ForwarderHarness
 from expression import Error
+from twisted.internet.defer import Deferred
 
 MS = kit.MS
 
@@ -128,3 +131,93 @@
     run.suspect()
     first = run.bench.table.get(run.sent[0].endpoint.name)
     assert (first.failures, first.in_flight) == (0, 0)
+
+
+class LostLinks:
+    """Links that work until the test says otherwise, without open connections."""
+
+    down = False
+
+    def may_send_any(self):
+        return not self.down
+
+    def may_send(self, address):
+        return not self.down
+
+
+class OtherGateways:
+    """Other gateways, whose outcome is set by the test."""
+
+    def __init__(self) -> None:
+        self.calls = []
+        self.outcome = Deferred()
+
+    def may_reach(self, call):
+        return True
+
+    def send(self, req):
+        self.calls.append(req)
+        return self.outcome
+
+    def end(self, answer, *, refused=False, outcome="served"):
+        hops = [Hop("e-1", 10 * MS, outcome, "")]
+        self.outcome.callback(ProxyOutcome(answer, refused, True, "", hops))
+
+
+class LinksLost(Run):
+    """A request whose first attempt is suspected because the links are down."""
+
+    def __init__(self, *later) -> None:
+        super().__init__(*later)
+        self.others = OtherGateways()
+        self.bench.forwarder.links = LostLinks()
+        self.bench.forwarder.proxy = self.others
+        self.bench.forwarder.links.down = True
+        self.suspect()
+
+
+def test_request_goes_through_another_gateway_beside_the_first_attempt():
+    run = LinksLost(SHED)
+    run.suspect()
+    (call,) = run.others.calls
+    assert call.may_have_run
+    # The other gateway may send it to one endpoint.
+    assert call.deliveries == kit.RULE.attempts - 1
+    run.others.end(Answer(207, (), b"whole"))
+    assert run.status == 207
+    assert run.bench.client.cancelled == 1
+
+
+@pytest.mark.parametrize("status", [500, 502])
+def test_error_through_another_gateway_does_not_end_the_first_attempt(status):
+    run = LinksLost(SHED)
+    run.others.end(Answer(status, (), b"failed"))
+    assert not run.answers
+    run.first.callback(kit.answer(207))
+    assert run.status == 207
+
+
+@pytest.mark.parametrize("outcome", ["failed", "served"])
+def test_request_that_another_gateway_may_have_run_is_not_refused_as_not_run(outcome):
+    run = LinksLost(SHED)
+    answer = None if outcome == "failed" else Answer(500, (), b"failed")
+    run.others.end(answer, outcome=outcome)
+    run.first.callback(SHED)
+    assert run.status == 502
+
+
+def test_request_that_was_refused_everywhere_is_refused():
+    run = LinksLost(SHED)
+    run.others.end(Answer(503, (), b""), refused=True, outcome="refused")
+    run.bench.forwarder.links.down = False
+    run.first.callback(SHED)
+    assert run.status == 503
+
+
+def test_endpoint_is_not_blamed_if_a_fault_ends_its_attempt():
+    run = LinksLost(SHED)
+    run.others.outcome.errback(ValueError("a fault"))
+    first = run.bench.table.get(run.sent[0].endpoint.name)
+    assert (first.failures, first.in_flight) == (0, 0)
+    assert run.bench.client.cancelled == 1
+    run.answers[0].trap(ValueError)
--- a/packages/gateway/tests/test_peer_proxy.py
+++ b/packages/gateway/tests/test_peer_proxy.py
@@ -266,6 +266,18 @@
         assert outcomes[0].answer.status == 200
 
 
+def test_error_of_an_endpoint_ends_no_other_hop_and_counts_only_without_a_good_answer():
+    for last, status in ((SERVED, 200), (LATE, 500)):
+        run = run_with_probes(None, kit.answer(500, b"failed", cardamomloft_outcome="complete"))
+        outcomes = []
+        run.start().addCallback(outcomes.append)
+        run.time.advance(SILENCE_TIME + PROBE_TIMEOUT + 50 * MS)
+        assert len(run.peers()) == 2
+        assert not run.client.cancelled
+        run.client.pending[0].callback(last)
+        assert outcomes[0].answer.status == status
+
+
 def test_request_that_must_not_run_twice_stays_at_a_silent_gateway():
     run = run_with_probes(None, SERVED)
     outcomes = []
