Close callers' connections only once slow readers have their answers

Callers that read slowly lost the rest of an answer, with a reset, if they had sent another request and the connection was closed over 2 s after the answer had been written, or if they took over 2 s for what the kernel held.

Cause: the time was counted from when an answer entered the buffers, not from when the caller received it.

A connection on which anything was answered lingers now, and its time starts again while the kernel has fewer bytes left for the caller. The two new tests fail on the code before.

--- a/packages/callers/src/cardamomloft/callers/channel.py
+++ b/packages/callers/src/cardamomloft/callers/channel.py
@@ -22,7 +22,7 @@
 from zope.interface import implementer
 
 from .exchange import Answer, to_answer
-from .lingering import LINGER_TIMEOUT_S, LingeringClose
+from .lingering import LingeringClose
 from .pipelining import may_read_next
 
 if t.TYPE_CHECKING:
@@ -81,8 +81,7 @@
     _discard_timer: t.Any = None
     _refusal: list[bytes] | None = None
     _closing: LingeringClose | None = None
-    # Reactor time in seconds at which the last answer was written.
-    _answered_at: float | None = None
+    _has_answered = False
     # Reactor times in seconds at which the first byte arrived of the data that is buffered, and of
     # the data that is being parsed.
     _unread_since: float | None = None
@@ -299,7 +298,7 @@
 
     def requestDone(self, request: "CallerRequest") -> None:  # noqa: N802
         """End the exchange, or first discard the rest of the request body."""
-        self._answered_at = self.factory.seconds()
+        self._has_answered = True
         if self._content_received or request is not self.requests[-1]:
             self._end_exchange(request)
             return
@@ -329,7 +328,7 @@
         if self._refusal is not None:
             self.transport.writeSequence(self._refusal)
             self._refusal = None
-            self._answered_at = self.factory.seconds()
+            self._has_answered = True
         self.loseConnection()
 
     def close_soon(self) -> None:
@@ -339,13 +338,10 @@
             self.loseConnection()
 
     def loseConnection(self) -> None:  # noqa: N802
-        """Close the connection after its data is sent, and after a recent answer is received."""
+        """Close the connection after its data is sent, and its answers are received."""
         if self._closing is not None:
             return
-        recent = self._answered_at is not None and (
-            self.factory.seconds() - self._answered_at < LINGER_TIMEOUT_S
-        )
-        if not recent or not ITCPTransport.providedBy(self.transport):
+        if not self._has_answered or not ITCPTransport.providedBy(self.transport):
             super().loseConnection()
             return
         self._input_closed = True
--- a/packages/callers/src/cardamomloft/callers/lingering.py
+++ b/packages/callers/src/cardamomloft/callers/lingering.py
@@ -6,13 +6,25 @@
 the caller has closed its side (RFC 9112, section 9.6).
 """
 
+import fcntl
+import sys
+import termios
 import typing as t
 from collections.abc import Callable
 
 from twisted.internet.interfaces import IDelayedCall, ITCPTransport
 
 LINGER_TIMEOUT_S = 2.0
-"""How long a caller may take to close its side, in seconds."""
+"""How long a caller may take to close its side while it receives nothing, in seconds."""
+
+
+def unacknowledged_bytes(transport: t.Any) -> int:
+    """Return how many bytes the kernel has for the peer that it has not received, 0 if unknown."""
+    try:
+        raw = fcntl.ioctl(transport.getHandle(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return int.from_bytes(raw, sys.byteorder)
 
 
 class LingeringClose:
@@ -30,6 +42,7 @@
         self._transport = t.cast(t.Any, transport)
         self._call_later = call_later
         self._timer: IDelayedCall | None = None
+        self._left = 0
 
     def start(self) -> None:
         """Close the write side once its data is sent, and keep reading."""
@@ -38,8 +51,15 @@
         self._transport.resumeProducing()
 
     def write_side_closed(self) -> None:
-        """Wait for the caller to close its side."""
-        self._timer = self._call_later(LINGER_TIMEOUT_S, self._transport.loseConnection)
+        """Wait for the caller to close its side, as long as it goes on to receive."""
+        self._left = unacknowledged_bytes(self._transport)
+        self._timer = self._call_later(LINGER_TIMEOUT_S, self._expire)
+
+    def _expire(self) -> None:
+        if 0 < unacknowledged_bytes(self._transport) < self._left:
+            self.write_side_closed()
+        else:
+            self._transport.loseConnection()
 
     def cancel(self) -> None:
         """Stop waiting: the connection is lost."""
--- a/packages/callers/tests/test_lingering.py
+++ b/packages/callers/tests/test_lingering.py
@@ -51,6 +51,18 @@
                 time.sleep(PAUSE_S)
             return receive_all(sock)
 
+    def read_slowly(self, duration_s):
+        """Read an answer in small parts, send another request, and read the rest later."""
+        steps, received = 20, b""
+        with self.connect() as sock:
+            sock.sendall(GET)
+            for _ in range(steps):
+                time.sleep(duration_s / steps)
+                received += sock.recv(RECEIVE_BYTES)
+            sock.sendall(GET)
+            time.sleep(LINGER_TIMEOUT_S / 2)
+            return received + receive_all(sock)
+
     @inlineCallbacks
     def check_request_that_crosses_the_close(self, size):
         self.serve(size)
@@ -73,6 +85,20 @@
         received = yield deferToThread(self.send_with_pauses, GET, GET)
         self.assertEqual(len(received.partition(b"\r\n\r\n")[2]), 50_000)
 
+    @inlineCallbacks
+    def test_slow_reader_receives_an_answer_that_was_written_long_before_a_disconnect(self):
+        self.serve(6_000_000)
+        reactor.callLater(1.2 * LINGER_TIMEOUT_S, self.app.disconnect)
+        received = yield deferToThread(self.read_slowly, LINGER_TIMEOUT_S)
+        self.assertEqual(len(received.partition(b"\r\n\r\n")[2]), 6_000_000)
+
+    @inlineCallbacks
+    def test_slow_reader_receives_an_answer_for_longer_than_the_timeout(self):
+        self.serve(2_000_000)
+        self.app.start_closing()
+        received = yield deferToThread(self.read_slowly, 2.5 * LINGER_TIMEOUT_S)
+        self.assertEqual(len(received.partition(b"\r\n\r\n")[2]), 2_000_000)
+
     @inlineCallbacks
     def test_rest_of_a_refused_body_does_not_cost_the_refusal(self):
         self.start(lambda: succeed(to_answer(Refusal(RefusalReason.STOPPING))))
