Keep a starting gateway alive when its settings change

A SIGHUP within the first second of a process, while it imports its modules, ended it: no handler was set yet. The settings are read after the imports, so the signal is ignored until then. Between the start of the process and the first line of its program the default action remains.

--- a/packages/gateway/src/cardamomloft/gateway/main.py
+++ b/packages/gateway/src/cardamomloft/gateway/main.py
@@ -2,6 +2,7 @@
 
 import argparse
 import pathlib
+import signal
 import sys
 
 from cardamomloft.gateway.plaintext import block_openssl_import
@@ -19,6 +20,8 @@
     check
         Only check the settings, then exit.
     """
+    # The settings are read once the imports are done, so that an earlier signal changes nothing.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     block_openssl_import()
     # Twisted must be imported after the import of OpenSSL is blocked, and its reactor after the
     # event loop is installed.
--- a/packages/gateway/tests/test_stop_processes.py
+++ b/packages/gateway/tests/test_stop_processes.py
@@ -4,6 +4,7 @@
 import contextlib
 import http.client
 import json
+import pathlib
 import signal
 import socket
 import time
@@ -276,3 +277,20 @@
     assert phases["stopped"]["connections"] == 1
     (ended,) = run.events("request")
     assert ended["cut_by"] == "hard-stop"
+
+
+def ignores_hangup(proc):
+    status = pathlib.Path(f"/proc/{proc.pid}/status").read_text()
+    ignored = next(line for line in status.splitlines() if line.startswith("SigIgn:"))
+    return int(ignored.split()[1], 16) & 1 << (signal.SIGHUP - 1)
+
+
+def test_changed_settings_that_are_signalled_during_the_start_do_not_end_the_process(tmp_path):
+    with contextlib.ExitStack() as stack:
+        store = stack.enter_context(processes.store())
+        configure(store)
+        cfg = stack.enter_context(processes.settings(store))
+        proc = stack.enter_context(processes.gateway(tmp_path, cfg, LAUNCH))
+        assert processes.eventually(lambda: ignores_hangup(proc), 10)
+        proc.send_signal(signal.SIGHUP)
+        assert processes.eventually(lambda: processes.status(cfg)["state"] == "ready", 30)
