--- a/packages/gateway/tests/test_slow_uploads.py
+++ b/packages/gateway/tests/test_slow_uploads.py
@@ -84,7 +84,7 @@
             settings.append(stack.enter_context(processes.settings(store, name)))
             links = folder / f"{name}.links"
             write_links(links, cut, [endpoint.address])
-            launch = ("-m", "cardamomloft_standins.cutlinks", str(links), "127.0.0.1")
+            launch = ("-m", "cardamomloft_standins.cutlinks", str(links))
             stack.enter_context(processes.gateway(folder, settings[-1], launch))
         assert processes.eventually(lambda: all(map(has_converged, settings)), 30)
         yield settings
--- a/standins/tests/test_cutlinks.py
+++ b/standins/tests/test_cutlinks.py
@@ -18,7 +18,7 @@
 def test_links_to_addresses_that_are_not_listed_work(tmp_path):
     path = tmp_path / "links"
     write_links(path, Cut.HANG, [CUT])
-    links = CuttableLinks(FakeReactor(), path, "127.0.0.1")
+    links = CuttableLinks(FakeReactor(), path)
     assert links.cut_of(CUT) is Cut.HANG
     assert links.cut_of(OTHER) is Cut.NONE
 
@@ -26,7 +26,7 @@
 def test_only_open_connections_to_listed_addresses_are_cut(tmp_path):
     path, reactor = tmp_path / "links", FakeReactor()
     write_links(path, Cut.NONE, [CUT, OTHER])
-    links = CuttableLinks(reactor, path, "127.0.0.1")
+    links = CuttableLinks(reactor, path)
     cut, other = [
         links.connect("127.0.0.1", port, Factory.forProtocol(Protocol)) for port in (81, 82)
     ]
@@ -41,7 +41,7 @@
 def test_connections_that_are_opened_while_others_are_cut_can_be_cut_later(tmp_path):
     path, reactor = tmp_path / "links", FakeReactor()
     write_links(path, Cut.NONE, [CUT, OTHER])
-    links = CuttableLinks(reactor, path, "127.0.0.1")
+    links = CuttableLinks(reactor, path)
     write_links(path, Cut.HANG, [CUT])
     reactor.advance(1.0)
     other = links.connect("127.0.0.1", 82, Factory.forProtocol(Protocol))
