--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
@@ -4,18 +4,11 @@
 import typing as t
 from collections.abc import Callable
 from datetime import timedelta
-from http import HTTPStatus
 
 from cardamomloft.callers.body import RequestBody
 from cardamomloft.callers.exchange import (
-    COMPLETE,
-    OUTCOME_HEADER,
-    REASON_HEADER,
-    REFUSED,
     Answer,
     RequestHead,
-    Source,
-    end_to_end,
 )
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.connectivity.cutoff import CutOffEntries
@@ -24,18 +17,15 @@
 from cardamomloft.core.model import Endpoint, Refusal, RefusalReason
 from cardamomloft.core.registrations import EntryRecord
 from cardamomloft.gateway.calls import Call, CallerHeaders
-from cardamomloft.gateway.outcomes import MAX_BUFFERED_ANSWER_BYTES
 from cardamomloft.gateway.peerproxy.header import PROXY_HEADER, ProxyHeader
+from cardamomloft.gateway.peerproxy.hops import Hop, HopOutcome, read_hop
 from cardamomloft.gateway.peerproxy.silence import HelperSilence, Watch
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.upstreams.client import (
-    SendFailure,
-    UpstreamAnswer,
     UpstreamClient,
     UpstreamRequest,
 )
 from cardamomloft.upstreams.dialect import Dialect
-from expression import Result
 from twisted.internet.defer import CancelledError, Deferred, DeferredQueue, ensureDeferred
 from twisted.python.failure import Failure
 
@@ -52,22 +42,6 @@
 MAX_IN_FLIGHT = 256
 """Maximum number of requests at one other gateway, a safeguard; it refuses excess ones itself."""
 
-_MS = timedelta(milliseconds=1)
-
-_REFUSED = "refused"
-
-_HELPER_REASONS = frozenset(
-    {
-        RefusalReason.NOT_READY,
-        RefusalReason.STOPPING,
-        RefusalReason.UNREACHABLE,
-        RefusalReason.BUSY,
-        RefusalReason.NOT_A_PEER,
-        RefusalReason.UNVERIFIED,
-    }
-)
-"""Refusals for a reason that another gateway may not have."""
-
 
 class ProxiedCall(t.NamedTuple):
     """A request that is to be sent through another gateway.
@@ -85,29 +59,6 @@
     max_helpers: int = MAX_HELPERS
 
 
-class Hop(t.NamedTuple):
-    """One request to another gateway and its outcome, for the log."""
-
-    peer: str
-    duration: timedelta
-    outcome: str
-    detail: str
-
-    @property
-    def delivered(self) -> bool:
-        """Whether an endpoint may have got the request."""
-        return self.outcome != _REFUSED
-
-    def fields(self) -> dict[str, t.Any]:
-        """Return the values for a log line."""
-        return {
-            "peer": self.peer,
-            "ms": round(self.duration / _MS, 1),
-            "outcome": self.outcome,
-            "detail": self.detail,
-        }
-
-
 class ProxyOutcome(t.NamedTuple):
     """Outcome of a request that was sent through other gateways.
 
@@ -223,7 +174,7 @@
         self._metrics.count("proxied.sent")
         self._helpers.record_sent(peer.name)
         try:
-            return await _read_hop(await self._client.send(upstream_request))
+            return await read_hop(await self._client.send(upstream_request))
         finally:
             self._helpers.record_end(peer.name)
 
@@ -251,45 +202,6 @@
         self._client.close()
 
 
-class HopOutcome(t.NamedTuple):
-    """What another gateway has answered.
-
-    Attributes
-    ----------
-    answer
-        The answer, None without a complete one.
-    not_run
-        Whether the request was not run there.
-    reason
-        The reason of its refusal, empty without one.
-    detail
-        Why there is no answer.
-    lost
-        Whether there was no connection to it, or the connection was lost.
-    complete
-        Whether the answer is that of an endpoint.
-    """
-
-    answer: Answer | None
-    not_run: bool
-    reason: str = ""
-    detail: str = ""
-    lost: bool = False
-    complete: bool = False
-
-    @property
-    def is_good(self) -> bool:
-        """Whether an endpoint has answered, and reports no failure of its own."""
-        answer = self.answer
-        failed = answer is not None and answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        return self.complete and not failed
-
-    @property
-    def unable(self) -> bool:
-        """Whether another gateway may be able to help where this one isn't."""
-        return self.lost or self.reason in _HELPER_REASONS
-
-
 class _Ended(t.NamedTuple):
     """The end of a hop."""
 
@@ -336,7 +248,7 @@
             self._done = True
             for hop in tuple(self._open.values()):
                 hop.cancel()
-        if self._hops and all(hop.outcome == _REFUSED for hop in self._hops):
+        if self._hops and all(not hop.delivered for hop in self._hops):
             self._proxy.record_unreachable(self._req.call.service)
         answer = None if self._error is None else self._error.answer
         return self._outcome(answer, not_run=not self._req.may_have_run, detail=self._detail)
@@ -418,9 +330,8 @@
         return self._proxy.choose(req.call, self._tried)
 
     def _record(self, hop: HopOutcome, peer: EntryRecord, sent_at: timedelta) -> HopOutcome:
-        outcome = _REFUSED if hop.not_run else "failed" if hop.answer is None else "served"
         duration = self._proxy.monotonic() - sent_at
-        self._hops.append(Hop(peer.name, duration, outcome, hop.detail or hop.reason))
+        self._hops.append(hop.record(peer.name, duration))
         return hop
 
     def _outcome(self, answer: Answer | None, *, not_run: bool, detail: str) -> ProxyOutcome:
@@ -428,34 +339,6 @@
         return ProxyOutcome(answer, not_run, may_have_run, detail, self._hops)
 
 
-async def _read_hop(result: Result[UpstreamAnswer, SendFailure]) -> HopOutcome:
-    match result:
-        case Result(tag="error", error=failure):
-            lost = failure.not_run or failure.cut
-            return HopOutcome(None, failure.not_run, detail=failure.detail, lost=lost)
-        case Result(ok=answer):
-            pass
-    headers = dict(answer.headers)
-    outcome = headers.get(OUTCOME_HEADER.lower())
-    if outcome is None:
-        answer.body.abort()
-        return HopOutcome(None, False, detail="the answer is not that of a gateway")
-    reason = headers.get(REASON_HEADER.lower(), "") if outcome == REFUSED else ""
-    for_caller = tuple(pair for pair in end_to_end(answer.headers) if pair[0] != "content-length")
-    if answer.length is not None:
-        for_caller = (*for_caller, ("content-length", str(answer.length)))
-    if answer.length is not None and answer.length > MAX_BUFFERED_ANSWER_BYTES:
-        whole = Answer(answer.status, for_caller, t.cast(Source, answer.body))
-        return HopOutcome(whole, False, complete=outcome == COMPLETE)
-    match await answer.body.buffer(MAX_BUFFERED_ANSWER_BYTES):
-        case Result(tag="ok", ok=content):
-            whole = Answer(answer.status, for_caller, content)
-            not_run, complete = outcome == REFUSED, outcome == COMPLETE
-            return HopOutcome(whole, not_run, reason, reason, complete=complete)
-        case Result(error=detail):
-            return HopOutcome(None, outcome == REFUSED, reason, detail)
-
-
 def unreachable(outcome: ProxyOutcome) -> Refusal:
     """Return the refusal of a request that no gateway could send to an endpoint."""
     detail = f"this entry reaches no endpoint, and others can't help: {outcome.detail}"
--- a/packages/gateway/src/cardamomloft/gateway/requestcontext.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestcontext.py
@@ -20,7 +20,8 @@
 from cardamomloft.gateway.calls import Call
 from cardamomloft.gateway.linkmonitor import LinkMonitor
 from cardamomloft.gateway.noticehandler import NoticeHandler
-from cardamomloft.gateway.peerproxy.client import Hop, PeerProxy
+from cardamomloft.gateway.peerproxy.client import PeerProxy
+from cardamomloft.gateway.peerproxy.hops import Hop
 from cardamomloft.gateway.records import RequestLog, SendRecord
 from cardamomloft.gateway.requestqueue import RequestQueue
 from cardamomloft.runtime.metrics import Metrics
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -27,7 +27,8 @@
     is_good,
     read_outcome,
 )
-from cardamomloft.gateway.peerproxy.client import Hop, ProxyOutcome, unreachable
+from cardamomloft.gateway.peerproxy.client import ProxyOutcome, unreachable
+from cardamomloft.gateway.peerproxy.hops import Hop
 from cardamomloft.gateway.peerroute import PeerRoute
 from cardamomloft.gateway.records import SendRecord
 from cardamomloft.gateway.requestcontext import RequestContext
--- a/packages/gateway/tests/test_attempts_beside.py
+++ b/packages/gateway/tests/test_attempts_beside.py
@@ -2,7 +2,8 @@
 
 import pytest
 from cardamomloft.callers.exchange import Answer
-from cardamomloft.gateway.peerproxy.client import Hop, ProxyOutcome
+from cardamomloft.gateway.peerproxy.client import ProxyOutcome
+from cardamomloft.gateway.peerproxy.hops import Hop
 from cardamomloft.upstreams.client import SendFailure
 from cardamomloft_standins import gateway as kit
 from cardamomloft_standins.forwarderharness import NOT_CONNECTED, RESET, SHED, ForwarderHarness
