Excuse requests of a killed gateway however late its endpoint notices

The verdict excuses only 0.5 s after a kill. Nothing of the killed process is left by then, so the kill is what ended it: a request that a gateway got before its kill and sent to the endpoint itself is excused without a limit.

--- a/standins/src/cardamomloft_standins/linkhistory.py
+++ b/standins/src/cardamomloft_standins/linkhistory.py
@@ -102,6 +102,8 @@
             return "its time was over"
         if any(self._concerns(one, result, broken) for one in self.killed if _ended(one, broken)):
             return "a process was killed"
+        if any(_had_request(one, result, broken) for one in self.killed):
+            return "its gateway was killed"
         if any(
             self._concerns(one, result, broken)
             for one in self.stopped
@@ -141,6 +143,15 @@
     return one.at <= broken.at <= one.at + SIGNAL_SLACK_S
 
 
+def _had_request(one: Signalled, result: Result, broken: BrokenOff) -> bool:
+    """Return whether the signalled process got the request and sent it to the endpoint.
+
+    A busy endpoint may accept a request long after the process that sent it has ended.
+    """
+    sent_it = one.gateway == result.gateway and source_of(one.gateway) == broken.source
+    return sent_it and result.at <= one.at <= broken.at
+
+
 def _late(one: Signalled, result: Result, broken: BrokenOff) -> bool:
     """Return whether an accepted request was broken off in the last sixth of the grace time."""
     accepted = result.at <= one.at + ACCEPT_S + SIGNAL_SLACK_S
--- a/standins/tests/test_linkhistory.py
+++ b/standins/tests/test_linkhistory.py
@@ -109,3 +109,15 @@
     assert history.excuse(result(), broken_off(0.5, gateway="e-1")) is None
     history.changes.append(Change("e-0", SENT_AT - 1.0, Cut.NONE, ENDPOINTS))
     assert history.excuse(result(), broken_off(0.5)) is None
+
+
+def test_request_of_a_killed_gateway_may_be_seen_to_end_late(history):
+    history.killed.append(Signalled("e-0", SENT_AT + 0.04))
+    assert history.excuse(result(), broken_off(0.6)) is not None
+
+
+def test_kill_before_a_request_or_of_its_helper_does_not_excuse_a_later_end(history):
+    history.killed.append(Signalled("e-0", SENT_AT - 0.04))
+    history.killed.append(Signalled("e-1", SENT_AT + 0.04))
+    assert history.excuse(result(), broken_off(0.6)) is None
+    assert history.excuse(result(), broken_off(0.6, gateway="e-1")) is None
