--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -22,6 +23,7 @@
 ID, STAMP = "X-Cardamomloft-Attempt-Id", "X-Cardamomloft-Server-Stamp"
 NOT_RUN, EXPECT = "X-Cardamomloft-Not-Executed", "x-cardamomloft-expect-instance"
 DEADLINE, LOAD = "X-Cardamomloft-Deadline-Ms", "X-Cardamomloft-Server-Load"
+BEAT_S = 1.5
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 ROUTE_FIELDS = ["name", "host", "prefix", "kind", "timeout", "targetLatency", "priority"]
@@ -94,10 +96,12 @@
         self.lab.store.put(f"servers/{self.id}", row)
 
     async def beat(self):
-        """Register again and again."""
+        """Register again and again, each endpoint at its own times."""
+        self.register()
+        await asyncio.sleep(random.uniform(0, BEAT_S))
         while True:
             self.register()
-            await asyncio.sleep(1.5)
+            await asyncio.sleep(BEAT_S)
 
     async def serve(self, reader, writer):
         """Serve one connection, one request at a time."""
