Log which configuration decided a request, its source, and polls that failed

The hypotheses of the incident of older configurations could not be told apart: the line of a request named the configuration in force when the line was written, not the one that had decided; no line told its age, its source, or that a poll was given up; nothing counted what splits chose.

Request lines and in-force now carry configuration_source and verified_age_ms (the time since the data was proved current), poll-failed tells of polls without a usable answer, splits of the choices of rules with several services. No decision changes.

--- a/packages/gateway/src/cardamomloft/gateway/calls.py
+++ b/packages/gateway/src/cardamomloft/gateway/calls.py
@@ -3,6 +3,7 @@
 import random
 import re
 import typing as t
+from collections import Counter
 from datetime import timedelta
 
 from cardamomloft.callers.exchange import Headers, RequestHead
@@ -16,6 +17,7 @@
     ServiceRotation,
 )
 from cardamomloft.gateway.authentication import Authenticator
+from cardamomloft.gateway.knowledge import NO_KNOWLEDGE, Knowledge
 
 MAX_DEADLINE_MS = 600_000
 """Upper bound of the deadline that a caller may state, in milliseconds; larger values are
@@ -46,7 +48,7 @@
     earlier of its own deadline and the rule's timeout. `caller_deadline` is the instant at which
     the caller itself stops waiting. `target` is the path with its query, as sent. `headers` are
     those for the endpoint. `rule` has the priority and the home regions of the `account`, which is
-    None for an anonymous caller.
+    None for an anonymous caller. `knowledge` names the configuration that decided all this.
     """
 
     id: str
@@ -59,6 +61,7 @@
     caller_deadline: timedelta = timedelta(0)
     headers: Headers = ()
     account: ClientAccount | None = None
+    knowledge: Knowledge = NO_KNOWLEDGE
 
 
 class Origin(t.NamedTuple):
@@ -100,6 +103,7 @@
             (rule.host, rule.prefix): ServiceRotation(rule.services, rng.random())
             for rule in plan.rules
         }
+        self._choices: dict[str, Counter[str]] = {}
         self.home_regions = _home_regions_by_host(plan)
         self._authenticator = Authenticator(plan, headers.account)
         self._account_rules: dict[tuple[str, str], RouteRule | None] = {}
@@ -164,7 +168,7 @@
         return Call(
             id=request_id,
             rule=rule,
-            service=self._rotations[rule.host, rule.prefix].next(),
+            service=self._choose_service(rule),
             key=request_id if key is None else key,
             arrived=now,
             deadline=now + time_limit,
@@ -174,6 +178,17 @@
             account=account,
         )
 
+    def _choose_service(self, rule: RouteRule) -> str:
+        service = self._rotations[rule.host, rule.prefix].next()
+        if len(rule.services) > 1:
+            self._choices.setdefault(rule.name, Counter())[service] += 1
+        return service
+
+    def take_choices(self) -> dict[str, Counter[str]]:
+        """Return how often rules with several services chose each since the last call."""
+        choices, self._choices = self._choices, {}
+        return choices
+
     def _rule_for(self, rule: RouteRule, account: ClientAccount) -> RouteRule | None:
         """Return what :func:`rule_for_account` returns, computed once."""
         if account.priority is None and not account.homes:
--- a/packages/gateway/src/cardamomloft/gateway/control.py
+++ b/packages/gateway/src/cardamomloft/gateway/control.py
@@ -11,10 +11,14 @@
 
 
 class Listing(t.NamedTuple):
-    """Everything that the store holds, as facts, at the position `index`."""
+    """Everything that the store holds, as facts, at the position `index`.
+
+    `source` tells where it comes from, for the log.
+    """
 
     facts: tuple[Fact, ...]
     index: Position
+    source: str = "listing"
 
 
 class Changes(t.NamedTuple):
@@ -33,6 +37,8 @@
         Why the store itself did not answer, if the changes come from another source.
     waited
         How long the store has waited before it answered that there are no changes.
+    source
+        Where the changes come from, for the log.
     """
 
     facts: tuple[Fact, ...]
@@ -42,6 +48,7 @@
     pause: timedelta | None = None
     failure: StoreFailure | None = None
     waited: timedelta = timedelta(0)
+    source: str = "watch"
 
 
 class Control(t.Protocol):
--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -21,6 +21,17 @@
 from expression import Result
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 
+POLL_INTERVAL_FRACTION = 0.4
+"""Fraction of the drain time from an answer with changes to the next request to the store.
+Failed requests are retried sooner, so that two of them fit into the drain time."""
+
+STORE_WAIT_FRACTION = 1 - POLL_INTERVAL_FRACTION
+"""Fraction of the drain time for which the store may wait for a change before it answers. A
+request may miss a change although its connection works, if the store has discarded its history.
+Only its end then reveals the change, so the pause and the wait together last no longer than the
+drain time. With a wait of 6 s a confirmed change was not in force at one of 58 entries for 6.4
+s."""
+
 _RETRY_INTERVAL = timedelta(milliseconds=500)
 """Minimum time from the start of a failed request to the next one. It bounds both the delay of
 changes after an outage and the cost of requests."""
@@ -28,6 +39,14 @@
 _MIN_PAUSE = timedelta(milliseconds=50)
 """Pause after a failed request that took longer than the retry interval."""
 
+_FAILURES_LOGGED = 3
+"""Consecutive failures of which each is logged, further ones only at intervals."""
+
+_FAILURE_LOG_INTERVAL = 10
+"""Interval, in failures, at which the later ones are logged."""
+
+_MS = timedelta(milliseconds=1)
+
 
 class PollTiming(t.NamedTuple):
     """Timing of requests to the store.
@@ -44,6 +63,11 @@
     wait: timedelta
 
 
+def poll_timing(drain_time: timedelta) -> PollTiming:
+    """Return the timing with which a change is known within the drain time, without failures."""
+    return PollTiming(drain_time * POLL_INTERVAL_FRACTION, drain_time * STORE_WAIT_FRACTION)
+
+
 class Follower:
     """Keeps this process up to date with the control store.
 
@@ -65,6 +89,11 @@
         Called with the facts that have changed, in order.
     on_recovered
         Called when the store answers again after an outage.
+
+    Attributes
+    ----------
+    source
+        Where the last answer with facts came from, for the log.
     """
 
     def __init__(
@@ -92,6 +121,7 @@
         self._requested_at = timedelta(0)
         self._answered_at = clock.monotonic()
         self._stopped = False
+        self.source = ""
         self._running: Deferred[None] | None = None
         self._request: Deferred[Result[Listing | Changes, StoreFailure]] | None = None
 
@@ -169,15 +199,26 @@
 
     def _apply(self, answer: Listing | Changes) -> None:
         self._index = answer.index
+        if answer.facts:
+            self.source = answer.source
         if isinstance(answer, Listing):
             self._on_listing(answer)
         elif answer.whole:
-            self._on_listing(Listing(answer.facts, answer.index))
+            self._on_listing(Listing(answer.facts, answer.index, answer.source))
         else:
             self._on_changes(answer.facts)
 
     def _record_failure(self, failure: StoreFailure) -> None:
         self._failures += 1
+        if self._failures <= _FAILURES_LOGGED or self._failures % _FAILURE_LOG_INTERVAL == 0:
+            log(
+                "poll-failed",
+                request="listing" if self._index is None else "changes",
+                detail=failure.detail,
+                ms=self._elapsed() // _MS,
+                failures=self._failures,
+                answered_ms=self.time_since_answer // _MS,
+            )
         if self._failures == FAILURES_UNTIL_UNAVAILABLE:
             log("store-away", detail=failure.detail)
 
--- a/packages/gateway/src/cardamomloft/gateway/gossip.py
+++ b/packages/gateway/src/cardamomloft/gateway/gossip.py
@@ -77,7 +77,7 @@
     plan
         Returns the configuration in force, None before the first.
     on_plan
-        Called with another gateway's configuration, which may be older.
+        Called with another gateway's configuration, which may be older, and its name.
     """
 
     def __init__(
@@ -100,7 +100,7 @@
         self._metrics = metrics
         self._address = address
         self.plan: Callable[[], RoutePlan | None] = lambda: None
-        self.on_plan: Callable[[RoutePlan], None] = lambda plan: None
+        self.on_plan: Callable[[RoutePlan, str], None] = lambda plan, sender: None
         self._notice_table = NoticeTable()
         self._unsent: list[DatedNotice] = []
         self._push_timer: IDelayedCall | None = None
@@ -170,7 +170,7 @@
         match decode_facts(message.fact):
             case Result(tag="ok", ok=[PlanRead(plan)]):
                 self._metrics.count("configurations_heard")
-                self.on_plan(plan)
+                self.on_plan(plan, sender.seat)
             case _:
                 self._metrics.count("notices_unreadable")
                 log(
--- a/packages/gateway/src/cardamomloft/gateway/inforce.py
+++ b/packages/gateway/src/cardamomloft/gateway/inforce.py
@@ -2,17 +2,23 @@
 
 import random
 from collections.abc import Callable
+from datetime import timedelta
 
 from cardamomloft.callers.exchange import RequestHead
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.routes import ClientAccount, RoutePlan, RouteRule
 from cardamomloft.gateway.calls import Call, CallerHeaders, RequestReader
+from cardamomloft.gateway.knowledge import Knowledge
 from cardamomloft.runtime.logs import log
 
 _NO_CONFIGURATION = Refusal(RefusalReason.NOT_READY, "no configuration yet")
 
 
+MAX_SPLITS_LOGGED = 20
+"""Maximum number of rules in a log line about splits; the busiest ones are logged."""
+
+
 class PlanInForce:
     """Reads requests according to the configuration in force, which never gets older.
 
@@ -29,6 +35,10 @@
     ----------
     reader
         Reads requests according to the configuration, None before the first.
+    verified_age
+        Returns the time since this gateway's data was proved to be current, None if it never was.
+    source
+        Where the configuration came from.
     """
 
     def __init__(
@@ -43,6 +53,8 @@
         self._headers = headers
         self._keys_verified = keys_verified
         self.reader: RequestReader | None = None
+        self.verified_age: Callable[[], timedelta | None] = lambda: None
+        self.source = ""
 
     def __bool__(self) -> bool:
         return self.reader is not None
@@ -57,14 +69,33 @@
         """The number of the configuration, 0 before the first."""
         return 0 if self.reader is None else self.reader.plan.number
 
-    def replace(self, plan: RoutePlan) -> bool:
-        """Put a configuration in force, and return True, unless it is not newer."""
+    def knowledge(self) -> Knowledge:
+        """Return the number of the configuration, and how it is known."""
+        return Knowledge(self.number, self.source, self.verified_age())
+
+    def replace(self, plan: RoutePlan, source: str = "") -> bool:
+        """Put a configuration in force, and return True, unless it is not newer.
+
+        Parameters
+        ----------
+        plan
+            The configuration.
+        source
+            Where it came from, for the log.
+        """
         if plan.number <= self.number:
             if plan.number < self.number:
-                log("configuration-older", offered=plan.number, held=self.number)
+                log(
+                    "configuration-older",
+                    offered=plan.number,
+                    held=self.number,
+                    source=source,
+                )
             return False
+        self.log_splits()
         self.reader = RequestReader(plan, self._headers, self._rng)
-        log("in-force", configuration=plan.number, rules=len(plan.rules))
+        self.source = source
+        log("in-force", rules=len(plan.rules), **self.knowledge().fields())
         return True
 
     def read(self, head: RequestHead) -> Call | Refusal:
@@ -72,7 +103,18 @@
         if self.reader is None:
             return _NO_CONFIGURATION
         now = self._clock.monotonic()
-        return self.reader.read(head, now, verified=self._keys_verified())
+        call = self.reader.read(head, now, verified=self._keys_verified())
+        return call if isinstance(call, Refusal) else call._replace(knowledge=self.knowledge())
+
+    def log_splits(self) -> None:
+        """Log which services were chosen by the rules that have several, since the last line."""
+        if self.reader is None:
+            return
+        counts = self.reader.take_choices()
+        busiest = sorted(counts.items(), key=lambda item: -sum(item[1].values()))
+        if busiest:
+            chosen = dict(busiest[:MAX_SPLITS_LOGGED])
+            log("splits", configuration=self.number, chosen=chosen)
 
     def match(self, host: str, path: str) -> RouteRule | Refusal:
         """Return the rule for a host and a path."""
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -22,11 +22,12 @@
 from cardamomloft.gateway.calls import Call, CallerHeaders
 from cardamomloft.gateway.changefeed import ChangeFeed
 from cardamomloft.gateway.control import Control, Listing
-from cardamomloft.gateway.following import Follower, PollTiming
+from cardamomloft.gateway.following import Follower, poll_timing
 from cardamomloft.gateway.forwarding import Forwarder
 from cardamomloft.gateway.gossip import COMPARE_INTERVAL
 from cardamomloft.gateway.inforce import PlanInForce
 from cardamomloft.gateway.loadstatus import log_loads
+from cardamomloft.gateway.lookups import LookupResult, lookup_result
 from cardamomloft.gateway.noticehandler import NoticeHandler
 from cardamomloft.gateway.peerproxy.fallback import PeerFallback
 from cardamomloft.gateway.peerproxy.listener import HEADER_BYTES, RequestAccess
@@ -56,34 +57,12 @@
 from twisted.internet.interfaces import IListeningPort
 from twisted.python.failure import Failure
 
-POLL_INTERVAL_FRACTION = 0.4
-"""Fraction of the drain time from an answer with changes to the next request to the store.
-Failed requests are retried sooner, so that two of them fit into the drain time."""
-
-STORE_WAIT_FRACTION = 1 - POLL_INTERVAL_FRACTION
-"""Fraction of the drain time for which the store may wait for a change before it answers. A
-request may miss a change although its connection works, if the store has discarded its history.
-Only its end then reveals the change, so the pause and the wait together last no longer than the
-drain time. With a wait of 6 s a confirmed change was not in force at one of 58 entries for 6.4
-s."""
-
 COUNTERS_LOG_INTERVAL = timedelta(seconds=2)
 """Interval at which the growth of the counters is logged, a line of up to about 50 counts."""
 
 _TICK = timedelta(milliseconds=200)
 """Interval of periodic checks, such as for records that were not renewed after a store outage."""
 
-MAX_LOOKUP_TTL = timedelta(seconds=2)
-"""Maximum time for which callers may cache a look-up, within the bound of the settings. A
-look-up may name a failed entry for that much longer."""
-
-
-class LookupResult(t.NamedTuple):
-    """Result of a look-up: the addresses to send requests to, and for how long it may be cached."""
-
-    addresses: list[str]
-    ttl: timedelta
-
 
 class Gateway:
     """One gateway process.
@@ -136,6 +115,7 @@
         self.plan = PlanInForce(
             clock, self._rng, self.headers, lambda: self.account_access.keys_verified()
         )
+        self.plan.verified_age = lambda: self.feed.verified_age()
         peers = cfg.get("peers", "")
         own = EntryRecord(cfg["name"], cfg["callers"], cfg["zone"], cfg["region"], peers)
         self.upstream_table = UpstreamTable(cfg["zones"])
@@ -149,7 +129,7 @@
             self._rng,
         )
         self._budgets = RetryBudgets(cfg["retries"])
-        self.records = RequestLog(lambda: self.configuration)
+        self.records = RequestLog(self.plan.knowledge)
         self.notice_handler = NoticeHandler(
             clock, self.upstream_table, self.selector.rate_limits, self.metrics
         )
@@ -201,7 +181,7 @@
             self.entries,
             self.selector,
             self._client.close_idle,
-            self._apply_plan,
+            lambda plan: self._apply_plan(plan, self.follower.source),
             self.metrics,
         )
         self.feed = ChangeFeed(
@@ -227,13 +207,13 @@
         self.forwarder.on_not_run = self.account_access.return_token
         self.notice_handler.publish = gossip.publish
         gossip.plan = lambda: self.plan.plan
-        gossip.on_plan = self._apply_plan
+        gossip.on_plan = lambda plan, sender: self._apply_plan(plan, f"push {sender}")
         self.follower = Follower(
             self._reactor,
             clock,
             self.feed.control,
             self._rng,
-            _poll_timing(bounds),
+            poll_timing(bounds.drain_time),
             self._on_listing,
             self.view.apply_changes,
             self.view.store_recovered,
@@ -266,7 +246,7 @@
         self.account_access.set_revocation_time(self._bounds.revocation_time)
         if "quotas" in self._cfg:
             self.account_access.set_quota_settings(self._cfg["quotas"])
-        self.follower.timing = _poll_timing(self._bounds)
+        self.follower.timing = poll_timing(self._bounds.drain_time)
         self.feed.set_drain_time(self._bounds.drain_time)
         self.upstream_table.use_regions(self._cfg["zones"])
         log("reloaded", changed_fixed=bool(needing_restart))
@@ -389,10 +369,7 @@
         homes = self.plan.home_regions(host)
         zones, ready = self._cfg["zones"], self.ready()
         named = self._names.find(zone, region, homes, zones, with_own=ready)
-        if not named:
-            return Refusal(RefusalReason.NOT_READY, "no entry is ready")
-        ttl = min(MAX_LOOKUP_TTL, self._bounds.lookup_ttl)
-        return LookupResult([record.address for record in named], ttl)
+        return lookup_result(named, self._bounds.lookup_ttl)
 
     # Changes from the store.
 
@@ -403,8 +380,8 @@
             self.feed.gossip.catch_up()
         self._check_prepared()
 
-    def _apply_plan(self, plan: RoutePlan) -> None:
-        if not self.plan.replace(plan):
+    def _apply_plan(self, plan: RoutePlan, source: str = "") -> None:
+        if not self.plan.replace(plan, source):
             return
         self.selector.policies = plan.services
         self.account_access.set_accounts(plan.accounts or ())
@@ -441,6 +418,7 @@
             log("figures", **grown)
         if self.feed.usage is not None:
             self.feed.usage.log_limited()
+        self.plan.log_splits()
         log_loads(self.selector.shared_loads, self._clock.monotonic())
         self.forwarder.queue.log()
 
@@ -455,9 +433,3 @@
 
 def _count_window(bounds: Bounds) -> timedelta:
     return LAPSED_SHARE_TIME + bounds.retry_window
-
-
-def _poll_timing(bounds: Bounds) -> PollTiming:
-    return PollTiming(
-        bounds.drain_time * POLL_INTERVAL_FRACTION, bounds.drain_time * STORE_WAIT_FRACTION
-    )
--- a/packages/gateway/src/cardamomloft/gateway/records.py
+++ b/packages/gateway/src/cardamomloft/gateway/records.py
@@ -14,6 +14,7 @@
 from cardamomloft.core.selection import Reason
 from cardamomloft.core.upstreamtable import Upstream
 from cardamomloft.gateway.calls import Call
+from cardamomloft.gateway.knowledge import Knowledge
 from cardamomloft.gateway.outcomes import EndpointStatus, Failed
 from cardamomloft.runtime.logs import log
 
@@ -77,8 +78,8 @@
 
     Parameters
     ----------
-    version
-        Returns the revision of the configuration in force.
+    knowledge
+        Returns the configuration in force and how it is known.
 
     Attributes
     ----------
@@ -86,9 +87,9 @@
         Whether requests end because the process does.
     """
 
-    def __init__(self, version: t.Callable[[], int]) -> None:
+    def __init__(self, knowledge: t.Callable[[], Knowledge]) -> None:
         self.cut_by_stop = False
-        self._version = version
+        self._knowledge = knowledge
         self._window_start = timedelta(0)
         self._lines = 0
         self._suppressed = 0
@@ -126,7 +127,7 @@
             **({} if call.account is None else {"account": call.account.name}),
             ms=_ms(now - call.arrived),
             left_ms=_ms(call.deadline - now),
-            configuration=self._version(),
+            **call.knowledge.fields(),
             **fields,
         )
 
@@ -143,7 +144,7 @@
                 detail=refusal.detail,
                 host=dict(head.headers).get("host", ""),
                 path=head.path,
-                configuration=self._version(),
+                **self._knowledge().fields(),
             )
 
     def _within_line_limit(self, now: timedelta) -> bool:
--- a/packages/gateway/src/cardamomloft/gateway/relayedcontrol.py
+++ b/packages/gateway/src/cardamomloft/gateway/relayedcontrol.py
@@ -124,7 +124,8 @@
                 delegated = StoreFailure(
                     False, f"relay {request.relay.name} checks whether the store has recovered"
                 )
-                return Ok(self._apply_relayed(relayed, after, None)._replace(failure=delegated))
+                changes = self._apply_relayed(relayed, request.relay, after, None)
+                return Ok(changes._replace(failure=delegated))
             case Result(tag="error", error=RelayFailure(cancelled=True, detail=detail)):
                 return Error(StoreFailure(False, detail))
             case Result(tag="error", error=failure):
@@ -143,7 +144,8 @@
             relay, after, timedelta(0), self._sources.relay_timeout
         ):
             case Result(tag="ok", ok=relayed) if self._is_current(relayed, after):
-                return Ok(self._apply_relayed(relayed, after, None)._replace(failure=outcome.error))
+                changes = self._apply_relayed(relayed, relay, after, None)
+                return Ok(changes._replace(failure=outcome.error))
             case Result(tag="error", error=failure) if not failure.cancelled:
                 self._record_relay_failure(relay, failure)
         return outcome
@@ -154,7 +156,7 @@
         wait = request.wait or timedelta(0)
         match await self._port.request_changes(relay, after, wait, self._sources.relay_timeout):
             case Result(tag="ok", ok=relayed) if self._is_current(relayed, after):
-                return Ok(self._apply_relayed(relayed, after, request.pause))
+                return Ok(self._apply_relayed(relayed, relay, after, request.pause))
             case Result(tag="error", error=RelayFailure(cancelled=True, detail=detail)):
                 return Error(StoreFailure(False, detail))
             case Result(tag="error", error=failure):
@@ -162,8 +164,13 @@
         return await self._from_store(after, timedelta(0), request.pause)
 
     def _apply_relayed(
-        self, relayed: RelayedChanges, after: Position, pause: timedelta | None
+        self,
+        relayed: RelayedChanges,
+        relay: EntryRecord,
+        after: Position,
+        pause: timedelta | None,
     ) -> Changes:
+        source = f"relay {relay.name}"
         self._metrics.count("changes_from_relay")
         self._sources.record_complete(relayed.complete_at)
         if relayed.verified_at is not None:
@@ -171,10 +178,10 @@
         if relayed.whole:
             self._table.apply_listing(relayed.facts, relayed.index)
             self._port.answer_held_requests()
-            return Changes(relayed.facts, relayed.index, whole=True, pause=pause)
+            return Changes(relayed.facts, relayed.index, whole=True, pause=pause, source=source)
         index = max(after, relayed.index)
         self._record_changes(relayed.facts, index)
-        return Changes(relayed.facts, index, pause=pause)
+        return Changes(relayed.facts, index, pause=pause, source=source)
 
     def _is_store_still_unavailable(self, relayed: RelayedChanges, after: Position) -> bool:
         return not self._sources.shows_recovery(relayed.complete_at) and self._is_current(
--- a/packages/gateway/tests/test_gossip.py
+++ b/packages/gateway/tests/test_gossip.py
@@ -53,7 +53,7 @@
         )
         self.plans = []
         self.gossip.plan = lambda: self.plans[-1] if self.plans else None
-        self.gossip.on_plan = lambda plan: self.plans.append(plan)
+        self.gossip.on_plan = lambda plan, sender: self.plans.append(plan)
         timer = LoopingCall(self.gossip.compare)
         timer.clock = run.time.reactor
         timer.start(COMPARE_INTERVAL.total_seconds(), now=False)
