Draw the start of each split's rotation so that shares hold over all gateways

Callers of a rule with several services saw all of N requests go to the heaviest one (users' report; reproduced by them without any disruption). Cause: a rotation began with credits in proportion to the weights, so the first requests of every gateway went to the heaviest service, or to the one named first; each version and each restart began all rotations anew. Exact shares at one gateway say nothing of few requests at each of many.

Now each stage of a rotation starts at a uniform phase (systematic sampling), so every request, the first included, goes to a service with the probability of its share, and a rotation goes on through versions that leave its services and weights as they are.

The old test of the rotation stays as it is.

--- a/packages/core/src/cardamomloft/core/routes.py
+++ b/packages/core/src/cardamomloft/core/routes.py
@@ -103,6 +103,11 @@
     return tuple(sorted(rules, key=lambda rule: -len(rule.prefix)))
 
 
+_PHASE_FACTOR = 7919
+"""Prime factor between the phases that are derived from one offset, so that they are nearly
+independent of each other."""
+
+
 class RouteTable:
     """Finds the first matching rule with an index.
 
@@ -144,28 +149,36 @@
 class ServiceRotation:
     """Divides the requests of one rule among its services in proportion to their weights.
 
-    Smooth weighted round-robin: over any run of requests, each service's count stays within one of
-    its share.
+    It answers the load of few requests at each of many entries: with uniform offsets, each request
+    of an entry, the first one included, goes to a service with the probability of its share, so
+    that the shares hold over all entries. At one entry it is systematic sampling in stages: over
+    any run of requests, with n services each count stays within n - 1 of its share.
 
     Parameters
     ----------
     services
         The services with their weights.
     offset
-        Start of the rotation, from 0 to 1, so that entries differ.
+        Start of the rotation, from 0 to 1; uniform and independent among entries.
     """
 
     def __init__(self, services: tuple[ServiceShare, ...], offset: float) -> None:
-        self._services = services
-        self._total = sum(share.weight for share in services) or 1.0
-        self._credit = {share.service: share.weight * offset for share in services}
+        self.services = services
+        self._steps: list[float] = []
+        left = sum(share.weight for share in services)
+        for share in services[:-1]:
+            self._steps.append(share.weight / left)
+            left -= share.weight
+        self._phases = [
+            offset * _PHASE_FACTOR**position % 1.0 for position in range(len(self._steps))
+        ]
 
     def next(self) -> str:
         """Return the service for the next request."""
-        if len(self._services) == 1:
-            return self._services[0].service
-        for share in self._services:
-            self._credit[share.service] += share.weight
-        chosen = max(self._credit, key=self._credit.__getitem__)
-        self._credit[chosen] -= self._total
-        return chosen
+        for position, step in enumerate(self._steps):
+            phase = self._phases[position] + step
+            if phase >= 1.0:
+                self._phases[position] = phase - 1.0
+                return self.services[position].service
+            self._phases[position] = phase
+        return self.services[-1].service
--- a/packages/core/tests/test_routes.py
+++ b/packages/core/tests/test_routes.py
@@ -71,3 +71,29 @@
     for share in shares:
         wanted = 200 * share.weight / sum(weights)
         assert abs(counts[share.service] - wanted) <= len(weights)
+
+
+@given(st.lists(st.integers(1, 100), min_size=2, max_size=4), st.floats(0, 1), st.integers(0, 400))
+def test_count_of_each_service_stays_close_to_its_share_over_any_run(weights, offset, start):
+    shares = tuple(ServiceShare(f"s{i}", weight) for i, weight in enumerate(weights))
+    rotation = ServiceRotation(shares, offset)
+    for _ in range(start):
+        rotation.next()
+    counts = Counter()
+    for length in range(1, 60):
+        counts[rotation.next()] += 1
+        for share in shares:
+            wanted = length * share.weight / sum(weights)
+            assert abs(counts[share.service] - wanted) <= len(weights) - 1 + 1e-6
+
+
+@given(st.lists(st.integers(1, 100), min_size=1, max_size=4), st.integers(1, 12))
+def test_each_request_goes_to_each_service_with_the_probability_of_its_share(weights, position):
+    """Guards against entries whose first requests all go to the heaviest service."""
+    shares = tuple(ServiceShare(f"s{i}", weight) for i, weight in enumerate(weights))
+    counts = Counter()
+    for entry in range(2000):
+        rotation = ServiceRotation(shares, (entry + 0.5) / 2000)
+        counts[[rotation.next() for _ in range(position)][-1]] += 1
+    for share in shares:
+        assert abs(counts[share.service] / 2000 - share.weight / sum(weights)) <= 0.02
--- a/packages/gateway/src/cardamomloft/gateway/calls.py
+++ b/packages/gateway/src/cardamomloft/gateway/calls.py
@@ -93,15 +93,24 @@
         The names of the callers' request headers.
     rng
         Chooses the starting point of each rule's rotation among its services.
+    before
+        The reader of the configuration before, whose rotations go on where the services and their
+        weights are the same.
     """
 
-    def __init__(self, plan: RoutePlan, headers: CallerHeaders, rng: random.Random) -> None:
+    def __init__(
+        self,
+        plan: RoutePlan,
+        headers: CallerHeaders,
+        rng: random.Random,
+        before: "RequestReader | None" = None,
+    ) -> None:
         self.plan = plan
         self._headers = headers
         self._table = RouteTable(plan.rules)
+        rotations = {} if before is None else before._rotations
         self._rotations = {
-            (rule.host, rule.prefix): ServiceRotation(rule.services, rng.random())
-            for rule in plan.rules
+            (rule.host, rule.prefix): _rotation(rule, rotations, rng) for rule in plan.rules
         }
         self._choices: dict[str, Counter[str]] = {}
         self.home_regions = _home_regions_by_host(plan)
@@ -199,6 +208,16 @@
         return self._account_rules[names]
 
 
+def _rotation(
+    rule: RouteRule, rotations: dict[tuple[str, str], ServiceRotation], rng: random.Random
+) -> ServiceRotation:
+    """Return the rotation of a rule: the present one if its services and weights are the same."""
+    present = rotations.get((rule.host, rule.prefix))
+    if present is not None and present.services == rule.services:
+        return present
+    return ServiceRotation(rule.services, rng.random())
+
+
 def _home_regions_by_host(plan: RoutePlan) -> dict[str, frozenset[str]]:
     """Return for each host the regions common to all of its rules that name any."""
     found: dict[str, frozenset[str]] = {}
--- a/packages/gateway/src/cardamomloft/gateway/inforce.py
+++ b/packages/gateway/src/cardamomloft/gateway/inforce.py
@@ -93,7 +93,7 @@
                 )
             return False
         self.log_splits()
-        self.reader = RequestReader(plan, self._headers, self._rng)
+        self.reader = RequestReader(plan, self._headers, self._rng, self.reader)
         self.source = source
         log("in-force", rules=len(plan.rules), **self.knowledge().fields())
         return True
