--- a/packages/store/src/cardamomloft/store/failures.py
+++ b/packages/store/src/cardamomloft/store/failures.py
@@ -23,11 +23,13 @@
 
     An `ambiguous` write may have taken effect, or may still do so. The caller resolves it by
     reading the key, and by retrying the same conditional write if it is unchanged. Reads are never
-    ambiguous.
+    ambiguous. After an `unusable` answer, which is too long or can't be decoded, the same request
+    would have the same answer.
     """
 
     ambiguous: bool
     detail: str
+    unusable: bool = False
 
 
 class CallFailure(t.NamedTuple):
--- a/standins/src/cardamomloft_standins/relayharness.py
+++ b/standins/src/cardamomloft_standins/relayharness.py
@@ -2,19 +2,22 @@
 
 import random
 import typing as t
+from collections import Counter
 from datetime import timedelta
 
 from cardamomloft.core.entrytable import EntryTable
+from cardamomloft.core.messages import NoticeDigest
 from cardamomloft.core.model import Incarnation
 from cardamomloft.core.notices import DatedNotice
 from cardamomloft.core.positions import Position
 from cardamomloft.core.registrations import EntryRecorded, EntryWithdrawn, PlanRead
+from cardamomloft.core.routes import RoutePlan
 from cardamomloft.core.selection import Preferences, Selector
 from cardamomloft.core.upstreamtable import UpstreamTable
 from cardamomloft.feed.relays import relays_of
 from cardamomloft.gateway.changefeed import ChangeFeed
 from cardamomloft.gateway.control import Changes, Listing
-from cardamomloft.gateway.following import Follower, PollTiming
+from cardamomloft.gateway.following import Follower, poll_timing
 from cardamomloft.gateway.storeview import StoreView
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.store.failures import StoreFailure
@@ -57,7 +60,9 @@
     """A store with revisions; `cut` gateways get no answers, `refused` ones get errors.
 
     Answers take `answer_delay` longer on their way back. While it is `deaf`, queries for changes
-    miss changes that are made.
+    miss changes that are made. Of the answers to a gateway, the next ones named in `losing` are
+    lost, and those in `breaking` end with an error; gateways in `garbled` can't use any answer to
+    a query for changes.
     """
 
     def __init__(self, time: kit.Time) -> None:
@@ -72,6 +77,9 @@
         self.refused: set[str] = set()
         self.answer_delay = timedelta(0)
         self.deaf = False
+        self.losing: Counter[str] = Counter()
+        self.breaking: Counter[str] = Counter()
+        self.garbled: set[str] = set()
         self.pending_queries: list[t.Callable[[], None]] = []
         self.calls = 0
 
@@ -138,8 +146,17 @@
             lambda: self.store.position > after and not self.store.deaf,
         )
 
+    def _is_spared(self, failing: Counter[str]) -> bool:
+        """Return whether the answer arrives, and count it if it does not."""
+        if failing[self.name] <= 0:
+            return True
+        failing[self.name] -= 1
+        return False
+
     def _changes_since(self, after, wait):
         store = self.store
+        if self.name in store.garbled:
+            return Error(StoreFailure(False, "the answer is too long", unusable=True))
         if store.deaf:
             return Ok(Changes((), after, waited=wait))
         if after.era != store.era or after.revision < store.compacted_revision:
@@ -157,9 +174,11 @@
                 done.callback(outcome)
 
         def reply():
-            if self.name not in store.cut:
+            if self.name not in store.cut and self._is_spared(store.losing):
                 delay = STORE_ROUND_TRIP / 2 + store.answer_delay
-                reactor.callLater(delay.total_seconds(), finish, answer())
+                cut_short = Error(StoreFailure(False, "connection lost"))
+                outcome = answer() if self._is_spared(store.breaking) else cut_short
+                reactor.callLater(delay.total_seconds(), finish, outcome)
 
         def arrive():
             if self.name in store.refused:
@@ -211,8 +230,11 @@
         self.me = Incarnation(record.name, str(seed))
         self.entries = EntryTable(record, timedelta(seconds=10))
         self.time = time
+        self.plan: RoutePlan | None = None
         self.plans: list[int] = [0]
+        self.put_in_force: dict[int, timedelta] = {}
         self.faults = []
+        self.digests = 0
         self.recoveries: list[timedelta] = []
         self.withdrawals: list[timedelta] = []
         self.stopped = False
@@ -239,12 +261,15 @@
         self.view = StoreView(
             time.clock, self.upstream_table, self.entries, selector, _ignore, self._on_plan, metrics
         )
+        gossip = self.feed.gossip
+        gossip.plan = lambda: self.plan
+        gossip.on_plan = lambda plan, sender: self._on_plan(plan)
         self.follower = Follower(
             time.reactor,
             time.clock,
             self.feed.control,
             random.Random(seed),
-            PollTiming(DRAIN_TIME * 0.4, DRAIN_TIME * 0.6),
+            poll_timing(DRAIN_TIME),
             self.view.apply_listing,
             self._on_changes,
             self._on_returned,
@@ -267,6 +292,7 @@
 
     def send(self, address, message, to=None) -> bool:
         """Send a message to the gateway at `address`."""
+        self.digests += isinstance(message, NoticeDigest)
         return self.network.send(self, address, message, to)
 
     def close(self) -> None:
@@ -289,7 +315,9 @@
 
     def _on_plan(self, plan) -> None:
         if plan.number > self.plans[-1]:
+            self.plan = plan
             self.plans.append(plan.number)
+            self.put_in_force[plan.number] = self.time.clock.monotonic()
 
     def _on_returned(self) -> None:
         self.recoveries.append(self.time.clock.monotonic())
@@ -301,16 +329,16 @@
 
 
 class Deployment:
-    """`ENTRY_COUNT` gateways of one region that know each other, and a store with a plan."""
+    """Gateways of one region that know each other, and a store with a plan."""
 
-    def __init__(self, seed: int = 1) -> None:
+    def __init__(self, seed: int = 1, count: int = ENTRY_COUNT) -> None:
         self.time = kit.Time(Clock())
         self.store = Store(self.time)
         self.network = Network(self.time, random.Random(seed))
         self.number = 0
         self.undisturbed: dict[str, timedelta] = {}
         self.configure()
-        records = kit.entry_records(ENTRY_COUNT)
+        records = kit.entry_records(count)
         self.gateways = [
             Gateway(record, self.store, self.network, self.time, seed + at)
             for at, record in enumerate(records)
