Let gateways whose data is outdated get the configuration from others

Callers of a gateway that the store alone rejects (429, 503, resets, no answer) got 404 for rules added meanwhile, for as long as it lasted, though all its neighbours knew them.

Now a gateway whose data is 0.72 drain times old, which only failed queries make it, asks three others each 0.25 s with the digest that starting gateways already send; one that has a newer configuration pushes it. Relays and regions don't matter. Numbers only rise, so nothing goes back.

--- a/packages/core/src/cardamomloft/core/messages.py
+++ b/packages/core/src/cardamomloft/core/messages.py
@@ -136,19 +136,19 @@
     """Compare the notices of two entries by a checksum for each bucket.
 
     The receiver sends its notices in the buckets that differ and, unless this message `answers`
-    another one, its own checksums. An entry that is `starting` sends the number of its
-    `configuration` and the `address` to answer to, since others may not know it yet.
+    another one, its own checksums. An entry that is `asking` for a newer configuration sends the
+    number of its own one and the `address` to answer to, since others may not know it yet.
     """
 
     sums: tuple[int, ...]
     answers: bool
-    starting: bool
+    asking: bool
     configuration: int
     address: str
 
 
 class ConfigurationPush(t.NamedTuple):
-    """Send a newer configuration to an entry that has just started, as a fact in its wire form."""
+    """Send a newer configuration to an entry that asks for it, as a fact in its wire form."""
 
     fact: bytes
 
--- a/packages/feed/src/cardamomloft/feed/sources.py
+++ b/packages/feed/src/cardamomloft/feed/sources.py
@@ -47,6 +47,11 @@
 """Fraction of the drain time after which data is refreshed from the store. After a relay timeout,
 0.2 remains for the store's answer."""
 
+OUTDATED_FRACTION = 0.72
+"""Fraction of the drain time after which data counts as outdated: the query to the store at
+`MAX_AGE_FRACTION` has not been answered at once. The rest is left to get the configuration from
+another gateway."""
+
 SUBSCRIBER_PAUSE_FRACTION = 0.05
 """Fraction of the drain time between an answer with changes and a subscriber's next query. It
 limits a subscriber to about 20 queries per drain time."""
@@ -202,6 +207,11 @@
         """Return the age of the data; None before the first answer."""
         return None if self.complete_until is None else now - self.complete_until
 
+    def is_outdated(self, now: timedelta) -> bool:
+        """Return whether the data is older than it would be without failed queries."""
+        age = self.age(now)
+        return age is not None and age > self.drain_time * OUTDATED_FRACTION
+
     def verified_age(self, now: timedelta) -> timedelta | None:
         """Return the time since the data was verified; None if it never was."""
         return None if self.verified_until is None else now - self.verified_until
--- a/packages/gateway/src/cardamomloft/gateway/changefeed.py
+++ b/packages/gateway/src/cardamomloft/gateway/changefeed.py
@@ -107,6 +107,8 @@
             reactor, clock, rng, self._peer_addresses, self.send, on_notice, metrics, own.peers
         )
 
+        self.gossip.is_outdated = lambda: self._sources.is_outdated(clock.monotonic())
+
     def start(self, on_fault: OnFault) -> None:
         """Listen for messages of other gateways, if this gateway has an address for them.
 
--- a/packages/gateway/src/cardamomloft/gateway/gossip.py
+++ b/packages/gateway/src/cardamomloft/gateway/gossip.py
@@ -3,6 +3,9 @@
 New notices are pushed to a few gateways chosen at random, which push them on. From time to time two
 gateways compare digests of what they hold, which repairs lost messages. All gateways have the same
 role.
+
+A gateway that has just started, or whose data is outdated since neither the store nor a relay
+answers it, asks others for a newer configuration in its digests.
 """
 
 import random
@@ -39,6 +42,13 @@
 """Time after the start during which a gateway sends digests although it holds no notices: others
 can answer only once its record has reached them."""
 
+ASK_INTERVAL = timedelta(milliseconds=250)
+"""Interval at which a gateway with outdated data asks others for a newer configuration."""
+
+ASK_FANOUT = 3
+"""Number of gateways that it asks. If the store rejects a third of them, all three are rejected too
+in one of 27 intervals."""
+
 MAX_NOTICES_PER_MESSAGE = 500
 """Maximum number of notices in one message, about 60 KB; the others are sent after the next
 comparison of digests."""
@@ -76,6 +86,9 @@
     ----------
     plan
         Returns the configuration in force, None before the first.
+    is_outdated
+        Returns whether this gateway's data is older than it would be if the store or a relay
+        answered.
     on_plan
         Called with another gateway's configuration, which may be older, and its name.
     """
@@ -100,6 +113,7 @@
         self._metrics = metrics
         self._address = address
         self.plan: Callable[[], RoutePlan | None] = lambda: None
+        self.is_outdated: Callable[[], bool] = lambda: False
         self.on_plan: Callable[[RoutePlan, str], None] = lambda plan, sender: None
         self._notice_table = NoticeTable()
         self._unsent: list[DatedNotice] = []
@@ -119,6 +133,12 @@
         if len(self._notice_table) or self._is_starting():
             self._send_to_random(1, self._digest(answers=False))
 
+    def ask(self) -> None:
+        """Ask for a newer configuration if the data is outdated; call it each `ASK_INTERVAL`."""
+        if self.is_outdated():
+            self._metrics.count("configurations_asked")
+            self._send_to_random(ASK_FANOUT, self._digest(answers=False, asking=True))
+
     def catch_up(self) -> None:
         """Send a digest to several gateways, to receive the notices that this one has missed."""
         self._send_to_random(FANOUT, self._digest(answers=False))
@@ -150,11 +170,11 @@
 
     @_receive.register
     def _(self, message: NoticeDigest, sender: Incarnation) -> None:
-        address = self._peer_addresses().get(sender.seat) or (message.starting and message.address)
+        address = self._peer_addresses().get(sender.seat) or (message.asking and message.address)
         if not address:
             return
         plan = self.plan()
-        if message.starting and plan is not None and plan.number > message.configuration:
+        if message.asking and plan is not None and plan.number > message.configuration:
             self._send(address, ConfigurationPush(encode_facts([PlanRead(plan)])))
         now = self._clock.monotonic()
         if message.sums == self._notice_table.checksums(now):
@@ -179,11 +199,11 @@
                     detail="the message contains no valid configuration",
                 )
 
-    def _digest(self, *, answers: bool) -> NoticeDigest:
+    def _digest(self, *, answers: bool, asking: bool = False) -> NoticeDigest:
         plan, now = self.plan(), self._clock.monotonic()
         number = 0 if plan is None else plan.number
         sums = self._notice_table.checksums(now)
-        return NoticeDigest(sums, answers, self._is_starting(), number, self._address)
+        return NoticeDigest(sums, answers, asking or self._is_starting(), number, self._address)
 
     def _is_starting(self) -> bool:
         return self._clock.monotonic() - self._started_at < CATCH_UP_TIME
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -24,7 +24,7 @@
 from cardamomloft.gateway.control import Control, Listing
 from cardamomloft.gateway.following import Follower, poll_timing
 from cardamomloft.gateway.forwarding import Forwarder
-from cardamomloft.gateway.gossip import COMPARE_INTERVAL
+from cardamomloft.gateway.gossip import ASK_INTERVAL, COMPARE_INTERVAL
 from cardamomloft.gateway.inforce import PlanInForce
 from cardamomloft.gateway.loadstatus import log_loads
 from cardamomloft.gateway.lookups import LookupResult, lookup_result
@@ -277,6 +277,7 @@
         if self.feed.usage is not None:
             self._timers.every(REPORT_INTERVAL, self.feed.usage.report)
         self._timers.every(COMPARE_INTERVAL, self.feed.gossip.compare)
+        self._timers.every(ASK_INTERVAL, self.feed.gossip.ask)
         self._timers.every(COUNTERS_LOG_INTERVAL, self._log_counters)
         log("started", entry=self._cfg["name"], zone=self._cfg["zone"])
 
--- a/standins/src/cardamomloft_standins/relayharness.py
+++ b/standins/src/cardamomloft_standins/relayharness.py
@@ -18,6 +18,7 @@
 from cardamomloft.gateway.changefeed import ChangeFeed
 from cardamomloft.gateway.control import Changes, Listing
 from cardamomloft.gateway.following import Follower, poll_timing
+from cardamomloft.gateway.gossip import ASK_INTERVAL
 from cardamomloft.gateway.storeview import StoreView
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.store.failures import StoreFailure
@@ -45,7 +46,10 @@
 """Interval of the ticks that expire unconfirmed facts."""
 
 CALL_TIMEOUT = 700 * MS
-"""Timeout of a call to the store, in addition to the wait of a blocking query."""
+"""Timeout of a call to the store."""
+
+POLL_MARGIN = 300 * MS
+"""Time after the wait of a blocking query in which its answer must arrive, if that is longer."""
 
 
 class Snapshot(t.NamedTuple):
@@ -275,11 +279,13 @@
             self._on_returned,
         )
         self._ticks = LoopingCall(self.view.tick)
-        self._ticks.clock = time.reactor
+        self._asks = LoopingCall(gossip.ask)
+        self._ticks.clock = self._asks.clock = time.reactor
 
     def start(self) -> None:
         """Start to follow the store."""
         self._ticks.start(TICK_INTERVAL.total_seconds(), now=False)
+        self._asks.start(ASK_INTERVAL.total_seconds(), now=False)
         self.follower.start(self.faults.append)
 
     def stop(self) -> None:
@@ -287,6 +293,7 @@
         self.stopped = True
         if self._ticks.running:
             self._ticks.stop()
+            self._asks.stop()
         self.feed.stop()
         self.follower.stop()
 
