Go on following the store after an exception and after an answer that can't be used

An exception while an answer was applied ended the following of changes for good; the gateway stayed ready and answered by the configuration that it had. An answer that is too long (8 MB: a gateway that was away during a storm of large configurations) or can't be decoded was requested again without end, until the store discarded its history.

--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -20,6 +20,7 @@
 from cardamomloft.store.failures import StoreFailure
 from expression import Result
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
+from twisted.python.failure import Failure
 
 POLL_INTERVAL_FRACTION = 0.4
 """Fraction of the drain time from an answer with changes to the next request to the store.
@@ -135,8 +136,11 @@
         return self._failures >= FAILURES_UNTIL_UNAVAILABLE
 
     def start(self, on_fault: Callable[[t.Any], None]) -> None:
-        """Start following; an unexpected exception ends it and is passed to `on_fault`."""
-        self._running = ensureDeferred(self._follow())
+        """Start following; unexpected exceptions are passed to `on_fault`.
+
+        After an exception the store is listed anew, since an answer may have been applied in part.
+        """
+        self._running = ensureDeferred(self._follow(on_fault))
         self._running.addErrback(lambda failure: failure.trap(CancelledError))
         self._running.addErrback(on_fault)
 
@@ -156,27 +160,42 @@
         if is_waiting and not self._failures:
             self._request.cancel()
 
-    async def _follow(self) -> None:
+    async def _follow(self, on_fault: Callable[[t.Any], None]) -> None:
         while not self._stopped:
             self._requested_at = self._clock.monotonic()
-            self._request = self._send_request()
+            try:
+                pause = await self._request_once()
+            except Exception:
+                if self._stopped:
+                    raise
+                on_fault(Failure())
+                self._index = None
+                pause = self._retry_pause()
+            if pause is not None:
+                await self._pause(pause)
+
+    async def _request_once(self) -> timedelta | None:
+        """Send a request and apply its answer; return the pause before the next, None at a stop."""
+        self._request = self._send_request()
+        try:
             outcome = await self._request
+        finally:
             self._request = None
-            if self._stopped:
-                # A cancelled request may still return an answer.
-                return
-            match outcome:
-                case Result(tag="error", error=failure):
-                    self._record_failure(failure)
-                    await self._pause(self._retry_pause())
-                case Result(ok=Changes(failure=StoreFailure() as failure) as answer):
-                    self._record_failure(failure)
-                    self._apply(answer)
-                    await self._pause(self._retry_pause())
-                case Result(ok=answer):
-                    self._record_success()
-                    self._handle_answer(answer)
-                    await self._pause(self._next_pause(answer))
+        if self._stopped:
+            # A cancelled request may still return an answer.
+            return None
+        match outcome:
+            case Result(tag="error", error=failure):
+                self._record_failure(failure)
+                return self._retry_pause()
+            case Result(ok=Changes(failure=StoreFailure() as failure) as answer):
+                self._record_failure(failure)
+                self._apply(answer)
+                return self._retry_pause()
+            case Result(ok=answer):
+                self._record_success()
+                self._handle_answer(answer)
+                return self._next_pause(answer)
 
     def _send_request(self) -> "Deferred[Result[Listing | Changes, StoreFailure]]":
         if self._index is None:
@@ -220,6 +239,8 @@
             )
         if self._failures == FAILURES_UNTIL_UNAVAILABLE:
             log("store-away", detail=failure.detail)
+        if failure.unusable:
+            self._index = None
 
     def _record_success(self) -> None:
         self._was_unavailable = self._was_unavailable or self.store_unavailable
--- a/packages/store/src/cardamomloft/store/exchange.py
+++ b/packages/store/src/cardamomloft/store/exchange.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from datetime import timedelta
 
-from cardamomloft.store.failures import CallFailure, call_failure
+from cardamomloft.store.failures import AnswerTooLongError, CallFailure, call_failure
 from expression import Error, Ok, Result
 from treq.client import HTTPClient
 from twisted.internet import defer
@@ -143,7 +143,8 @@
         self._body.extend(data)
         if len(self._body) > self._limit and not self.body_received.called:
             self._stop()
-            self.body_received.errback(ValueError(f"the answer is longer than {self._limit} bytes"))
+            detail = f"the answer is longer than {self._limit} bytes"
+            self.body_received.errback(AnswerTooLongError(detail))
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         if self.body_received.called:
--- a/packages/store/src/cardamomloft/store/failures.py
+++ b/packages/store/src/cardamomloft/store/failures.py
@@ -32,18 +32,27 @@
     unusable: bool = False
 
 
+class AnswerTooLongError(ValueError):
+    """An answer exceeds the size limit."""
+
+
 class CallFailure(t.NamedTuple):
-    """An HTTP call without a complete answer; `sent` if any byte may have been sent."""
+    """An HTTP call without a complete answer; `sent` if any byte may have been sent.
+
+    `too_long` if the answer exceeded the size limit.
+    """
 
     sent: bool
     detail: str
+    too_long: bool = False
 
 
 def call_failure(failure: Failure) -> CallFailure:
     """Convert the exception of an HTTP call to a `CallFailure`."""
     name = failure.type.__name__ if failure.type else "unknown error"
     detail = f"{name}: {failure.getErrorMessage()}"
-    return CallFailure(failure.check(*NOT_SENT) is None, detail)
+    too_long = failure.check(AnswerTooLongError) is not None
+    return CallFailure(failure.check(*NOT_SENT) is None, detail, too_long)
 
 
 def status_failure(status: int, body: bytes, *, write: bool) -> StoreFailure:
--- a/packages/store/tests/test_exchange.py
+++ b/packages/store/tests/test_exchange.py
@@ -70,6 +70,7 @@
     async def test_answer_above_the_size_limit_fails_and_closes_its_connection(self):
         outcome = await self.call(HEAD + b"x" * (LIMIT + 1))
         self.assertIn("longer than 20 bytes", outcome.error.detail)
+        self.assertTrue(outcome.error.too_long)
         self.assertTrue(outcome.error.sent)
         await until(lambda: self.factory.lost == 1)
 
--- a/tests/adapter/test_client.py
+++ b/tests/adapter/test_client.py
@@ -209,6 +209,23 @@
     assert not failure.ambiguous
 
 
+@pytest.mark.parametrize(
+    "answer",
+    [
+        Ok(Answer(200, None, b"not JSON")),
+        _ok({"events": [{"key": "op/config"}], "asOf": 60}),
+        Error(CallFailure(True, "the answer is longer than 8 bytes", too_long=True)),
+    ],
+)
+def test_answer_that_the_same_request_would_get_again_is_reported_as_unusable(answer):
+    assert _result(_store(watch=[answer]).changes(Position(0, 50), NO_WAIT)).error.unusable
+
+
+@pytest.mark.parametrize("answer", [NO_ANSWER, NOT_SENT, _status(503), _status(429)])
+def test_answer_that_may_differ_next_time_is_not_reported_as_unusable(answer):
+    assert not _result(_store(watch=[answer]).changes(Position(0, 50), NO_WAIT)).error.unusable
+
+
 def test_an_entry_is_recorded_under_a_lease():
     store = _store(lease=[_ok({"lease": 77, "ttl_time": "3000ms"})], txn=[_ok({"revision": 9})])
     assert _result(store.record(RECORD, timedelta(seconds=3))) == Ok("77")
