Keep requests through other gateways from going back to an older configuration

Cause: each request was handled by the configuration of the gateway that it went through; these learn of a change up to a second apart, and nothing told the origin which one had decided.

Now a gateway that is asked by one with an older configuration sends it its own before the request reaches an endpoint; answers between gateways state the configuration that decided, which the origin states to the next gateway, so that an older one refuses (as it did for the origin's own number), and asks the origin for the newer one. Hops in request lines have its number.

--- a/packages/gateway/src/cardamomloft/gateway/gossip.py
+++ b/packages/gateway/src/cardamomloft/gateway/gossip.py
@@ -139,6 +139,19 @@
             self._metrics.count("configurations_asked")
             self._send_to_random(ASK_FANOUT, self._digest(answers=False, asking=True))
 
+    def ask_one(self, name: str) -> None:
+        """Ask one gateway for a newer configuration."""
+        address = self._peer_addresses().get(name)
+        if address is not None:
+            self._send(address, self._digest(answers=False, asking=True))
+
+    def push_plan(self, name: str) -> None:
+        """Send the configuration in force to one gateway."""
+        address, plan = self._peer_addresses().get(name), self.plan()
+        if address is not None and plan is not None:
+            self._metrics.count("configurations_pushed")
+            self._send(address, ConfigurationPush(encode_facts([PlanRead(plan)])))
+
     def catch_up(self) -> None:
         """Send a digest to several gateways, to receive the notices that this one has missed."""
         self._send_to_random(FANOUT, self._digest(answers=False))
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -161,6 +161,8 @@
                 self.read,
                 lambda: self._stop.admits() and bool(self.plan),
                 lambda: self.configuration,
+                lambda name: self.feed.gossip.push_plan(name),
+                lambda name: self.feed.gossip.ask_one(name),
                 self.plan.is_idempotent,
                 self._on_fault,
             ),
--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
@@ -2,7 +2,6 @@
 
 import random
 import typing as t
-from collections.abc import Callable
 from datetime import timedelta
 
 from cardamomloft.callers.body import RequestBody
@@ -20,6 +19,7 @@
 from cardamomloft.gateway.peerproxy.header import PROXY_HEADER, ProxyHeader
 from cardamomloft.gateway.peerproxy.hops import Hop, HopOutcome, read_hop
 from cardamomloft.gateway.peerproxy.silence import HelperSilence, Watch
+from cardamomloft.gateway.peerproxy.versions import PeerVersions
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.upstreams.client import (
     UpstreamClient,
@@ -98,8 +98,8 @@
         Those that have lost their links too.
     headers
         The names of the callers' request headers.
-    configuration
-        Returns the number of the configuration in force.
+    versions
+        The numbers of the configurations of the other gateways.
     metrics
         Counts requests.
 
@@ -118,12 +118,12 @@
         entries: EntryTable,
         cut_off: CutOffEntries,
         headers: CallerHeaders,
-        configuration: Callable[[], int],
+        versions: PeerVersions,
         metrics: Metrics,
     ) -> None:
         self._clock = clock
         self._own = own
-        self._configuration = configuration
+        self._versions = versions
         self._metrics = metrics
         self._helpers = Helpers(own, entries, cut_off, rng)
         self.silence = HelperSilence(reactor, clock)
@@ -156,7 +156,7 @@
             self._own.name,
             req.head.client,
             call.service,
-            self._configuration(),
+            self._versions.newest,
             req.deliveries,
             req.counted,
         )
@@ -174,7 +174,10 @@
         self._metrics.count("proxied.sent")
         self._helpers.record_sent(peer.name)
         try:
-            return await read_hop(await self._client.send(upstream_request))
+            hop = await read_hop(await self._client.send(upstream_request))
+            if hop.configuration:
+                self._versions.on_answer(peer.name, hop.configuration)
+            return hop
         finally:
             self._helpers.record_end(peer.name)
 
--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/fallback.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/fallback.py
@@ -17,6 +17,7 @@
 from cardamomloft.gateway.noticehandler import NoticeHandler
 from cardamomloft.gateway.peerproxy.client import PeerProxy
 from cardamomloft.gateway.peerproxy.listener import ProxyListener, RequestAccess
+from cardamomloft.gateway.peerproxy.versions import PeerVersions
 from cardamomloft.upstreams.client import UpstreamClient
 
 
@@ -73,6 +74,9 @@
         self._notice_handler = notice_handler
         self._reports = LinkReports(own.name)
         metrics = forwarder.metrics
+        versions = PeerVersions(
+            clock, access.configuration, access.push_configuration, access.ask_for_configuration
+        )
         self.links = LinkMonitor(
             reactor, clock, rng, client, self._probe_targets, self._on_changed, metrics
         )
@@ -84,10 +88,10 @@
             entries,
             notice_handler.cut_off,
             headers,
-            access.configuration,
+            versions,
             metrics,
         )
-        self.listener = ProxyListener(reactor, own, forwarder, self.links, access)
+        self.listener = ProxyListener(reactor, own, forwarder, self.links, access, versions)
         forwarder.links, forwarder.proxy = self.links, self._proxy
         self._selector.has_connection = client.has_idle
         self._endpoints = EndpointMonitor(
--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/header.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/header.py
@@ -10,6 +10,9 @@
 PROXY_HEADER = "cardamomloft-proxied"
 """Name of the header. Requests of callers that have it reach endpoints without it when proxied."""
 
+CONFIGURATION_HEADER = "cardamomloft-configuration"
+"""Header of answers to proxied requests: the number of the configuration that decided them."""
+
 MAX_DELIVERIES = 1_000
 
 
@@ -27,7 +30,7 @@
     service
         The service that was chosen.
     configuration
-        Number of the configuration in force at the origin.
+        Highest number of a configuration by which the origin's requests may have been handled.
     deliveries
         Number of endpoints that may have got the request already.
     counted
--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/hops.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/hops.py
@@ -1,5 +1,6 @@
 """Requests to other gateways, and what these answer."""
 
+import re
 import typing as t
 from datetime import timedelta
 from http import HTTPStatus
@@ -15,11 +16,17 @@
 )
 from cardamomloft.core.model import RefusalReason
 from cardamomloft.gateway.outcomes import MAX_BUFFERED_ANSWER_BYTES
+from cardamomloft.gateway.peerproxy.header import CONFIGURATION_HEADER
 from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer
 from expression import Result
 
 _MS = timedelta(milliseconds=1)
 
+_NUMBER = re.compile(r"[0-9]{1,18}\Z")
+
+_OWN_HEADERS = frozenset({"content-length", CONFIGURATION_HEADER})
+"""Headers of a hop's answer that the caller does not get as they are."""
+
 _NOT_DELIVERED = "refused"
 
 _HELPER_REASONS = frozenset(
@@ -42,6 +49,7 @@
     duration: timedelta
     outcome: str
     detail: str
+    configuration: int = 0
 
     @property
     def delivered(self) -> bool:
@@ -55,6 +63,7 @@
             "ms": round(self.duration / _MS, 1),
             "outcome": self.outcome,
             "detail": self.detail,
+            "configuration": self.configuration,
         }
 
 
@@ -75,6 +84,8 @@
         Whether there was no connection to it, or the connection was lost.
     complete
         Whether the answer is that of an endpoint.
+    configuration
+        Number of the configuration that decided, 0 if that is not known.
     """
 
     answer: Answer | None
@@ -83,6 +94,7 @@
     detail: str = ""
     lost: bool = False
     complete: bool = False
+    configuration: int = 0
 
     @property
     def is_good(self) -> bool:
@@ -100,7 +112,7 @@
         """Return what is logged of the request to a gateway."""
         answered = "failed" if self.answer is None else "served"
         outcome = _NOT_DELIVERED if self.not_run else answered
-        return Hop(peer, duration, outcome, self.detail or self.reason)
+        return Hop(peer, duration, outcome, self.detail or self.reason, self.configuration)
 
 
 async def read_hop(result: Result[UpstreamAnswer, SendFailure]) -> HopOutcome:
@@ -110,14 +122,23 @@
             lost = failure.not_run or failure.cut
             return HopOutcome(None, failure.not_run, detail=failure.detail, lost=lost)
         case Result(ok=answer):
-            pass
+            outcome = await _read_answer(answer)
+            return outcome._replace(configuration=_configuration(answer))
+
+
+def _configuration(answer: UpstreamAnswer) -> int:
+    value = dict(answer.headers).get(CONFIGURATION_HEADER, "")
+    return int(value) if _NUMBER.match(value) else 0
+
+
+async def _read_answer(answer: UpstreamAnswer) -> HopOutcome:
     headers = dict(answer.headers)
     outcome = headers.get(OUTCOME_HEADER.lower())
     if outcome is None:
         answer.body.abort()
         return HopOutcome(None, False, detail="the answer is not that of a gateway")
     reason = headers.get(REASON_HEADER.lower(), "") if outcome == REFUSED else ""
-    for_caller = tuple(pair for pair in end_to_end(answer.headers) if pair[0] != "content-length")
+    for_caller = tuple(pair for pair in end_to_end(answer.headers) if pair[0] not in _OWN_HEADERS)
     if answer.length is not None:
         for_caller = (*for_caller, ("content-length", str(answer.length)))
     if answer.length is not None and answer.length > MAX_BUFFERED_ANSWER_BYTES:
--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/listener.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/listener.py
@@ -14,10 +14,12 @@
 from cardamomloft.gateway.forwarding import MAX_BUFFERED_BODY_BYTES, Forwarder
 from cardamomloft.gateway.linkmonitor import LinkMonitor
 from cardamomloft.gateway.peerproxy.header import (
+    CONFIGURATION_HEADER,
     ProxyHeader,
     read_proxy_header,
     without_proxy_header,
 )
+from cardamomloft.gateway.peerproxy.versions import PeerVersions
 from cardamomloft.gateway.settings import ProxySettings
 from cardamomloft.runtime.logs import log
 from twisted.internet.defer import Deferred, ensureDeferred
@@ -48,6 +50,8 @@
         Returns whether requests are served.
     configuration
         Returns the number of the configuration in force.
+    push_configuration, ask_for_configuration
+        Send the configuration in force to the named gateway, or ask it for its own one.
     may_overlap
         Returns whether a request may be handled concurrently with others of its connection.
     on_fault
@@ -57,6 +61,8 @@
     read: Callable[[RequestHead], Call | Refusal]
     admits: Callable[[], bool]
     configuration: Callable[[], int]
+    push_configuration: Callable[[str], None]
+    ask_for_configuration: Callable[[str], None]
     may_overlap: Callable[[RequestHead], bool]
     on_fault: Callable[[Failure], None]
 
@@ -76,6 +82,8 @@
         Knows whether this gateway's own links work.
     access
         Reads requests.
+    versions
+        The numbers of the configurations of the other gateways.
 
     Attributes
     ----------
@@ -90,8 +98,10 @@
         forwarder: Forwarder,
         links: LinkMonitor,
         access: RequestAccess,
+        versions: PeerVersions,
     ) -> None:
         self._reactor = reactor
+        self._versions = versions
         self._own = own
         self._forwarder = forwarder
         self._links = links
@@ -134,6 +144,14 @@
 
     async def _handle(
         self, head: RequestHead, body: RequestBody, disconnected: "Deferred[None]"
+    ) -> Answer:
+        number = self._access.configuration()
+        answer = await self._serve(head, body, disconnected)
+        stated = (CONFIGURATION_HEADER, str(number))
+        return answer._replace(headers=(*answer.headers, stated))
+
+    async def _serve(
+        self, head: RequestHead, body: RequestBody, disconnected: "Deferred[None]"
     ) -> Answer:
         stated = read_proxy_header(head)
         refusal = stated if isinstance(stated, Refusal) else self._check(stated)
@@ -159,6 +177,8 @@
             return Refusal(RefusalReason.NOT_A_PEER, "the token is wrong")
         if not self._access.admits():
             return Refusal(RefusalReason.STOPPING, "this entry is not serving requests")
+        # Before the request reaches an endpoint, so that the origin knows what decides it.
+        self._versions.on_request(header.origin, header.configuration)
         if header.configuration > self._access.configuration():
             return Refusal(RefusalReason.NOT_READY, "this entry has an older configuration")
         if not self._links.may_send_any():
--- a/packages/gateway/tests/test_peer_proxy.py
+++ b/packages/gateway/tests/test_peer_proxy.py
@@ -20,6 +20,7 @@
     without_proxy_header,
 )
 from cardamomloft.gateway.peerproxy.silence import PROBE_TIMEOUT, SILENCE_TIME
+from cardamomloft.gateway.peerproxy.versions import PeerVersions
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.upstreams.client import SendFailure
 from cardamomloft_standins import gateway as kit
@@ -54,6 +55,7 @@
     def __init__(self, *outcomes, rules=(kit.RULE, kit.ORDERS), helpers=4) -> None:
         self.time = kit.Time(Clock())
         self.clock = self.time.clock
+        self.pushed, self.asked = [], []
         self.entries = EntryTable(OWN, timedelta(seconds=1))
         for number in range(1, helpers + 1):
             region = "west" if number == helpers else "east"
@@ -69,7 +71,7 @@
             self.entries,
             CutOffEntries(),
             kit.HEADERS,
-            lambda: 3,
+            PeerVersions(self.clock, lambda: 3, self.pushed.append, self.asked.append),
             Metrics(),
         )
         self.client = self.proxy._client = kit.FakeClient(*outcomes)
