Send uploads whole to endpoints that answer before they have read them

Cause: twisted's client closes a connection whose answer is complete before the request is written, and requestDone discarded the rest of the body. The old test of early successes checked that the body was not stopped, not that its connection stayed open.

Now the connection is kept until the body is written and closed then; the caller's channel passes the rest on while it makes progress (30 s), and its answer has no Connection: close, at which a caller could stop. A body that fails resets the connection. Extra bytes of the endpoint are ignored meanwhile.

--- a/packages/callers/src/cardamomloft/callers/body.py
+++ b/packages/callers/src/cardamomloft/callers/body.py
@@ -83,6 +83,11 @@
         """Whether no byte has been consumed, so that the body can still go to any upstream."""
         return not self._consumed
 
+    @property
+    def is_being_sent(self) -> bool:
+        """Whether the rest of the body is passed on to a consumer as it arrives."""
+        return self._consumer is not None and not self.ended and self.failure is None
+
     @property
     def remaining(self) -> int | None:
         """Number of bytes still to be received, or None if the length is not known."""
--- a/packages/callers/src/cardamomloft/callers/channel.py
+++ b/packages/callers/src/cardamomloft/callers/channel.py
@@ -37,6 +37,9 @@
 # would reset the connection before the caller has read the answer.
 DISCARD_TIMEOUT_S = 5
 
+UPLOAD_STALL_S = 30
+"""Time in seconds without a byte after which an upload that was answered early is given up."""
+
 # Makes the limits of Twisted's parser looser than `HeadLimits`, so that ours apply first.
 _PARSER_LIMIT_FACTOR = 2
 
@@ -303,9 +306,25 @@
             self._end_exchange(request)
             return
         self._answered_request = request
+        if request.body.is_being_sent:
+            # The upstream has answered early and reads on.
+            self._await_upload(request)
+            return
         self._discard_timer = self.callLater(DISCARD_TIMEOUT_S, self.transport.abortConnection)
         request.body.discard()
 
+    def _await_upload(self, request: "CallerRequest") -> None:
+        """Wait for the rest of an answered request's body as long as it makes progress."""
+        self._discard_timer = self.callLater(
+            UPLOAD_STALL_S, self._check_upload, request, request.body.received
+        )
+
+    def _check_upload(self, request: "CallerRequest", received: int) -> None:
+        if request.body.received > received:
+            self._await_upload(request)
+        else:
+            self.transport.abortConnection()
+
     def _end_exchange(self, request: "CallerRequest") -> None:
         """Let the next request write its answer; if none, close the connection or keep it idle."""
         self._cancel_discard_timer()
--- a/packages/callers/src/cardamomloft/callers/request.py
+++ b/packages/callers/src/cardamomloft/callers/request.py
@@ -196,6 +196,9 @@
             return False
         if self.channel.factory.closing or not self.channel.persistent or self._awaits_continue:
             return True
+        if self.body.is_being_sent:
+            # A caller that sees the close could stop an upload that the upstream still reads.
+            return False
         remaining = self.body.remaining
         return self.body.failure is not None or (
             remaining is not None and remaining > MAX_DISCARD_BYTES
--- a/packages/upstreams/src/cardamomloft/upstreams/connections.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from cardamomloft.runtime.logs import log
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectionDone
@@ -72,17 +73,22 @@
     def request(self, request: t.Any) -> "Deferred[t.Any]":
         """Send one request; an error status stops an upload that is still in progress."""
         self.exchange += 1
+        write_to = request.writeTo
+        request.writeTo = lambda transport: write_to(transport).addBoth(self._upload_ended)
         result = super().request(request)
         if self.state == _TRANSMITTING:
             self._responseDeferred.addCallback(self._stop_upload_on_error, request)
         return result
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Reset the connection if data arrives while no request is in progress."""
+        """Reset the connection if data arrives while no request is in progress.
+
+        Data after a complete answer is ignored while the request's body is still being sent.
+        """
         if self.state == _QUIESCENT:
             self.abort()
             self.transport.abortConnection()
-        else:
+        elif self.state != _TRANSMITTING_AFTER_RESPONSE:
             super().dataReceived(data)
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
@@ -108,6 +114,27 @@
             self.transport.abortConnection()
         return response
 
+    def _finishResponse_TRANSMITTING(self, rest: bytes) -> None:  # noqa: N802
+        # The upstream may read on after an early success; the base class would close now.
+        if self._upload_stopped or self._parser is None:
+            super()._finishResponse_TRANSMITTING(rest)
+            return
+        self._state = _TRANSMITTING_AFTER_RESPONSE
+        self._responseDeferred.chainDeferred(self._finishedRequest)
+        self._disconnectParser(Failure(ConnectionDone()))
+
+    def _upload_ended(self, result: t.Any) -> t.Any:
+        """Close the connection after a body that was sent on after its complete answer."""
+        if self.state != _TRANSMITTING_AFTER_RESPONSE or self._parser is not None:
+            return result
+        if isinstance(result, Failure):
+            # An incomplete body must not look like a whole one.
+            log("upload-incomplete", detail=result.getErrorMessage())
+            self.transport.abortConnection()
+        else:
+            self.transport.loseConnection()
+        return None
+
     def _finishResponse_WAITING(self, rest: bytes) -> None:  # noqa: N802
         # Data after a complete answer could be mistaken for the answer to the next request.
         if rest and self._currentRequest is not None:
--- a/packages/upstreams/tests/test_upstreams_client.py
+++ b/packages/upstreams/tests/test_upstreams_client.py
@@ -369,6 +369,49 @@
     assert delivered(result)[1].value() == b"ok"
 
 
+@pytest.mark.parametrize("extra", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"])
+def test_connection_stays_open_until_an_upload_that_was_answered_early_is_sent_whole(extra):
+    """Guards against uploads that are acknowledged and cut short."""
+    harness = Harness()
+    upload = streamed()
+    result = harness.send(body=upload, method="POST")
+    wire = harness.connect()
+    wire.send(OK)
+    assert delivered(result)[0].result.complete
+    consumer_of(upload).write(b"x" * 60)
+    wire.send(extra)
+    assert not wire.transport.disconnecting
+    consumer_of(upload).write(b"x" * 40)
+    upload.startProducing.return_value.callback(None)
+    assert wire.received().endswith(b"x" * 100)
+    assert wire.transport.disconnecting
+    assert not upload.stopProducing.called
+    harness.send()
+    assert len(harness.reactor.tcpClients) == 2
+
+
+def test_rest_of_an_upload_that_fails_after_an_early_answer_resets_the_connection():
+    harness = Harness()
+    upload = streamed()
+    result = harness.send(body=upload, method="POST")
+    wire = harness.connect()
+    wire.send(OK)
+    assert delivered(result)[0].result.complete
+    upload.startProducing.return_value.errback(ValueError("the caller has left"))
+    assert wire.transport.disconnected
+
+
+def test_upload_that_its_endpoint_stops_reading_after_an_early_answer_ends():
+    harness = Harness()
+    upload = streamed()
+    result = harness.send(body=upload, method="POST")
+    wire = harness.connect()
+    wire.send(OK)
+    assert delivered(result)[0].result.complete
+    wire.close()
+    assert not harness.client.in_flight
+
+
 def test_requests_beyond_the_in_flight_limit_are_not_run():
     harness = Harness(max_in_flight=1)
     harness.send()
