Refuse requests that no endpoint has before a stopping gateway ends

Cause: connections that aren't established and up to three other gateways, each trying the same, took longer than the rest of the stop, of which they knew nothing.

Requests that an endpoint may have are not touched.

--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -304,7 +304,7 @@
         """Remove this entry from look-ups, and continue to serve callers that know its address."""
         plan = self._stop.leave(self._bounds.stop_time)
         self.presence.withdraw()
-        self.forwarder.queue.finish_by(plan.answer_by)
+        self.forwarder.finish_by(plan.answer_by)
 
     def on_closing(self) -> None:
         """Close the listener, and finish the requests in flight."""
--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
@@ -39,6 +39,10 @@
 CONNECT_TIMEOUT = timedelta(milliseconds=300)
 """Time in which another gateway must accept a connection."""
 
+UNSENT_TIME = timedelta(milliseconds=900)
+"""Time in which another gateway refuses a request that it can't send to an endpoint. A gateway that
+stops asks no other one later than this before requests must be answered."""
+
 MAX_IN_FLIGHT = 256
 """Maximum number of requests at one other gateway, a safeguard; it refuses excess ones itself."""
 
@@ -125,6 +129,7 @@
         self._own = own
         self._versions = versions
         self._metrics = metrics
+        self._last_ask: timedelta | None = None
         self._helpers = Helpers(own, entries, cut_off, rng)
         self.silence = HelperSilence(reactor, clock)
         dialect = Dialect(
@@ -137,10 +142,18 @@
             reactor, max_in_flight=MAX_IN_FLIGHT, dialect=dialect, connect_timeout=CONNECT_TIMEOUT
         )
 
+    def stop_asking_at(self, answer_by: timedelta) -> None:
+        """Ask no gateway that might refuse too late for an answer by a monotonic instant."""
+        self._last_ask = answer_by - UNSENT_TIME
+
+    def may_ask(self) -> bool:
+        """Return whether other gateways may still be asked."""
+        return self._last_ask is None or self._clock.monotonic() <= self._last_ask
+
     def may_reach(self, call: Call) -> bool:
         """Return whether another gateway may reach a service of which this one reaches nothing."""
         now = self._clock.monotonic()
-        if self._helpers.is_unreachable(call.service, now):
+        if not self.may_ask() or self._helpers.is_unreachable(call.service, now):
             return False
         return self._helpers.choose(call.service, call.rule.homes, (), now) is not None
 
@@ -328,7 +341,7 @@
             return None
         if not isinstance(req.payload, bytes) and not req.payload.unconsumed:
             return None
-        if req.call.deadline <= self._proxy.monotonic():
+        if req.call.deadline <= self._proxy.monotonic() or not self._proxy.may_ask():
             return None
         return self._proxy.choose(req.call, self._tried)
 
--- a/packages/gateway/src/cardamomloft/gateway/requestcontext.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestcontext.py
@@ -66,10 +66,13 @@
         Knows whether endpoints can be reached, None if that is not monitored.
     proxy
         Sends requests through other gateways, None if there is no way to them.
+    answer_by
+        Monotonic instant by which requests must be answered, None unless this gateway stops.
     """
 
     links: LinkMonitor | None = None
     proxy: PeerProxy | None = None
+    answer_by: timedelta | None = None
 
     def __init__(
         self,
@@ -98,6 +101,22 @@
         self.queue = RequestQueue(reactor, clock, rng, metrics)
         self._retry_after_policies: dict[str, RetryAfterPolicy] = {}
 
+    def finish_by(self, instant: timedelta) -> None:
+        """Refuse all requests that no endpoint has by a monotonic instant, since the process ends.
+
+        Without it they would end without an answer, and their callers could not repeat them.
+        """
+        self.answer_by = instant
+        self.queue.finish_by(instant)
+        if self.proxy is not None:
+            self.proxy.stop_asking_at(instant)
+        delay = max(timedelta(0), instant - self.clock.monotonic())
+        self.reactor.callLater(delay.total_seconds(), self.client.abort_unsent, _ENDING)
+
+    def is_ending(self) -> bool:
+        """Return whether requests can't be answered any more before the process ends."""
+        return self.answer_by is not None and self.clock.monotonic() >= self.answer_by
+
     def record_caller_left(self, call: Call, sends: Sequence[SendRecord | Hop]) -> Answer:
         """Log and count that the caller has disconnected; return an answer that nobody receives."""
         self.metrics.count("caller-left")
@@ -132,6 +151,8 @@
         return policy
 
 
+_ENDING = "this entry stops before an endpoint could answer"
+
 _NOT_RETRYABLE = frozenset(
     {
         RefusalReason.NO_SERVICE,
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -226,6 +226,8 @@
         call, now = self._call, self._now()
         if self._peers.links_are_down():
             return _NO_ENDPOINT
+        if self._context.is_ending():
+            return Refusal(RefusalReason.STOPPING, "this entry stops before it could answer")
         if call.deadline - now < MIN_TIME_LEFT:
             return Refusal(RefusalReason.DEADLINE, "the deadline is too close to send the request")
         refused_until = self._context.notice_handler.refused_until(self._get_fingerprint)
