Let the soak probe which configuration each gateway has in force

The soak drew changes of timeouts, but nothing checked which configuration handled a request. Each configuration has a rule of its own now, kept by the next five; probes drawn at random ask each gateway for one of the last three. Changes are drawn five times as often, and the store stands still for 0.3 to 1.5 s.

--- a/standins/src/cardamomloft_standins/linkfleet.py
+++ b/standins/src/cardamomloft_standins/linkfleet.py
@@ -224,7 +224,8 @@
         changes: dict[str, t.Any] | None = None,
     ) -> None:
         self.folder = folder
-        self.store = stack.enter_context(processes.store())
+        self.store_processes: list[subprocess.Popen[bytes]] = []
+        self.store = stack.enter_context(processes.store(self.store_processes.append))
         self.configure(1000)
         service = endpoints.service(self.store, ENDPOINTS, work or _work)
         self.endpoints, self.arrivals = stack.enter_context(service)
@@ -239,15 +240,21 @@
             self.start(cfg)
         self.cut_off = self.settings[:cut_off]
 
-    def configure(self, timeout_ms: int, slow_timeout_ms: int = 3000) -> None:
+    def configure(
+        self,
+        timeout_ms: int,
+        slow_timeout_ms: int = 3000,
+        rules: Iterable[dict[str, t.Any]] = (),
+    ) -> None:
         """Put a configuration in force with a timeout of the requests that must not run twice.
 
-        `slow_timeout_ms` is the timeout of slow requests.
+        `slow_timeout_ms` is the timeout of slow requests, and `rules` are further ones.
         """
         document = json.loads(processes.ROUTES.read_text())
         document["rules"] += [
             _with_timeout(_ONCE_RULE, timeout_ms),
             _with_timeout(_SLOW_RULE, slow_timeout_ms),
+            *rules,
         ]
         endpoints.put(f"http://{self.store}/v1/kv/gateway/routes/current", document)
 
@@ -263,6 +270,10 @@
         process = processes.gateway(self.folder, cfg, launch)
         self._running[cfg["name"]] = self._stack.enter_context(process)
 
+    def pid(self, cfg: dict[str, t.Any]) -> int:
+        """Return the process id of a gateway."""
+        return self._running[cfg["name"]].pid
+
     def signal(self, cfg: dict[str, t.Any], number: signal.Signals) -> "subprocess.Popen[bytes]":
         """Send a signal to a gateway, and return its process."""
         proc = self._running[cfg["name"]]
--- a/standins/src/cardamomloft_standins/processes.py
+++ b/standins/src/cardamomloft_standins/processes.py
@@ -32,10 +32,13 @@
 
 
 @contextlib.contextmanager
-def store() -> Iterator[str]:
-    """Run a store process; yield its address."""
+def store(
+    on_start: Callable[["subprocess.Popen[bytes]"], None] = lambda proc: None,
+) -> Iterator[str]:
+    """Run a store process, which `on_start` is called with; yield its address."""
     arguments = ["-m", "cardamomloft_standins.main", "store", "--listen", "127.0.0.1:0"]
     with process(*arguments, "--shortest-ttl-ms", "1000", out=subprocess.PIPE) as proc:
+        on_start(proc)
         yield json.loads(proc.stdout.readline())["listening"][0]
 
 
--- a/tests/soak/test_lost_links.py
+++ b/tests/soak/test_lost_links.py
@@ -1,6 +1,6 @@
 """Lost links and endpoints, signals, restarts and changes in series, with open connections.
 
-Callers keep their connections while they can.
+Callers keep their connections while they can. Probes check which configuration is in force.
 
 ``SOAK_SEEDS=50 python -m pytest tests/soak`` runs more seeds, from ``SOAK_FIRST_SEED`` on.
 """
@@ -24,6 +24,14 @@
 )
 from cardamomloft_standins.linkfleet import ENDPOINTS, ONCE, SLOW, LinkFleet, RecordedWork
 from cardamomloft_standins.linkhistory import Change, LinkHistory, Signalled, Timeouts
+from cardamomloft_standins.versionprober import (
+    Disturbance,
+    Version,
+    VersionProber,
+    late,
+    older,
+    version_rules,
+)
 
 FIRST_SEED = int(os.environ.get("SOAK_FIRST_SEED", "0"))
 SEEDS = range(FIRST_SEED, FIRST_SEED + int(os.environ.get("SOAK_SEEDS", "2")))
@@ -54,7 +62,8 @@
     "stop": 1,
     "stop some": 2,
     "kill": 1,
-    "configure": 1,
+    "configure": 5,
+    "store": 1,
     "hup": 1,
 }
 """How often each kind of event is drawn, relative to the others."""
@@ -68,6 +77,9 @@
         self.history = history
         self.rng = random.Random(seed)
         self.log: list[str] = []
+        self.prober = VersionProber(fleet, seed)
+        self.disturbances: list[Disturbance] = []
+        self._configuring = threading.Lock()
         self.restarts: dict[str, threading.Thread] = {}
         self.others: list[threading.Thread] = []
 
@@ -85,6 +97,8 @@
             self.cut(Cut.NONE, [cfg], ENDPOINTS)
         elif kind == "configure":
             self.configure(self.rng.randrange(800, 1200), self.rng.randrange(2000, 3001))
+        elif kind == "store":
+            self.pause_store()
         elif kind == "stop some":
             self.stop_some()
         elif not self.is_restarting(cfg):
@@ -108,8 +122,21 @@
         self.fleet.cut(cut, settings, endpoints=endpoints)
 
     def configure(self, once_ms: int, slow_ms: int) -> None:
-        self.history.timeouts.append(Timeouts(time.monotonic(), once_ms / 1000, slow_ms / 1000))
-        self.fleet.configure(once_ms, slow_ms)
+        with self._configuring:
+            begun, number = time.monotonic(), len(self.prober.versions) + 1
+            self.history.timeouts.append(Timeouts(begun, once_ms / 1000, slow_ms / 1000))
+            self.prober.begun.append(begun)
+            self.fleet.configure(once_ms, slow_ms, version_rules(number))
+            self.prober.versions.append(Version(number, time.monotonic()))
+
+    def pause_store(self) -> None:
+        """Let the store stand still for a while; open connections to it stay open."""
+        (proc,) = self.fleet.store_processes
+        duration, begin = self.rng.uniform(0.3, 1.5), time.monotonic()
+        self.note(f"store for {duration:.1f} s")
+        self.disturbances.append(Disturbance("", begin, begin + duration))
+        proc.send_signal(signal.SIGSTOP)
+        self.later(duration, lambda: proc.send_signal(signal.SIGCONT))
 
     def stall(self) -> None:
         settings, endpoints = self.draw_gateways(1), self.rng.randint(1, ENDPOINTS)
@@ -146,12 +173,16 @@
             signalled
         )
         proc = self.fleet.signal(cfg, number)
+        begin = time.monotonic()
+        self.disturbances.append(Disturbance(cfg["name"], begin, float("inf")))
 
         def run() -> None:
             proc.wait(STOP_TIMEOUT_S)
             self.fleet.start(cfg)
             # Until then, SIGHUP ends the process.
             processes.eventually(lambda: processes.status(cfg)["state"] == "ready", READY_TIMEOUT_S)
+            self.disturbances.remove(Disturbance(cfg["name"], begin, float("inf")))
+            self.disturbances.append(Disturbance(cfg["name"], begin, time.monotonic()))
 
         self.restarts[cfg["name"]] = threading.Thread(target=run)
         self.restarts[cfg["name"]].start()
@@ -204,6 +235,7 @@
         disturber.configure(1000, 3000)
         assert processes.eventually(fleet.has_converged, 60)
         callers = start_callers(fleet, seed)
+        disturber.prober.start()
         end = time.monotonic() + DURATION_S
         while time.monotonic() < end:
             disturber.disturb()
@@ -213,10 +245,10 @@
         time.sleep(SETTLE_S)
         settled_at = time.monotonic()
         time.sleep(RECOVERY_S)
-        for caller in callers:
-            caller.stopped.set()
-        for caller in callers:
-            caller.join(10)
+        for thread in (*callers, disturber.prober):
+            thread.stopped.set()
+        for thread in (*callers, disturber.prober):
+            thread.join(10)
         results = [result for caller in callers for result in caller.results]
         runs = Counter(work.accepted)
     once = [path for path, count in runs.items() if path.startswith(ONCE) and count > 1]
@@ -226,5 +258,10 @@
     assert all(runs[result.path] for result in results if result.status == 200)
     given_up = history.given_up(results, work.broken_off)
     assert not given_up, "\n".join(map(str, (*given_up, disturber.log)))
+    prober = disturber.prober
+    assert not late(
+        prober.probes, prober.versions, prober.begun, disturber.disturbances
+    ), disturber.log
+    assert not older(prober.probes, prober.begun), disturber.log
     after = [result.status == 200 for result in results if result.at > settled_at]
     assert sum(after) >= SERVED_FRACTION * len(after), (disturber.log, sum(after), len(after))
