Ignore a work time of zero in a load report

A fourth figure of 0 in an endpoint's load header divides by it where loads are shared (placement/shared.py; found by reading in the review). Work takes time, so 0 counts as not stated, like a missing figure. test_work_time_of_zero_counts_as_not_stated fails before (work_percent 0).

--- a/packages/upstreams/src/cardamomloft/upstreams/dialect.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/dialect.py
@@ -86,13 +86,17 @@
 def parse_header_load(text: str | None) -> HeaderLoad | None:
     """Return the load report, or None if it is missing or malformed."""
     match = _LOAD.match(text) if text else None
-    return HeaderLoad(*(int(part) for part in match.groups() if part)) if match else None
+    if match is None:
+        return None
+    running, waiting, slots = (int(part) for part in match.groups()[:3])
+    # Work takes time, so a figure of 0 says nothing.
+    return HeaderLoad(running, waiting, slots, int(match[4] or 0) or USUAL_WORK_PERCENT)
 
 
 def states_work_time(text: str | None) -> bool:
     """Return whether a load report has a figure for the work time."""
     match = _LOAD.match(text) if text else None
-    return match is not None and match[4] is not None
+    return match is not None and int(match[4] or 0) > 0
 
 
 def parse_rate_limit(text: str | None) -> float | None:
--- a/packages/upstreams/tests/test_dialect.py
+++ b/packages/upstreams/tests/test_dialect.py
@@ -13,7 +13,12 @@
     UpstreamConnection,
     usable_idle_s,
 )
-from cardamomloft.upstreams.dialect import Dialect, parse_header_load, parse_retry_after
+from cardamomloft.upstreams.dialect import (
+    Dialect,
+    parse_header_load,
+    parse_retry_after,
+    states_work_time,
+)
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
@@ -172,6 +177,12 @@
     assert parse_header_load("3,0,8x") is None
 
 
+def test_work_time_of_zero_counts_as_not_stated():
+    assert parse_header_load("3,0,8,0") == (3, 0, 8, 100)
+    assert not states_work_time("3,0,8,0")
+    assert states_work_time("3,0,8,1")
+
+
 def test_figures_that_later_endpoints_add_to_a_load_report_are_ignored():
     # Rejecting a report with more figures would leave an entry without any load of the endpoint.
     assert parse_header_load("3,0,8,250,7") == (3, 0, 8, 250)
