Send request targets with an empty query or parameter as they are

Cause: twisted's Agent takes the URL apart and puts it together without empty parts, and a head's path and query don't tell an empty query from none. The target now goes from the caller's head to the request line untouched.

--- a/packages/callers/src/cardamomloft/callers/exchange.py
+++ b/packages/callers/src/cardamomloft/callers/exchange.py
@@ -65,7 +65,7 @@
 
     `path` and `query` are percent-encoded, as sent. Header names are lower-case, and values are
     decoded as Latin-1. `length` is the size of the body in bytes: 0 without a body, None if it is
-    chunked.
+    chunked. `target` is the path with its query, as sent; a path may have an empty query.
     """
 
     method: str
@@ -75,6 +75,12 @@
     client: str
     length: int | None
     chunked: bool
+    target: str = ""
+
+    @property
+    def full_path(self) -> str:
+        """The path with its query."""
+        return self.target or (f"{self.path}?{self.query}" if self.query else self.path)
 
 
 class Delivery(t.NamedTuple):
--- a/packages/callers/src/cardamomloft/callers/request.py
+++ b/packages/callers/src/cardamomloft/callers/request.py
@@ -146,6 +146,7 @@
             client=self.getClientAddress().host,
             length=length,
             chunked=length is None,
+            target=self.uri.decode("latin-1"),
         )
 
     def begin_answer(self, answer: Answer) -> None:
--- a/packages/entry/src/cardamomloft/entry/forwarding.py
+++ b/packages/entry/src/cardamomloft/entry/forwarding.py
@@ -133,7 +133,7 @@
         if self._router.classifier is None:
             return Error(Refusal(RefusalReason.NOT_READY, "no configuration yet"))
         headers = dict(head.headers)
-        path = f"{head.path}?{head.query}" if head.query else head.path
+        path = head.full_path
         client = _ipv4_number(headers.get("x-client", head.client))
         return self._router.classifier.classify(
             head.method, path, headers, client, self._clock.monotonic(), self._router.zone
--- a/packages/gateway/src/cardamomloft/gateway/calls.py
+++ b/packages/gateway/src/cardamomloft/gateway/calls.py
@@ -181,7 +181,7 @@
             key=request_id if key is None else key,
             arrived=now,
             deadline=now + time_limit,
-            target=f"{head.path}?{head.query}" if head.query else head.path,
+            target=head.full_path,
             caller_deadline=now + caller_wait,
             headers=self._authenticator.forwarded_headers(head.headers, account),
             account=account,
--- a/packages/gateway/tests/test_calls.py
+++ b/packages/gateway/tests/test_calls.py
@@ -64,6 +64,12 @@
     assert refusal.detail
 
 
+@pytest.mark.parametrize("target", ["/menus/7?", "/menus/7;", "/menus/7?a&&b=", "/menus/7"])
+def test_target_is_passed_on_as_sent(target):
+    path, _, query = target.partition("?")
+    assert _read(_head(path, query=query)._replace(target=target)).target == target
+
+
 def test_home_regions_of_a_host_are_common_to_all_its_rules():
     rules = [
         kit.RULE._replace(prefix="/a/", homes=frozenset({"east", "west"})),
--- a/packages/upstreams/src/cardamomloft/upstreams/client.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/client.py
@@ -292,7 +292,10 @@
         self._started_at = client.reactor.seconds()
         self._sent_at: float | None = None
         self._ended_by = EndedBy.CONNECTION
-        self._attempt = Attempt(client.pool, fresh=fresh, on_connected=self._connected)
+        target = req.path.encode("latin-1")
+        self._attempt = Attempt(
+            client.pool, fresh=fresh, on_connected=self._connected, target=target
+        )
         self._waits = True
         self._freed = False
         client.in_flight[req.endpoint.address] += 1
@@ -303,7 +306,7 @@
         self._pending = maybeDeferred(
             agent.request,
             req.method.encode("latin-1"),
-            f"http://{req.endpoint.address}{req.path}".encode("latin-1"),
+            f"http://{req.endpoint.address}/".encode("latin-1"),
             _headers_for(req, self._dialect),
             _producer_for(req.body),
         )
--- a/packages/upstreams/src/cardamomloft/upstreams/connections.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -55,11 +55,14 @@
         Whether the upstream closed the connection without a reset.
     idle_s
         Idle time in seconds after which the connection is closed.
+    target
+        The target of the next request, as it is to be sent; None to leave it to the request.
     """
 
     exchange = 0
     closed_cleanly = False
     idle_s = IDLE_TIMEOUT_S
+    target: bytes | None = None
     _upload_stopped = False
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -73,6 +76,8 @@
     def request(self, request: t.Any) -> "Deferred[t.Any]":
         """Send one request; an error status stops an upload that is still in progress."""
         self.exchange += 1
+        if self.target is not None:
+            request.uri = self.target
         write_to = request.writeTo
         request.writeTo = lambda transport: write_to(transport).addBoth(self._upload_ended)
         result = super().request(request)
@@ -209,6 +214,8 @@
         Whether to open a new connection even if an idle one is available.
     on_connected
         Called when the attempt has got its connection; tells whether that is a new one.
+    target
+        The request target, which `Agent` would change where it has empty parts.
 
     Attributes
     ----------
@@ -224,7 +231,9 @@
         *,
         fresh: bool,
         on_connected: Callable[[bool], None] = lambda new: None,
+        target: bytes | None = None,
     ) -> None:
+        self._target = target
         self.connection: UpstreamConnection | None = None
         self._pool = pool
         self._fresh = fresh
@@ -248,6 +257,7 @@
     def _connected(self, conn: UpstreamConnection) -> UpstreamConnection:
         self.connection = conn
         self._exchange = conn.exchange + 1
+        conn.target = self._target
         self._on_connected(not conn.exchange)
         return conn
 
--- a/packages/upstreams/tests/test_upstreams_client.py
+++ b/packages/upstreams/tests/test_upstreams_client.py
@@ -61,10 +61,12 @@
         self.reactor = MemoryReactorClock()
         self.client = UpstreamClient(self.reactor, **options)
 
-    def send(self, *, body=None, method="GET", idempotent=True, request_id="r1", **options):
+    def send(
+        self, *, body=None, method="GET", idempotent=True, request_id="r1", path=PATH, **options
+    ):
         headers = (("host", "shop"), ("content-length", "9"), ("idempotency-key", "k1"))
         req = UpstreamRequest(
-            ENDPOINT, method, PATH, headers, body, SECOND, request_id, idempotent, **options
+            ENDPOINT, method, path, headers, body, SECOND, request_id, idempotent, **options
         )
         return self.client.send(req)
 
@@ -356,6 +358,25 @@
     assert len(harness.reactor.tcpClients) == 2
 
 
+TARGETS = [
+    "/menus?",
+    "/menus;",
+    "/menus;?",
+    "/a//b/",
+    "//menus",
+    "/menus?a=%ff#x",
+    "/menus?a&&b=",
+    "/",
+]
+
+
+@pytest.mark.parametrize("target", TARGETS)
+def test_target_is_sent_as_it_is(target):
+    harness = Harness()
+    harness.send(path=target)
+    assert harness.connect().received().startswith(f"GET {target} HTTP/1.1\r\n".encode())
+
+
 def test_an_early_success_does_not_stop_the_upload():
     harness = Harness()
     upload = streamed()
