Let a pipelined request that is refused at once end without a fault

IndexError in CallerChannel._end_exchange, logged as a fault many times in the review's fuzzing: a request that waits behind an answer is started when that ends, and if it is answered at once, nothing is left whose turn could begin. The answers were written all the same. The new test failed with that error before.

--- a/packages/callers/src/cardamomloft/callers/channel.py
+++ b/packages/callers/src/cardamomloft/callers/channel.py
@@ -334,7 +334,9 @@
         del self.requests[0]
         if self.requests:
             self._start_newest()
-            self.requests[0].begin_turn()
+            # A request that is answered at once has ended meanwhile.
+            if self.requests:
+                self.requests[0].begin_turn()
             self._read_next()
         elif self.persistent:
             self.setTimeout(self.factory.timeOut)
--- a/packages/callers/tests/test_callers_channel.py
+++ b/packages/callers/tests/test_callers_channel.py
@@ -116,6 +116,27 @@
     assert harness.transport.disconnected
 
 
+def test_pipelined_request_that_is_refused_at_once_behind_an_answer_causes_no_fault():
+    first = Deferred()
+    refusal = to_answer(Refusal(RefusalReason.SHED))
+    harness = Harness(lambda head, *_: first if head.method == "POST" else succeed(refusal))
+    harness.receive(POST + b"Content-Length: 0\r\n\r\n" + GET)
+    first.callback(text(b"first"))
+    written = harness.written()
+    assert written.index(b"first") < written.index(b"HTTP/1.1 503 ")
+    assert not harness.faults
+    assert harness.channel.idle
+    harness.receive(GET)
+    assert harness.written().startswith(b"HTTP/1.1 503 ")
+
+
+def test_empty_query_is_kept():
+    harness = Harness()
+    harness.receive(b"GET /menus/7? HTTP/1.1\r\nHost: a\r\n\r\n")
+    head = harness.calls[0][0]
+    assert (head.path, head.query, head.full_path) == ("/menus/7", "", "/menus/7?")
+
+
 class Sink:
     """Consumes a body and keeps what it gets."""
 
