Record a gateway again whose record was removed although its lease is held

Cause: the late write replaces the record of the second try, and goes with its own lease; the lease that is renewed holds no key any more. Now a gateway that reads of the removal of its own record writes it again at the next renewal.

test_record_that_was_removed_under_a_held_lease_is_written_again: no second record before (the lease is renewed).

--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -13,7 +13,7 @@
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.naming import EntryLookup
 from cardamomloft.core.recordlease import LAPSED_SHARE_TIME
-from cardamomloft.core.registrations import EntryRecord
+from cardamomloft.core.registrations import EntryRecord, Fact
 from cardamomloft.core.routes import RoutePlan
 from cardamomloft.core.selection import Preferences, Selector
 from cardamomloft.core.timekeeping import ClockMonitor
@@ -217,7 +217,7 @@
             self._rng,
             poll_timing(bounds.drain_time),
             self._on_listing,
-            self.view.apply_changes,
+            self._on_changes,
             self.view.store_recovered,
         )
 
@@ -383,6 +383,10 @@
             self.feed.gossip.catch_up()
         self._check_prepared()
 
+    def _on_changes(self, facts: tuple[Fact, ...]) -> None:
+        self.view.apply_changes(facts)
+        self.presence.on_changes(facts)
+
     def _apply_plan(self, plan: RoutePlan, source: str = "") -> None:
         if not self.plan.replace(plan, source):
             return
--- a/packages/gateway/src/cardamomloft/gateway/presence.py
+++ b/packages/gateway/src/cardamomloft/gateway/presence.py
@@ -1,12 +1,12 @@
 """Keeps the entry's own record in the control store, under a lease."""
 
 import typing as t
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.recordlease import RecordLease
-from cardamomloft.core.registrations import EntryRecord
+from cardamomloft.core.registrations import EntryRecord, EntryRecorded, EntryWithdrawn, Fact
 from cardamomloft.gateway.control import Control
 from cardamomloft.runtime.logs import log
 from cardamomloft.store.failures import StoreFailure
@@ -70,6 +70,16 @@
         """Record the entry, or renew its lease."""
         return ensureDeferred(self._refresh())
 
+    def on_changes(self, facts: Iterable[Fact]) -> None:
+        """Record the entry again if its record was removed although its lease is held.
+
+        A write whose answer was lost may take effect late, under a lease that nobody renews.
+        """
+        own = [fact for fact in facts if _entry_name(fact) == self._record.name]
+        if own and isinstance(own[-1], EntryWithdrawn) and self._lease is not None:
+            log("entry-record-removed", entry=self._record.name)
+            self._lease = None
+
     def withdraw(self) -> "Deferred[t.Any]":
         """Remove the record, since this entry is stopping."""
         self._withdrawn = True
@@ -113,3 +123,13 @@
         else:
             self._lease = lease
             self.record_lease.confirm(sent_at, self._clock.monotonic())
+
+
+def _entry_name(fact: Fact) -> str:
+    """Return the name of the entry that a fact is about, or an empty string."""
+    match fact:
+        case EntryRecorded(record):
+            return record.name
+        case EntryWithdrawn(name):
+            return name
+    return ""
--- a/packages/gateway/tests/test_presence.py
+++ b/packages/gateway/tests/test_presence.py
@@ -1,9 +1,10 @@
 """The entry's own record is kept under a lease, and written again once the lease has expired."""
 
 from cardamomloft.core.clock import ManualClock
-from cardamomloft.core.registrations import EntryRecord
+from cardamomloft.core.registrations import EntryRecord, EntryRecorded, EntryWithdrawn
 from cardamomloft.gateway.presence import Presence
 from cardamomloft_standins import gateway as kit
+from cardamomloft_standins.gatewayharness import GatewayHarness
 from expression import Ok
 from twisted.internet.defer import succeed
 
@@ -82,3 +83,24 @@
     presence.withdraw()
     presence.refresh()
     assert control.calls == ["record e-1", "withdraw 7"]
+
+
+def test_record_that_was_removed_under_a_held_lease_is_written_again():
+    """Guards against a gateway that is ready and that no other one names."""
+    run = GatewayHarness()
+    run.time.advance(100 * kit.MS)
+    before = run.control.calls.count("record e-1")
+    record = kit.entry_records(1)[0]._replace(name="e-1")
+    run.deliver_changes(EntryRecorded(record), EntryWithdrawn("e-1"))
+    run.time.advance(3000 * kit.MS)
+    assert run.control.calls.count("record e-1") == before + 1
+
+
+def test_record_that_is_there_again_or_of_another_gateway_is_left_alone():
+    run = GatewayHarness()
+    run.time.advance(100 * kit.MS)
+    before = run.control.calls.count("record e-1")
+    record = kit.entry_records(1)[0]._replace(name="e-1")
+    run.deliver_changes(EntryWithdrawn("e-1"), EntryRecorded(record), EntryWithdrawn("e-2"))
+    run.time.advance(3000 * kit.MS)
+    assert run.control.calls.count("record e-1") == before
