Accept weights of zero in a split

The rotation of divides by the weights that are left, so a split whose last weights are 0 raised ZeroDivisionError while its configuration was put in force, and the gateway kept the one before.

--- a/packages/core/src/cardamomloft/core/routes.py
+++ b/packages/core/src/cardamomloft/core/routes.py
@@ -164,11 +164,12 @@
 
     def __init__(self, services: tuple[ServiceShare, ...], offset: float) -> None:
         self.services = services
-        self._steps: list[float] = []
-        left = sum(share.weight for share in services)
-        for share in services[:-1]:
-            self._steps.append(share.weight / left)
-            left -= share.weight
+        weights = [share.weight for share in services]
+        # The share of each service among those from it on.
+        self._steps = [
+            weight / (sum(weights[position:]) or 1.0)
+            for position, weight in enumerate(weights[:-1])
+        ]
         self._phases = [
             offset * _PHASE_FACTOR**position % 1.0 for position in range(len(self._steps))
         ]
--- a/packages/core/tests/test_routes.py
+++ b/packages/core/tests/test_routes.py
@@ -97,3 +97,12 @@
         counts[[rotation.next() for _ in range(position)][-1]] += 1
     for share in shares:
         assert abs(counts[share.service] / 2000 - share.weight / sum(weights)) <= 0.02
+
+
+@pytest.mark.parametrize("weights", [(0, 0), (1, 0, 0), (0, 0, 1), (0,), (1, 0)])
+def test_weights_of_zero_cause_no_fault(weights):
+    shares = tuple(ServiceShare(f"s{i}", weight) for i, weight in enumerate(weights))
+    rotation = ServiceRotation(shares, 0.5)
+    chosen = {rotation.next() for _ in range(50)}
+    if any(weights):
+        assert chosen == {share.service for share in shares if share.weight}
