Count a stop from its signal also if requests or timers are handled first

Supposed causes, by reading: when a stopped process continues, a request that waited in its socket is read before the stop begins, which is a call of the event loop; and the periodic check may run before the signal's handler, which then takes the signal for a new one.

Now the handler itself sets the time until which requests are admitted, and for 0.1 s after a late check a signal counts as sent before the pause. Both have a test that fails before; that they were what the users saw is not shown.

--- a/packages/core/src/cardamomloft/core/timekeeping.py
+++ b/packages/core/src/cardamomloft/core/timekeeping.py
@@ -9,6 +9,11 @@
 """Minimum lateness or clock step that is reported; well below the smallest promised bound, 2 s."""
 
 
+RESUMED_TIME = timedelta(milliseconds=100)
+"""Time after a late check in which what is handled may have happened before it: a process that
+continues handles timers, signals and connections in any order."""
+
+
 class ClockAnomaly(t.NamedTuple):
     """An anomaly between two checks.
 
@@ -42,6 +47,8 @@
         self._clock = clock
         self._interval = interval
         self._last_check: tuple[timedelta, datetime] | None = None
+        self._paused_since: timedelta | None = None
+        self._resumed_at = timedelta(0)
 
     def check(self) -> ClockAnomaly | None:
         """Return the anomaly since the last check, or None if there was none worth reporting."""
@@ -50,6 +57,8 @@
         if last is None:
             return None
         elapsed = now - last[0]
+        if elapsed - self._interval >= REPORT_THRESHOLD:
+            self._paused_since, self._resumed_at = last[0], now
         found = ClockAnomaly(elapsed - self._interval, (wall - last[1]) - elapsed)
         return (
             found
@@ -58,11 +67,13 @@
         )
 
     def last_running(self) -> timedelta:
-        """Return now, or the time of the last check if the next one is overdue.
+        """Return now, or the time of the last check if the next one is overdue or was just late.
 
         The process has run until then; afterwards it may have been paused without noticing.
         """
         now = self._clock.monotonic()
+        if self._paused_since is not None and now - self._resumed_at <= RESUMED_TIME:
+            return self._paused_since
         if self._last_check is None or now - self._last_check[0] <= self._interval:
             return now
         return self._last_check[0]
--- a/packages/core/tests/test_timekeeping.py
+++ b/packages/core/tests/test_timekeeping.py
@@ -3,7 +3,7 @@
 from datetime import UTC, datetime, timedelta
 
 import pytest
-from cardamomloft.core.timekeeping import REPORT_THRESHOLD, ClockAnomaly, ClockMonitor
+from cardamomloft.core.timekeeping import REPORT_THRESHOLD, RESUMED_TIME, ClockAnomaly, ClockMonitor
 
 MS = timedelta(milliseconds=1)
 INTERVAL = 200 * MS
@@ -66,3 +66,16 @@
     monitor.check()
     clocks.advance(elapsed)
     assert monitor.last_running() == known
+
+
+def test_process_that_was_paused_may_have_been_signalled_before_its_late_check():
+    """Guards against a stop that counts from the end of a pause, though the signal came in it."""
+    clocks = TwoClocks()
+    monitor = ClockMonitor(clocks, INTERVAL)
+    monitor.check()
+    began = clocks.elapsed
+    clocks.advance(3000 * MS)
+    monitor.check()
+    assert monitor.last_running() == began
+    clocks.advance(RESUMED_TIME + MS)
+    assert monitor.last_running() == clocks.elapsed
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -285,10 +285,15 @@
 
     def stop(self, signal: StopSignal | None = None) -> None:
         """Start a graceful stop, by default as if a signal came now; further calls do nothing."""
-        self._stop.receive(signal or self.stop_signal())
+        self._stop.receive(signal or self._stop_signal())
 
-    def stop_signal(self) -> StopSignal:
-        """Return what is known of a signal that is being handled."""
+    def announce_stop(self) -> StopSignal:
+        """Return what is known of a signal that is being handled; call `stop` with it next."""
+        signal = self._stop_signal()
+        self._stop.announce(signal, self._bounds.stop_time)
+        return signal
+
+    def _stop_signal(self) -> StopSignal:
         return StopSignal(self._timekeeper.last_running(), self._clock.monotonic())
 
     def ready(self) -> bool:
--- a/packages/gateway/src/cardamomloft/gateway/running.py
+++ b/packages/gateway/src/cardamomloft/gateway/running.py
@@ -29,7 +29,7 @@
 
     def stop(*_: t.Any) -> None:
         # The event loop may be busy; the time of the signal is taken before it continues.
-        reactor.callFromThread(gateway.stop, gateway.stop_signal())
+        reactor.callFromThread(gateway.stop, gateway.announce_stop())
 
     gateway.start()
     LoopingCall(reload).start(SETTINGS_CHECK_INTERVAL_S, now=False)
--- a/packages/gateway/src/cardamomloft/gateway/stopping.py
+++ b/packages/gateway/src/cardamomloft/gateway/stopping.py
@@ -39,6 +39,7 @@
         self._apps = apps
         self._signal: StopSignal | None = None
         self._plan: StopPlan | None = None
+        self._admit_until: timedelta | None = None
         self._hard_stop: IDelayedCall | None = None
 
     @property
@@ -48,10 +49,18 @@
 
     def admits(self) -> bool:
         """Return whether new requests are served."""
-        plan = self._plan
-        in_time = plan is None or self._clock.monotonic() < plan.admit_until
+        until = self._admit_until
+        in_time = until is None or self._clock.monotonic() < until
         return in_time and self._lifecycle.admits()
 
+    def announce(self, signal: StopSignal, stop_time: timedelta) -> None:
+        """Record a signal in its handler, before the event loop handles anything else.
+
+        Requests that have waited while the process stood still are read before the stop begins.
+        """
+        if self._admit_until is None:
+            self._admit_until = plan_stop(signal, stop_time).admit_until
+
     def receive(self, signal: StopSignal) -> None:
         """Start to stop; further signals have no effect."""
         if self._signal is None:
@@ -62,6 +71,7 @@
         """Answer with ``Connection: close`` from now on, and plan the other phases."""
         self._log("leaving")
         plan = self._plan = plan_stop(t.cast(StopSignal, self._signal), stop_time)
+        self._admit_until = plan.admit_until
         for app in self._apps:
             app.start_closing()
         self._call_at(plan.admit_until, self._lifecycle.lookups_expired)
--- a/packages/gateway/tests/test_unsent_at_stops.py
+++ b/packages/gateway/tests/test_unsent_at_stops.py
@@ -86,3 +86,16 @@
     run.send()
     assert run.peers()
     assert run.proxy.may_ask()
+
+
+def test_request_that_is_read_between_a_late_signal_and_the_stop_is_refused():
+    """Guards against 200 for a request that waited while the process stood still."""
+    run = GatewayHarness()
+    run.time.clock.advance(4000 * MS)
+    signal = run.gateway.announce_stop()
+    head, body, left = _order()
+    results = []
+    run.gateway.handle(head, body, left).addBoth(results.append)
+    assert results[0].status == 503
+    run.gateway.stop(signal)
+    assert not run.client.sent
