--- a/packages/gateway/tests/test_decisions_logged.py
+++ b/packages/gateway/tests/test_decisions_logged.py
@@ -92,9 +92,7 @@
     assert abs(chosen["menus"] - 30) <= 1
 
 
-def test_polls_that_failed_are_logged_with_their_duration(logged):
-    control = kit.FakeControl(Ok(kit.listing(index=10)))
-    control.next_changes = kit.STORE_UNAVAILABLE
+def _following(control: kit.FakeControl) -> tuple[kit.Time, Follower]:
     time = kit.Time(Clock())
     follower = Follower(
         time.reactor,
@@ -107,6 +105,13 @@
         lambda: None,
     )
     follower.start(lambda failure: None)
+    return time, follower
+
+
+def test_polls_that_failed_are_logged_with_their_duration(logged):
+    control = kit.FakeControl(Ok(kit.listing(index=10)))
+    control.next_changes = kit.STORE_UNAVAILABLE
+    time, _ = _following(control)
     time.advance(30_000 * MS)
     lines = logged("poll-failed")
     assert [row["failures"] for row in lines[:4]] == [1, 2, 3, 10]
@@ -118,18 +123,7 @@
 def test_source_of_changes_is_that_of_the_last_answer_with_facts():
     control = kit.FakeControl(Ok(kit.listing(index=10)))
     control.next_changes = Ok(Changes((), kit.position(10), source="relay gw-2"))
-    time = kit.Time(Clock())
-    follower = Follower(
-        time.reactor,
-        time.clock,
-        control,
-        kit.rng(),
-        PollTiming(1000 * MS, 1000 * MS),
-        lambda listing: None,
-        lambda facts: None,
-        lambda: None,
-    )
-    follower.start(lambda failure: None)
+    time, follower = _following(control)
     time.advance(3000 * MS)
     assert follower.source == "listing"
 
