Refuse request targets with characters that no target may have

Such requests are answered with 400 before a service is chosen. Found while reading the diff; six characters, each refused by the new test.

--- a/packages/gateway/src/cardamomloft/gateway/calls.py
+++ b/packages/gateway/src/cardamomloft/gateway/calls.py
@@ -25,6 +25,7 @@
 
 _WHOLE_NUMBER = re.compile(r"[0-9]{1,18}\Z")
 _REQUEST_ID = re.compile(r"[\x21-\x7e]{1,200}\Z")
+_TARGET = re.compile(r"/[\x21-\x7e]*\Z")
 
 
 class CallerHeaders(t.NamedTuple):
@@ -162,6 +163,9 @@
         if not _REQUEST_ID.match(request_id):
             detail = f"{self._headers.request_id} is missing or malformed"
             return Refusal(RefusalReason.BAD_REQUEST, detail)
+        if not _TARGET.match(head.full_path):
+            detail = "the target must be a path of visible ASCII characters"
+            return Refusal(RefusalReason.BAD_REQUEST, detail)
         stated_deadline = headers.get(self._headers.deadline_ms)
         if stated_deadline is not None and not _WHOLE_NUMBER.match(stated_deadline):
             detail = f"{self._headers.deadline_ms} must be a whole number of ms"
--- a/packages/gateway/tests/test_calls.py
+++ b/packages/gateway/tests/test_calls.py
@@ -70,6 +70,13 @@
     assert _read(_head(path, query=query)._replace(target=target)).target == target
 
 
+@pytest.mark.parametrize("character", ["\x00", "\x7f", "\x80", "\xff", " ", "\n"])
+def test_target_with_characters_that_no_target_may_have_is_refused(character):
+    target = f"/menus/7{character}"
+    refusal = _read(_head(target)._replace(target=target))
+    assert refusal.reason is RefusalReason.BAD_REQUEST
+
+
 def test_home_regions_of_a_host_are_common_to_all_its_rules():
     rules = [
         kit.RULE._replace(prefix="/a/", homes=frozenset({"east", "west"})),
