--- a/packages/gateway/tests/test_splits_of_fleet.py
+++ b/packages/gateway/tests/test_splits_of_fleet.py
@@ -9,11 +9,18 @@
 from cardamomloft.gateway.calls import CallerHeaders
 from cardamomloft.gateway.inforce import PlanInForce
 from cardamomloft_standins import gateway as kit
+from cardamomloft_standins.gatewayharness import SETTINGS, GatewayHarness
 from twisted.internet.task import Clock
 
 HEADERS = CallerHeaders("x-id", "x-deadline-ms", "x-key")
 HEAD = RequestHead(
-    "GET", kit.RULE.prefix, "", (("host", kit.RULE.host), ("x-id", "r")), "127.0.0.1", 0, False
+    "GET",
+    kit.RULE.prefix,
+    "",
+    (("host", kit.RULE.host), ("x-id", "r"), ("x-request-id", "r")),
+    "127.0.0.1",
+    0,
+    False,
 )
 MAX_DEVIATION = 0.1
 SEEDS = 12
@@ -121,3 +128,14 @@
     fleet.chosen.clear()
     fleet.send(300)
     assert fleet.deviation() <= MAX_DEVIATION
+
+
+def test_changed_settings_leave_the_rotation_as_it_is():
+    services = (ServiceShare("s0", 9), ServiceShare("s1", 1))
+    run = GatewayHarness()
+    run.gateway.plan.replace(kit.plan(2, (kit.RULE._replace(services=services),)))
+    chosen = Counter()
+    for number in range(100):
+        chosen[run.gateway.read(HEAD).service] += 1
+        run.gateway.reconfigure(SETTINGS | {"lookup_life": f"{number + 1}s"})
+    assert chosen["s1"] in (9, 10, 11)
