--- /dev/null
+++ b/packages/callers/tests/test_early_answers.py
@@ -0,0 +1,47 @@
+"""Uploads that are answered before they are read are passed on to their end."""
+
+from cardamomloft.callers.channel import DISCARD_TIMEOUT_S, UPLOAD_STALL_S
+
+from .test_callers_channel import GET, POST, Harness, text
+
+
+class Sink:
+    """Consumes a body and keeps what it gets."""
+
+    def __init__(self):
+        self.received = bytearray()
+
+    def write(self, data):
+        self.received += data
+
+
+def test_body_that_is_passed_on_is_not_discarded_after_an_early_answer():
+    """Guards against uploads that are acknowledged and cut short."""
+    harness, sink, size = Harness(), Sink(), 1_000_000
+    harness.receive(POST + b"Content-Length: %d\r\n\r\n" % size)
+    sent = harness.calls[0][1].startProducing(sink)
+    harness.receive(b"x" * 65_536)
+    harness.answers[0].callback(text(b"stored"))
+    written = harness.written()
+    assert written.startswith(b"HTTP/1.1 200 ")
+    assert b"Connection: close" not in written
+    harness.clock.advance(DISCARD_TIMEOUT_S + 1)
+    harness.receive(b"x" * (size - 65_536))
+    assert sent.called
+    assert len(sink.received) == size
+    assert harness.channel.idle
+    harness.receive(GET)
+    assert len(harness.calls) == 2
+
+
+def test_upload_without_progress_after_an_early_answer_is_given_up():
+    harness = Harness()
+    harness.receive(POST + b"Content-Length: 1000000\r\n\r\n")
+    harness.calls[0][1].startProducing(Sink())
+    harness.answers[0].callback(text(b"stored"))
+    for _ in range(3):
+        harness.receive(b"x")
+        harness.clock.advance(UPLOAD_STALL_S)
+        assert not harness.transport.disconnected
+    harness.clock.advance(UPLOAD_STALL_S)
+    assert harness.transport.disconnected
