--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -39,6 +39,9 @@
 _MIN_PAUSE = timedelta(milliseconds=50)
 """Pause after a failed request that took longer than the retry interval."""
 
+_MAX_FAULT_PAUSE = timedelta(seconds=8)
+"""Longest pause after an exception. It doubles with each one in a row, which bounds the log."""
+
 _FAILURES_LOGGED = 3
 """Consecutive failures of which each is logged, further ones only at intervals."""
 
@@ -122,6 +125,7 @@
         self._answered_at = clock.monotonic()
         self._stopped = False
         self.source = ""
+        self._faults = 0
         self._running: Deferred[None] | None = None
         self._request: Deferred[Result[Listing | Changes, StoreFailure]] | None = None
 
@@ -170,7 +174,8 @@
                     raise
                 on_fault(Failure())
                 self._index = None
-                pause = self._retry_pause()
+                pause = min(_RETRY_INTERVAL * 2**self._faults, _MAX_FAULT_PAUSE)
+                self._faults = min(self._faults + 1, 10)
             if pause is not None:
                 await self._pause(pause)
 
@@ -195,6 +200,7 @@
             case Result(ok=answer):
                 self._record_success()
                 self._handle_answer(answer)
+                self._faults = 0
                 return self._next_pause(answer)
 
     def _send_request(self) -> "Deferred[Result[Listing | Changes, StoreFailure]]":
--- a/packages/gateway/tests/test_following.py
+++ b/packages/gateway/tests/test_following.py
@@ -170,3 +170,24 @@
     run.time.advance(5 * INTERVAL)
     assert len(run.control.calls) == calls_before
     assert run.faults == []
+
+
+def test_exceptions_in_a_row_are_retried_at_growing_intervals_and_one_soon():
+    run = Run(_listed_control())
+
+    def fail(listing):
+        raise ZeroDivisionError
+
+    run.control.next_changes = Ok(Changes((), kit.position(10), lost=True))
+    run.follower._on_listing = fail
+    run.time.advance(60_000 * MS)
+    assert 6 <= len(run.faults) <= 14
+    run.follower._on_listing = run.listings.append
+    run.time.advance(9000 * MS)
+    count = len(run.listings)
+    assert count >= 2
+    run.follower._on_listing = fail
+    run.time.advance(2000 * MS)
+    run.follower._on_listing = run.listings.append
+    run.time.advance(2500 * MS)
+    assert len(run.listings) > count
