--- a/packages/callers/src/cardamomloft/callers/channel.py
+++ b/packages/callers/src/cardamomloft/callers/channel.py
@@ -15,6 +15,7 @@
 from http import HTTPStatus
 
 from cardamomloft.core.model import Refusal, RefusalReason
+from cardamomloft.runtime.lingering import LingeringClose
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IHalfCloseableProtocol, ITCPTransport
 from twisted.python.failure import Failure
@@ -22,7 +23,6 @@
 from zope.interface import implementer
 
 from .exchange import Answer, to_answer
-from .lingering import LingeringClose
 from .pipelining import may_read_next
 
 if t.TYPE_CHECKING:
--- a/packages/callers/tests/test_lingering.py
+++ b/packages/callers/tests/test_lingering.py
@@ -5,8 +5,8 @@
 
 from cardamomloft.callers.app import CallersApp, listen
 from cardamomloft.callers.exchange import complete, to_answer
-from cardamomloft.callers.lingering import LINGER_TIMEOUT_S
 from cardamomloft.core.model import Refusal, RefusalReason
+from cardamomloft.runtime.lingering import LINGER_TIMEOUT_S
 from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks, succeed
 from twisted.internet.threads import deferToThread
