Keep connections that carry an acknowledged body from being reset or used again

What callers saw: an upload answered 200 whose endpoint got 65,536 of 900,000 bytes, after a later request on the same connection had missed its deadline (sizes 200,000, 900,000 and 1 MiB, direct and through another gateway, where 1 MiB + 1 byte was cut too).

Cause: nobody owned the question when an exchange is over. The HTTP client takes a request for sent once its body is in the send buffer, and the connection for idle once the answer is complete. An endpoint that answers, pauses and reads on then has the next request behind the unread body, and the attempt that misses its deadline resets what was acknowledged.

Now ExchangeState decides, from the ends of the answer and the body and from what the endpoint's host has not acknowledged. An endpoint that has read a body has acknowledged it at the latest with its answer, so a body that is unacknowledged then is unread: its connection is closed after the data, without a reset, and never used again. A body that was received may still wait unread in the endpoint's buffer, which nothing tells; until the next answer on its connection proves the reading, the connection is closed rather than reset, whoever asks: deadline, leaving caller, unsolicited bytes. GuardedTransport is the one place where connections to endpoints end. An endpoint may also close its side after the answer and read on; the body goes on then. After an error status nothing is acknowledged, and the connection is reset as before, now for held bodies too.

The links of the stand-ins passed no half-closed connection on; they do now.

--- /dev/null
+++ b/packages/gateway/tests/test_early_answers_of_endpoints.py
@@ -0,0 +1,184 @@
+"""Uploads that endpoints acknowledge before they have read them, through real processes."""
+
+import contextlib
+import hashlib
+import http.client
+import itertools
+import json
+import os
+import socket
+import threading
+
+import pytest
+from cardamomloft_standins import endpoints, processes
+from cardamomloft_standins.cutlinks import Cut, write_links
+from cardamomloft_standins.earlyanswers import EarlyEndpoint, Plan
+
+MIB = 1024 * 1024
+FIRST = 64 * 1024
+SHORT_DEADLINE_MS, LONG_DEADLINE_MS = 700, 6_000
+ROUTES = [0, 1]
+ROUTE_NAMES = ["direct", "through another gateway"]
+
+_names = (f"upload-{number}" for number in itertools.count(1))
+
+
+class Fleet:
+    """Two gateways, of which the second reaches the endpoint through the first only."""
+
+    def __init__(self, stack: contextlib.ExitStack, folder) -> None:
+        self.stack, self.folder = stack, folder
+        self.endpoint = EarlyEndpoint()
+        stack.callback(self.endpoint.close)
+        store = stack.enter_context(processes.store())
+        document = json.loads(processes.ROUTES.read_text())
+        document["rules"][0]["then"]["timeout"] = "6s"
+        document["rules"] = document["rules"][:1]
+        endpoints.put(f"http://{store}/v1/kv/gateway/routes/current", document)
+        endpoints.register(store, self.endpoint)
+        self.settings, self.processes = [], []
+        for name, cut in (("e-1", Cut.NONE), ("e-2", Cut.REFUSE)):
+            cfg = stack.enter_context(processes.settings(store, name))
+            links = folder / f"{name}.links"
+            write_links(links, cut, [self.endpoint.address])
+            launch = ("-m", "cardamomloft_standins.cutlinks", str(links))
+            self.settings.append(cfg)
+            self.processes.append(stack.enter_context(processes.gateway(folder, cfg, launch)))
+        assert processes.eventually(lambda: all(map(has_converged, self.settings)), 30)
+
+    def log(self) -> str:
+        return "".join(processes.log_path(self.folder, cfg).read_text() for cfg in self.settings)
+
+    def connect(self, number: int) -> socket.socket:
+        host, _, port = self.settings[number]["callers"].rpartition(":")
+        return self.stack.enter_context(socket.create_connection((host, int(port)), 15))
+
+    def ended(self, name: str, timeout_s: float = 15):
+        """Return what the endpoint has got of an upload once it has ended."""
+        assert processes.eventually(lambda: self.endpoint.upload(name), timeout_s), name
+        return self.endpoint.upload(name)
+
+
+def has_converged(cfg) -> bool:
+    page = processes.status(cfg)
+    return page["state"] == "ready" and page["upstreams"] == 1 and len(page["entries"]) == 2
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    with contextlib.ExitStack() as stack:
+        yield Fleet(stack, tmp_path_factory.mktemp("gateways"))
+
+
+def head(name, plan=None, size=0, method="POST", deadline_ms=LONG_DEADLINE_MS, chunked=False):
+    headers = {"Host": endpoints.HOST, "X-Request-Id": name, "X-Deadline-Ms": str(deadline_ms)}
+    headers |= {} if plan is None else plan.headers()
+    framing = {"Transfer-Encoding": "chunked"} if chunked else {"Content-Length": str(size)}
+    lines = [f"{method} /menus/7 HTTP/1.1"]
+    lines += [f"{key}: {value}" for key, value in (headers | framing).items()]
+    return "\r\n".join((*lines, "", "")).encode()
+
+
+def read_answer(conn):
+    answer = http.client.HTTPResponse(conn)
+    answer.begin()
+    return answer.status, answer.read()
+
+
+def send_requests(fleet, number, count):
+    """Send look-ups with a short deadline at the same time, and wait for them."""
+
+    def send():
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            conn = fleet.connect(number)
+            conn.sendall(head(next(_names), method="GET", deadline_ms=SHORT_DEADLINE_MS))
+            read_answer(conn)
+
+    threads = [threading.Thread(target=send) for _ in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@pytest.mark.parametrize("size", [200_000, 900_000, MIB, MIB + 1, 3_000_000])
+@pytest.mark.parametrize("number", ROUTES, ids=ROUTE_NAMES)
+def test_deadline_of_the_next_request_does_not_cut_an_acknowledged_upload(fleet, number, size):
+    """Guards against the reset of a connection that still carries an acknowledged body."""
+    name, body, plan = next(_names), os.urandom(size), Plan(after=FIRST, pause=3.0)
+    conn = fleet.connect(number)
+    threading.Thread(target=conn.sendall, args=(head(name, plan, size) + body,)).start()
+    assert read_answer(conn)[0] == 200
+    send_requests(fleet, number, 3)
+    got = fleet.ended(name)
+    assert (got.received, got.whole) == (size, True)
+    assert got.sha256 == hashlib.sha256(body).hexdigest()
+
+
+PLANS = {
+    "without a body": Plan(FIRST, 1.0, status=204, framing="none"),
+    "chunked answer": Plan(FIRST, 1.0, framing="chunked"),
+    "endpoint that closes its side, and reads on": Plan(FIRST, 1.0, half_close=True),
+    "long answer": Plan(FIRST, 1.0, size=600_000),
+    "long chunked answer": Plan(FIRST, 1.0, framing="chunked", size=600_000),
+    "slow reading": Plan(FIRST, 0.2, step=0.02),
+}
+
+
+@pytest.mark.parametrize("size", [900_000, 3_000_000])
+@pytest.mark.parametrize("plan", PLANS.values(), ids=PLANS)
+@pytest.mark.parametrize("number", ROUTES, ids=ROUTE_NAMES)
+def test_upload_arrives_whole_whatever_the_early_answer_is_like(fleet, number, plan, size):
+    name, body = next(_names), os.urandom(size)
+    conn = fleet.connect(number)
+    threading.Thread(target=conn.sendall, args=(head(name, plan, size) + body,)).start()
+    status, content = read_answer(conn)
+    assert (status, len(content)) == (plan.status, 0 if plan.framing == "none" else plan.size)
+    got = fleet.ended(name)
+    assert (got.received, got.whole) == (size, True)
+
+
+@pytest.mark.parametrize("size", [900_000, 3_000_000])
+@pytest.mark.parametrize("status", [404, 500])
+def test_early_error_stops_the_upload_and_its_connection_is_not_used_again(fleet, status, size):
+    name, plan = next(_names), Plan(FIRST, 0.5, status=status)
+    conn = fleet.connect(0)
+    body = bytes(size)
+
+    def send():
+        with contextlib.suppress(OSError):
+            conn.sendall(head(name, plan, size) + body)
+
+    threading.Thread(target=send).start()
+    assert read_answer(conn)[0] == status
+    follower = fleet.connect(0)
+    follower.sendall(head(next(_names), method="GET", deadline_ms=SHORT_DEADLINE_MS))
+    assert read_answer(follower)[0] == 200
+    assert not fleet.ended(name).whole
+
+
+@pytest.mark.parametrize("size", [900_000, 3_000_000])
+def test_endpoint_that_closes_after_its_early_answer_has_answered(fleet, size):
+    name, plan = next(_names), Plan(FIRST, leave=True)
+    conn = fleet.connect(0)
+    threading.Thread(target=conn.sendall, args=(head(name, plan, size) + bytes(size),)).start()
+    assert read_answer(conn)[0] == 200
+    conn.sendall(head(next(_names), method="GET"))
+    assert read_answer(conn)[0] == 200
+
+
+@pytest.mark.parametrize("size", [900_000, 3_000_000])
+def test_pipelined_request_behind_an_early_answered_upload_is_answered(fleet, size):
+    name, body, plan = next(_names), os.urandom(size), Plan(FIRST, 1.0)
+    conn = fleet.connect(0)
+    behind = head(next(_names), method="GET")
+    threading.Thread(target=conn.sendall, args=(head(name, plan, size) + body + behind,)).start()
+    stream = conn.makefile("rb")
+    answers = []
+    for _ in range(2):
+        status = int(stream.readline().split()[1])
+        headers = http.client.parse_headers(stream)
+        stream.read(int(headers["Content-Length"]))
+        answers.append(status)
+    assert answers == [200, 200]
+    assert fleet.ended(name).whole
--- a/packages/upstreams/src/cardamomloft/upstreams/client.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/client.py
@@ -18,6 +18,7 @@
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.error import TimeoutError as ConnectTimeout
 from twisted.internet.interfaces import IDelayedCall
+from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 from twisted.web._newclient import RequestNotSent
 from twisted.web.client import Agent
@@ -36,6 +37,9 @@
 READ_DELAY_S = 0.02
 """Time after a timer in which a connection that is already established is still noticed."""
 
+PASSING_INTERVAL_S = 0.05
+"""Interval at which a stop checks whether bodies have been passed on, in seconds."""
+
 _CONTROL_BODY_LIMIT = 4096
 
 # Headers that the client sets itself: framing of the body, request id and deadline.
@@ -246,6 +250,11 @@
         self.pool.close_idle(address)
         self._control_pool.close_idle(address)
 
+    async def passed_on(self) -> None:
+        """Return once endpoints have received all bodies that they have answered early."""
+        while any(conn.is_passing_on() for conn in self.pool.carriers):
+            await deferLater(self.reactor, PASSING_INTERVAL_S)
+
     def close(self) -> "Deferred[None]":
         """Close all idle connections."""
         done = self.pool.closeCachedConnections()
@@ -294,7 +303,11 @@
         self._ended_by = EndedBy.CONNECTION
         target = req.path.encode("latin-1")
         self._attempt = Attempt(
-            client.pool, fresh=fresh, on_connected=self._connected, target=target
+            client.pool,
+            fresh=fresh,
+            on_connected=self._connected,
+            target=target,
+            request_id=req.request_id,
         )
         self._waits = True
         self._freed = False
--- a/packages/upstreams/src/cardamomloft/upstreams/connections.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -1,5 +1,6 @@
 """Connection pool for upstream endpoints, and the connection used by each attempt."""
 
+import functools
 import re
 import socket
 import typing as t
@@ -10,13 +11,20 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectionDone
-from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.internet.interfaces import (
+    IDelayedCall,
+    IHalfCloseableProtocol,
+    IStreamClientEndpoint,
+)
 from twisted.python.failure import Failure
 from twisted.web._newclient import HTTP11ClientProtocol
 from twisted.web.client import URI, HTTPConnectionPool
 from twisted.web.iweb import IAgentEndpointFactory, IResponse
 from zope.interface import implementer
 
+from .exchangestate import FIRST_ERROR_STATUS, Ending, ExchangeState
+from .guardedtransport import GuardedTransport
+
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 """Default time in which a connection must be established. It covers several round trips between
 regions. A lost SYN packet is retransmitted only after a second, by which a caller is served sooner
@@ -35,8 +43,6 @@
 
 _KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 
-_FIRST_ERROR_STATUS = 400
-
 # States of HTTP11ClientProtocol.
 _QUIESCENT = "QUIESCENT"
 _TRANSMITTING = "TRANSMITTING"
@@ -44,8 +50,18 @@
 _WAITING = "WAITING"
 
 
+@implementer(IHalfCloseableProtocol)
 class UpstreamConnection(HTTP11ClientProtocol):
-    """A connection that is closed instead of reused after unsolicited data.
+    """A connection that is used again only after an exchange that is over on both sides.
+
+    Parameters
+    ----------
+    on_quiescent
+        Called when the connection can be used again.
+    call_later
+        Schedules a call after a number of seconds.
+    carriers
+        The connections that carry the rest of a stored body, to which this one adds itself.
 
     Attributes
     ----------
@@ -57,14 +73,32 @@
         Idle time in seconds after which the connection is closed.
     target
         The target of the next request, as it is to be sent; None to leave it to the request.
+    request_id
+        The id of the last request, for log lines.
     """
 
     exchange = 0
     closed_cleanly = False
     idle_s = IDLE_TIMEOUT_S
     target: bytes | None = None
+    request_id = ""
     _upload_stopped = False
 
+    def __init__(
+        self,
+        on_quiescent: Callable[["UpstreamConnection"], None],
+        call_later: Callable[..., IDelayedCall] | None = None,
+        carriers: "set[UpstreamConnection] | None" = None,
+    ) -> None:
+        super().__init__(on_quiescent)
+        self._exchange_state = ExchangeState()
+        self._call_later = call_later
+        self._carriers = set() if carriers is None else carriers
+
+    def makeConnection(self, transport: t.Any) -> None:  # noqa: N802
+        """Guard the transport, so that no stored body is lost with the connection."""
+        super().makeConnection(GuardedTransport(transport, self._exchange_state, self._call_later))
+
     def connectionMade(self) -> None:  # noqa: N802
         """Set `TCP_USER_TIMEOUT` to `USER_TIMEOUT`."""
         super().connectionMade()
@@ -76,6 +110,7 @@
     def request(self, request: t.Any) -> "Deferred[t.Any]":
         """Send one request; an error status stops an upload that is still in progress."""
         self.exchange += 1
+        self._exchange_state.begin(has_body=request.bodyProducer is not None)
         if self.target is not None:
             request.uri = self.target
         write_to = request.writeTo
@@ -85,32 +120,86 @@
             self._responseDeferred.addCallback(self._stop_upload_on_error, request)
         return result
 
+    def give_up(self) -> None:
+        """End the connection, since the answer of the present exchange will not be passed on."""
+        self._exchange_state.reject_answer()
+        self.transport.abortConnection()
+
+    def is_passing_on(self) -> bool:
+        """Return whether the endpoint's host has not received the whole body yet."""
+        return self._exchange_state.is_upload_answered or self.transport.unsent() > 0
+
+    # Data from the endpoint.
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Reset the connection if data arrives while no request is in progress.
 
         Data after a complete answer is ignored while the request's body is still being sent.
         """
+        if self.transport.lingering is not None:
+            return
         if self.state == _QUIESCENT:
             self.abort()
             self.transport.abortConnection()
         elif self.state != _TRANSMITTING_AFTER_RESPONSE:
             super().dataReceived(data)
+            self._record_status()
+
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Go on sending a body to an endpoint that has answered and closed only its side."""
+        if self.transport.lingering is not None:
+            self.transport.lingering.read_side_closed()
+        elif self._exchange_state.is_upload_answered:
+            log("upload-half-closed", id=self.request_id)
+        elif self.state == _WAITING and self._ends_answer_of_unread_body():
+            self.transport.loseConnection()
+        else:
+            self.transport.connectionLost(Failure(ConnectionDone()))
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Wait until the endpoint closes its side."""
+        if self.transport.lingering is not None:
+            self.transport.lingering.write_side_closed()
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         """Record whether the connection was closed without a reset."""
         self.closed_cleanly = bool(reason.check(ConnectionDone))
+        self._carriers.discard(self)
+        lingering = self.transport.lingering
+        if lingering is not None:
+            lingering.cancel()
+        if self._exchange_state.is_upload_answered or (lingering and not self.closed_cleanly):
+            self._exchange_state.record_body_incomplete()
+            self._log_incomplete(reason)
         super().connectionLost(reason)
 
+    def _ends_answer_of_unread_body(self) -> bool:
+        """Complete an answer that ends with the endpoint's side; return whether it reads on."""
+        if not self._exchange_state.has_good_answer or not self.transport.unsent():
+            return False
+        self.closed_cleanly = True
+        self._disconnectParser(Failure(ConnectionDone()))
+        self._state = _QUIESCENT
+        return True
+
+    def _record_status(self) -> None:
+        response = getattr(self._parser, "response", None)
+        if response is not None:
+            self._exchange_state.record_answer(response.code)
+
+    # Uploads.
+
     def _stop_upload_on_error(self, response: IResponse, request: t.Any) -> IResponse:
         # The base class delivers an answer only after the request body is sent, and drops it if the
         # upstream closes the connection earlier. After a success status the upload continues,
         # since the upstream may still be reading the body.
         transmitting = self.state in (_TRANSMITTING, _TRANSMITTING_AFTER_RESPONSE)
-        if response.code < _FIRST_ERROR_STATUS or not transmitting:
+        if response.code < FIRST_ERROR_STATUS or not transmitting:
             return response
         request.stopWriting()
         request.persistent = False
         self._upload_stopped = True
+        self._exchange_state.record_body_incomplete()
         self.transport.unregisterProducer()
         if self.state == _TRANSMITTING:
             self._state = _WAITING
@@ -124,22 +213,37 @@
         if self._upload_stopped or self._parser is None:
             super()._finishResponse_TRANSMITTING(rest)
             return
+        self._record_status()
+        self._exchange_state.record_answer_complete()
+        self._carriers.add(self)
         self._state = _TRANSMITTING_AFTER_RESPONSE
         self._responseDeferred.chainDeferred(self._finishedRequest)
         self._disconnectParser(Failure(ConnectionDone()))
 
     def _upload_ended(self, result: t.Any) -> t.Any:
         """Close the connection after a body that was sent on after its complete answer."""
-        if self.state != _TRANSMITTING_AFTER_RESPONSE or self._parser is not None:
+        was_answered = self._exchange_state.is_upload_answered
+        failed = isinstance(result, Failure)
+        if failed:
+            self._exchange_state.record_body_incomplete()
+        else:
+            self._exchange_state.record_body_written()
+        if not was_answered:
             return result
-        if isinstance(result, Failure):
+        self._state = _QUIESCENT
+        if failed:
             # An incomplete body must not look like a whole one.
-            log("upload-incomplete", detail=result.getErrorMessage())
+            self._log_incomplete(result)
             self.transport.abortConnection()
         else:
             self.transport.loseConnection()
         return None
 
+    def _log_incomplete(self, reason: Failure) -> None:
+        log("upload-incomplete", id=self.request_id, detail=reason.getErrorMessage())
+
+    # The end of an answer.
+
     def _finishResponse_WAITING(self, rest: bytes) -> None:  # noqa: N802
         # Data after a complete answer could be mistaken for the answer to the next request.
         if rest and self._currentRequest is not None:
@@ -147,8 +251,15 @@
         granted = self._parser and self._parser.connHeaders.getRawHeaders(b"keep-alive")
         if granted:
             self.idle_s = usable_idle_s(granted[0])
+        self._record_status()
+        self._exchange_state.record_answer_complete()
+        ending = self._exchange_state.ending(self.transport.unsent)
+        if ending is not Ending.REUSE and self._currentRequest is not None:
+            self._currentRequest.persistent = False
+        if ending is Ending.CLOSE:
+            self._carriers.add(self)
         super()._finishResponse_WAITING(rest)
-        if self._upload_stopped:
+        if ending is Ending.RESET:
             # Closing would wait until the upstream has read what is still in the send buffer.
             self.transport.abortConnection()
 
@@ -165,18 +276,34 @@
 
 
 class _ConnectionFactory(HTTPConnectionPool._factory):
+    def __init__(self, pool: "ConnectionPool", *args: t.Any) -> None:
+        super().__init__(*args)
+        self._pool = pool
+
     def buildProtocol(self, addr: object) -> UpstreamConnection:  # noqa: N802
-        return UpstreamConnection(self._quiescentCallback)
+        pool = self._pool
+        return UpstreamConnection(self._quiescentCallback, pool.call_later, pool.carriers)
 
 
 class ConnectionPool(HTTPConnectionPool):
-    """Pool of idle connections with a small limit per endpoint, without automatic retries."""
+    """Pool of idle connections with a small limit per endpoint, without automatic retries.
+
+    Attributes
+    ----------
+    carriers : set of UpstreamConnection
+        Connections with a stored body of which the endpoint may not have received the rest.
+    """
 
-    _factory = _ConnectionFactory
     retryAutomatically = False  # noqa: N815
     maxPersistentPerHost = MAX_IDLE_PER_ENDPOINT  # noqa: N815
     cachedConnectionTimeout = IDLE_TIMEOUT_S  # noqa: N815
 
+    def __init__(self, reactor: t.Any) -> None:
+        super().__init__(reactor)
+        self.call_later = reactor.callLater
+        self.carriers: set[UpstreamConnection] = set()
+        self._factory = functools.partial(_ConnectionFactory, self)
+
     def _putConnection(self, key: t.Hashable, connection: UpstreamConnection) -> None:  # noqa: N802
         # The base class reads this attribute when it schedules the close of this connection.
         self.cachedConnectionTimeout = connection.idle_s
@@ -216,6 +343,8 @@
         Called when the attempt has got its connection; tells whether that is a new one.
     target
         The request target, which `Agent` would change where it has empty parts.
+    request_id
+        The id of the request, for log lines.
 
     Attributes
     ----------
@@ -232,8 +361,10 @@
         fresh: bool,
         on_connected: Callable[[bool], None] = lambda new: None,
         target: bytes | None = None,
+        request_id: str = "",
     ) -> None:
         self._target = target
+        self._request_id = request_id
         self.connection: UpstreamConnection | None = None
         self._pool = pool
         self._fresh = fresh
@@ -252,12 +383,12 @@
         conn = self.connection
         if conn is None or conn.exchange != self._exchange or conn.state == _QUIESCENT:
             return
-        conn.transport.abortConnection()
+        conn.give_up()
 
     def _connected(self, conn: UpstreamConnection) -> UpstreamConnection:
         self.connection = conn
         self._exchange = conn.exchange + 1
-        conn.target = self._target
+        conn.target, conn.request_id = self._target, self._request_id
         self._on_connected(not conn.exchange)
         return conn
 
--- a/standins/src/cardamomloft_standins/cutlinks.py
+++ b/standins/src/cardamomloft_standins/cutlinks.py
@@ -14,12 +14,13 @@
 import sys
 import typing as t
 
-from twisted.internet.error import ConnectionLost
-from twisted.internet.interfaces import IAddress
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.interfaces import IAddress, IHalfCloseableProtocol
 from twisted.internet.protocol import Protocol
 from twisted.internet.task import LoopingCall
 from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 CHECK_INTERVAL_S = 0.01
 """Interval at which the file is checked for changes, in seconds."""
@@ -152,6 +153,7 @@
             self._queued.append(conn)
 
 
+@implementer(IHalfCloseableProtocol)
 class _Link(ProtocolWrapper):
     """A connection on a link; while the link hangs, data of both directions is held back."""
 
@@ -199,6 +201,16 @@
         else:
             super().dataReceived(data)
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        if IHalfCloseableProtocol.providedBy(self.wrappedProtocol):
+            self.wrappedProtocol.readConnectionLost()
+        else:
+            self.transport.connectionLost(Failure(ConnectionDone()))
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        if IHalfCloseableProtocol.providedBy(self.wrappedProtocol):
+            self.wrappedProtocol.writeConnectionLost()
+
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         self.factory.links.open.discard(self)
         super().connectionLost(Failure(ConnectionLost()) if self._reset else reason)
