Tell endpoints of callers that leave after an early answer

What callers saw: nothing; their endpoint waited for the rest of the upload without end (until its own timeout), the gateway kept the connection, and no line told of it. Each such caller held an endpoint's slot and a connection for good.

Cause: a request whose answer was finished took no notice of its lost connection, so its body never failed. The check of stalled uploads aborted the caller's connection and ended in the same place.

Now the body fails whenever its connection is lost before it is whole; the connection to the endpoint is then reset, also through another gateway, and "upload-incomplete" names the request. Only time in which the caller is expected to send counts as a stall; while the endpoint reads nothing, the kernel's timeout of its connection is the bound.

--- a/packages/callers/src/cardamomloft/callers/channel.py
+++ b/packages/callers/src/cardamomloft/callers/channel.py
@@ -314,13 +314,16 @@
         request.body.discard()
 
     def _await_upload(self, request: "CallerRequest") -> None:
-        """Wait for the rest of an answered request's body as long as it makes progress."""
+        """Wait for the rest of an answered request's body as long as the caller sends it.
+
+        While the upstream reads nothing, the kernel's timeout of its connection bounds the wait.
+        """
         self._discard_timer = self.callLater(
             UPLOAD_STALL_S, self._check_upload, request, request.body.received
         )
 
     def _check_upload(self, request: "CallerRequest", received: int) -> None:
-        if request.body.received > received:
+        if self._body_paused or request.body.received > received:
             self._await_upload(request)
         else:
             self.transport.abortConnection()
--- a/packages/callers/src/cardamomloft/callers/request.py
+++ b/packages/callers/src/cardamomloft/callers/request.py
@@ -99,11 +99,14 @@
         self.body.end()
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
-        """Fail the body and notify the handler, unless the answer is complete."""
+        """Fail the body, and notify the handler unless the answer is complete."""
         super().connectionLost(reason)
-        if self.body is None or self.finished:
+        if self.body is None:
             return
+        # An upstream that has answered early may still be reading the body.
         self.body.fail(f"connection lost after {self.body.received} bytes of the body")
+        if self.finished:
+            return
         self.disconnected.callback(None)
         self.begin_turn()
 
--- a/packages/callers/tests/test_early_answers.py
+++ b/packages/callers/tests/test_early_answers.py
@@ -1,5 +1,6 @@
 """Uploads that are answered before they are read are passed on to their end."""
 
+from cardamomloft.callers.body import BodyIncomplete
 from cardamomloft.callers.channel import DISCARD_TIMEOUT_S, UPLOAD_STALL_S
 
 from .test_callers_channel import GET, POST, Harness, text
@@ -45,3 +46,46 @@
         assert not harness.transport.disconnected
     harness.clock.advance(UPLOAD_STALL_S)
     assert harness.transport.disconnected
+
+
+def begin_answered_upload(size=1_000_000):
+    """Return a harness with an upload that is passed on after its answer, and its Deferred."""
+    harness = Harness()
+    harness.receive(POST + b"Content-Length: %d\r\n\r\n" % size)
+    sent = harness.calls[0][1].startProducing(Sink())
+    harness.receive(b"x" * 1000)
+    harness.answers[0].callback(text(b"stored"))
+    return harness, sent
+
+
+def test_body_fails_if_the_caller_leaves_after_an_early_answer():
+    """Guards against upstreams that wait without end for the rest of a body."""
+    harness, sent = begin_answered_upload()
+    failures = []
+    sent.addErrback(failures.append)
+    harness.lose_connection()
+    assert failures[0].check(BodyIncomplete)
+    assert not harness.calls[0][2].called
+
+
+def test_stalled_caller_of_an_answered_upload_fails_its_body():
+    harness, sent = begin_answered_upload()
+    failures = []
+    sent.addErrback(failures.append)
+    harness.clock.advance(UPLOAD_STALL_S)
+    harness.lose_connection()
+    assert failures[0].check(BodyIncomplete)
+
+
+def test_caller_is_kept_while_the_upstream_of_an_answered_upload_pauses():
+    """Guards against uploads that are cut because their upstream reads on late."""
+    harness, sent = begin_answered_upload()
+    body = harness.calls[0][1]
+    body.pauseProducing()
+    for _ in range(3):
+        harness.clock.advance(UPLOAD_STALL_S)
+        assert not harness.transport.disconnected
+    body.resumeProducing()
+    harness.receive(b"x" * 999_000)
+    assert sent.called
+    assert harness.channel.idle
--- a/packages/gateway/tests/test_early_answers_of_endpoints.py
+++ b/packages/gateway/tests/test_early_answers_of_endpoints.py
@@ -17,6 +17,9 @@
 MIB = 1024 * 1024
 FIRST = 64 * 1024
 SHORT_DEADLINE_MS, LONG_DEADLINE_MS = 700, 6_000
+NOTICE_S = 3.0
+"""Time in which an endpoint learns that an upload stays incomplete, in seconds."""
+
 ROUTES = [0, 1]
 ROUTE_NAMES = ["direct", "through another gateway"]
 
@@ -115,6 +118,20 @@
     assert got.sha256 == hashlib.sha256(body).hexdigest()
 
 
+@pytest.mark.parametrize("number", ROUTES, ids=ROUTE_NAMES)
+def test_endpoint_learns_soon_that_a_caller_has_left_after_an_early_answer(fleet, number):
+    """Guards against endpoints and connections that wait for the rest without end."""
+    name, plan = next(_names), Plan(after=50_000)
+    conn = fleet.connect(number)
+    part = b"x" * 2_000_000
+    conn.sendall(head(name, plan, 3_000_000) + part)
+    assert read_answer(conn)[0] == 200
+    conn.close()
+    got = fleet.ended(name, NOTICE_S)
+    assert not got.whole
+    assert processes.eventually(lambda: "upload-incomplete" in fleet.log(), 1)
+
+
 PLANS = {
     "without a body": Plan(FIRST, 1.0, status=204, framing="none"),
     "chunked answer": Plan(FIRST, 1.0, framing="chunked"),
