Let a stopping gateway pass on acknowledged uploads before it ends

What callers could see: a 200 for an upload of which the gateway still had a part in memory when it ended; or, from a gateway that was stopping already, a 200 with "Connection: close" in the middle of an upload, at which a caller may stop sending.

Cause: a stop waited for answers, not for bodies. Read in the code and shown by tests on in-memory transports; through real processes on loopback the kernel takes a whole held body (up to 1 MiB), so the two process tests pass before this change too and only guard.

Now the process ends once the hosts of endpoints have received all bodies that were answered early, bounded by its stop time as before. A stopping gateway answers an upload once its body is passed on; if the stop time is over before, its caller gets no answer that it could believe.

Evidence: test_closing_server_answers_an_upload_once_it_is_passed_on and test_stopping_gateway_waits_for_acknowledged_bodies_in_its_memory failed before and pass now.

--- a/packages/callers/src/cardamomloft/callers/app.py
+++ b/packages/callers/src/cardamomloft/callers/app.py
@@ -184,7 +184,11 @@
         self, answer: Answer, request: CallerRequest
     ) -> "Deferred[Delivery | None]":
         size = len(answer.body) if isinstance(answer.body, bytes) else 0
-        return request.wait_for_turn(size).addCallback(lambda _: self._respond(answer, request))
+        turn = request.wait_for_turn(size)
+        if self._closing:
+            # This answer closes the connection, at which a caller could stop sending its body.
+            turn.addCallback(lambda _: request.body.passed_on())
+        return turn.addCallback(lambda _: self._respond(answer, request))
 
     def _respond(self, answer: Answer, request: CallerRequest) -> "Deferred[Delivery] | None":
         """Write the answer; the Deferred fires when a streamed body is delivered or aborted."""
--- a/packages/callers/src/cardamomloft/callers/body.py
+++ b/packages/callers/src/cardamomloft/callers/body.py
@@ -14,6 +14,8 @@
 from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
 from zope.interface import implementer
 
+from .waiting import Waiters
+
 HIGH_WATER = 64 * 1024
 """Buffered bytes at which reading from the caller is paused."""
 
@@ -77,6 +79,7 @@
         self._consumed = False
         self._paused = False
         self._discarding = False
+        self._passed_on = Waiters(lambda: not self.is_being_sent)
 
     @property
     def unconsumed(self) -> bool:
@@ -88,6 +91,10 @@
         """Whether the rest of the body is passed on to a consumer as it arrives."""
         return self._consumer is not None and not self.ended and self.failure is None
 
+    def passed_on(self) -> "Deferred[None]":
+        """Return a Deferred that fires once no more of the body will be passed on."""
+        return self._passed_on.wait()
+
     @property
     def remaining(self) -> int | None:
         """Number of bytes still to be received, or None if the length is not known."""
@@ -116,6 +123,7 @@
         if self.failure is None:
             self.ended = True
             self._finish_if_done()
+            self._passed_on.check()
 
     def fail(self, detail: str) -> None:
         """Record that the body stays incomplete; the consumer gets no further byte."""
@@ -124,6 +132,7 @@
         self.failure = detail
         self._drop_chunks()
         self._finish_if_done()
+        self._passed_on.check()
 
     # IBodyProducer, called by the upstream client.
 
@@ -167,6 +176,7 @@
         self._consumer = None
         self._drop_chunks()
         self._flow.resume_body()
+        self._passed_on.check()
 
     # For bodies that are read into memory.
 
--- a/packages/callers/tests/test_early_answers.py
+++ b/packages/callers/tests/test_early_answers.py
@@ -89,3 +89,40 @@
     harness.receive(b"x" * 999_000)
     assert sent.called
     assert harness.channel.idle
+
+
+def test_closing_server_answers_an_upload_once_it_is_passed_on():
+    """Guards against callers that stop sending at an answer that closes their connection."""
+    harness = Harness()
+    harness.receive(POST + b"Content-Length: 1000\r\n\r\n")
+    sink = Sink()
+    harness.calls[0][1].startProducing(sink)
+    harness.app.start_closing()
+    harness.answers[0].callback(text(b"stored"))
+    assert harness.written() == b""
+    assert harness.app.in_flight == 1
+    harness.receive(b"x" * 1000)
+    written = harness.written()
+    assert written.startswith(b"HTTP/1.1 200 ") and b"Connection: close" in written
+    assert len(sink.received) == 1000
+    assert harness.app.in_flight == 0
+
+
+def test_closing_server_forgets_an_upload_whose_caller_has_left():
+    harness = Harness()
+    harness.receive(POST + b"Content-Length: 1000\r\n\r\n")
+    harness.calls[0][1].startProducing(Sink()).addErrback(lambda failure: None)
+    harness.app.start_closing()
+    harness.answers[0].callback(text(b"stored"))
+    harness.lose_connection()
+    assert harness.app.in_flight == 0
+
+
+def test_closing_server_answers_an_upload_that_its_upstream_reads_no_more():
+    harness = Harness()
+    harness.receive(POST + b"Content-Length: 1000\r\n\r\n")
+    harness.calls[0][1].startProducing(Sink())
+    harness.app.start_closing()
+    harness.answers[0].callback(text(b"stored"))
+    harness.calls[0][1].stopProducing()
+    assert harness.written().startswith(b"HTTP/1.1 200 ")
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -171,7 +171,11 @@
             None, self.handle, self._on_fault, self.plan.is_idempotent, self.metrics
         )
         self._stop = GracefulStop(
-            self._reactor, clock, self.lifecycle, (self.app, self.fallback.app)
+            self._reactor,
+            clock,
+            self.lifecycle,
+            (self.app, self.fallback.app),
+            self.fallback.bodies_passed_on,
         )
         self.presence = Presence(
             clock, self._control, own, bounds.record_ttl, lambda: self.follower.poll_now()
--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
@@ -213,6 +213,10 @@
         """Return the present instant."""
         return self._clock.monotonic()
 
+    async def bodies_passed_on(self) -> None:
+        """Return once other gateways have got all bodies that they answered early."""
+        await self._client.passed_on()
+
     def close(self) -> None:
         """Close the idle connections to other gateways."""
         self._client.close()
--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/fallback.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/fallback.py
@@ -68,6 +68,7 @@
         access: RequestAccess,
     ) -> None:
         self._clock = clock
+        self._client = client
         self._upstream_table = upstream_table
         self._selector = forwarder.selector
         self._queue = forwarder.queue
@@ -109,6 +110,11 @@
         """The HTTP application for requests of other gateways."""
         return self.listener.app
 
+    async def bodies_passed_on(self) -> None:
+        """Return once endpoints and other gateways have got all bodies that they answered early."""
+        await self._client.passed_on()
+        await self._proxy.bodies_passed_on()
+
     def report(self) -> None:
         """Tell the other gateways whether this one reaches endpoints; call it periodically."""
         report = self._reports.due(self.links.down, self._clock.monotonic())
--- a/packages/gateway/src/cardamomloft/gateway/stopping.py
+++ b/packages/gateway/src/cardamomloft/gateway/stopping.py
@@ -1,7 +1,7 @@
 """The phases of a gateway's stop: it leaves the look-ups, closes its listeners, and ends."""
 
 import typing as t
-from collections.abc import Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from datetime import timedelta
 
 from cardamomloft.callers.app import CallersApp
@@ -9,7 +9,7 @@
 from cardamomloft.runtime.lifecycle import Lifecycle
 from cardamomloft.runtime.logs import log
 from cardamomloft.runtime.stopplan import StopPlan, StopSignal, plan_stop
-from twisted.internet.defer import gatherResults
+from twisted.internet.defer import CancelledError, Deferred, ensureDeferred, gatherResults
 from twisted.internet.interfaces import IDelayedCall
 
 _MS = timedelta(milliseconds=1)
@@ -28,15 +28,24 @@
         Is told of the end of each phase.
     apps
         The HTTP applications whose requests are finished.
+    passed_on
+        Returns once all bodies that were answered early have been passed on.
     """
 
     def __init__(
-        self, reactor: t.Any, clock: Clock, lifecycle: Lifecycle, apps: Sequence[CallersApp]
+        self,
+        reactor: t.Any,
+        clock: Clock,
+        lifecycle: Lifecycle,
+        apps: Sequence[CallersApp],
+        passed_on: Callable[[], Coroutine[t.Any, t.Any, None]],
     ) -> None:
         self._reactor = reactor
         self._clock = clock
         self._lifecycle = lifecycle
         self._apps = apps
+        self._passed_on = passed_on
+        self._passing: Deferred[None] | None = None
         self._signal: StopSignal | None = None
         self._plan: StopPlan | None = None
         self._admit_until: timedelta | None = None
@@ -84,12 +93,20 @@
         finished = gatherResults([app.drained() for app in self._apps])
         # The last answers may still be in send buffers: wait until their connections are closed.
         finished.addCallback(lambda _: gatherResults([app.disconnect() for app in self._apps]))
+        finished.addCallback(lambda _: self._pass_on())
         finished.addCallback(lambda _: self._reactor.callLater(0, self._lifecycle.drained))
+        finished.addErrback(lambda failure: failure.trap(CancelledError))
+
+    def _pass_on(self) -> "Deferred[None]":
+        self._passing = ensureDeferred(self._passed_on())
+        return self._passing
 
     def end(self) -> bool:
         """Log what is in flight when the process ends, and return whether that cuts requests."""
         if self._hard_stop is not None and self._hard_stop.active():
             self._hard_stop.cancel()
+        if self._passing is not None:
+            self._passing.cancel()
         self._log("stopped", connections=sum(app.connections for app in self._apps))
         return self.in_flight > 0
 
--- a/packages/gateway/tests/test_early_answers_of_endpoints.py
+++ b/packages/gateway/tests/test_early_answers_of_endpoints.py
@@ -6,8 +6,10 @@
 import itertools
 import json
 import os
+import signal
 import socket
 import threading
+import time
 
 import pytest
 from cardamomloft_standins import endpoints, processes
@@ -73,6 +75,12 @@
         yield Fleet(stack, tmp_path_factory.mktemp("gateways"))
 
 
+@pytest.fixture
+def own_fleet(tmp_path):
+    with contextlib.ExitStack() as stack:
+        yield Fleet(stack, tmp_path)
+
+
 def head(name, plan=None, size=0, method="POST", deadline_ms=LONG_DEADLINE_MS, chunked=False):
     headers = {"Host": endpoints.HOST, "X-Request-Id": name, "X-Deadline-Ms": str(deadline_ms)}
     headers |= {} if plan is None else plan.headers()
@@ -119,12 +127,14 @@
 
 
 @pytest.mark.parametrize("number", ROUTES, ids=ROUTE_NAMES)
-def test_endpoint_learns_soon_that_a_caller_has_left_after_an_early_answer(fleet, number):
+@pytest.mark.parametrize("chunked", [False, True])
+def test_endpoint_learns_soon_that_a_caller_has_left_after_an_early_answer(fleet, number, chunked):
     """Guards against endpoints and connections that wait for the rest without end."""
     name, plan = next(_names), Plan(after=50_000)
     conn = fleet.connect(number)
     part = b"x" * 2_000_000
-    conn.sendall(head(name, plan, 3_000_000) + part)
+    data = b"%x\r\n%b\r\n" % (len(part), part) if chunked else part
+    conn.sendall(head(name, plan, 3_000_000, chunked=chunked) + data)
     assert read_answer(conn)[0] == 200
     conn.close()
     got = fleet.ended(name, NOTICE_S)
@@ -199,3 +209,35 @@
         answers.append(status)
     assert answers == [200, 200]
     assert fleet.ended(name).whole
+
+
+@pytest.mark.parametrize("number", ROUTES, ids=ROUTE_NAMES)
+@pytest.mark.parametrize("size", [900_000, 3_000_000])
+def test_stop_waits_until_an_acknowledged_upload_is_passed_on(own_fleet, number, size):
+    """Guards against processes that end with the rest of an acknowledged body in memory."""
+    name, body, plan = next(_names), os.urandom(size), Plan(FIRST, pause=2.5, step=0.005)
+    conn = own_fleet.connect(number)
+    threading.Thread(target=conn.sendall, args=(head(name, plan, size) + body,)).start()
+    assert read_answer(conn)[0] == 200
+    for proc in own_fleet.processes:
+        proc.send_signal(signal.SIGTERM)
+    got = own_fleet.ended(name)
+    assert (got.received, got.whole) == (size, True)
+    for proc in own_fleet.processes:
+        assert proc.wait(7) == 0
+
+
+@pytest.mark.parametrize("size", [500_000, 3_000_000])
+def test_stopping_gateway_acknowledges_an_upload_once_it_is_passed_on(own_fleet, size):
+    """Guards against callers that stop sending at an answer that closes their connection."""
+    name, body, plan = next(_names), os.urandom(size), Plan(FIRST)
+    conn = own_fleet.connect(0)
+    conn.sendall(head(name, plan, size) + body[: FIRST // 2])
+    own_fleet.processes[0].send_signal(signal.SIGTERM)
+    time.sleep(0.5)
+    for start in range(FIRST // 2, size, 100_000):
+        conn.sendall(body[start : start + 100_000])
+        time.sleep(0.02)
+    assert read_answer(conn)[0] == 200
+    got = own_fleet.ended(name)
+    assert (got.received, got.whole) == (size, True)
--- a/packages/gateway/tests/test_gateway.py
+++ b/packages/gateway/tests/test_gateway.py
@@ -84,6 +84,26 @@
     assert run.gateway.stopped.called
 
 
+def test_stopping_gateway_waits_for_acknowledged_bodies_in_its_memory():
+    """Guards against processes that end with the rest of an acknowledged upload in memory."""
+    run = GatewayHarness()
+    passing = run.client.passing = Deferred()
+    run.gateway.stop()
+    run.time.advance(4000 * MS)
+    assert not run.gateway.stopped.called
+    passing.callback(None)
+    run.time.advance(20 * MS)
+    assert run.gateway.stopped.called
+
+
+def test_stop_ends_within_the_stop_time_despite_acknowledged_bodies_in_memory():
+    run = GatewayHarness()
+    run.client.passing = Deferred()
+    run.gateway.stop()
+    run.time.advance(5900 * MS)
+    assert run.gateway.stopped.called
+
+
 def test_stop_ends_within_the_stop_time_despite_requests_in_flight():
     run = GatewayHarness()
     run.gateway.app.in_flight = 1
--- a/standins/src/cardamomloft_standins/gateway.py
+++ b/standins/src/cardamomloft_standins/gateway.py
@@ -119,6 +119,7 @@
         self.pending: list[Deferred] = []
         self.forgotten_addresses = []
         self.cancelled = 0
+        self.passing: Deferred | None = None
         self.observers = LinkObservers()
 
     def close_idle(self, address):
@@ -129,6 +130,11 @@
         """Return that there is no idle connection."""
         return False
 
+    async def passed_on(self):
+        """Return once `passing` has fired, at once if it is None."""
+        if self.passing is not None:
+            await self.passing
+
     def abort_unsent(self, detail, addresses=None):
         """Abort nothing."""
         return 0
