Serve bodies in chunks up to the configured limit

What callers saw: 400 "body exceeds 1048576 bytes" for a body in chunks of more than 1 MiB, although the configuration allowed 64 MB; a body with a length of the same size was streamed.

Cause: a body whose length is not announced was collected in memory, and the size up to which bodies are held there was taken for the limit of the configuration.

Now such a body is held up to that size, so that it can be sent again, and streamed from there on. The limit of the configuration applies to it too: 413, without a run as long as the body is held, and with an unknown outcome once an endpoint may have got a part.

--- a/packages/callers/src/cardamomloft/callers/body.py
+++ b/packages/callers/src/cardamomloft/callers/body.py
@@ -59,6 +59,10 @@
         Why the body is incomplete, or None.
     max_buffered
         The largest number of bytes that was buffered at any time.
+    max_size
+        Maximum size of the body in bytes, or None. A larger one stays incomplete.
+    is_too_large
+        Whether it has more bytes than that.
     """
 
     def __init__(
@@ -69,6 +73,9 @@
         self.ended = length == 0
         self.failure: str | None = None
         self.max_buffered = 0
+        self.max_size: int | None = None
+        self.is_too_large = False
+        self._holder: _Holder | None = None
         self._content_length = length
         self._flow = flow
         self._on_consume = on_consume
@@ -107,6 +114,9 @@
     def data_received(self, data: bytes) -> None:
         """Pass bytes from the caller to the consumer, or buffer them."""
         self.received += len(data)
+        if self.max_size is not None and self.received > self.max_size:
+            self.is_too_large = True
+            self.fail(f"the body exceeds the limit of {self.max_size} bytes")
         if self._discarding or self.failure is not None:
             return
         if self._consumer is not None and not self._paused and not self._chunks:
@@ -115,6 +125,8 @@
         self._chunks.append(data)
         self._buffered += len(data)
         self.max_buffered = max(self.max_buffered, self._buffered)
+        if self._holder is not None and not self._holder.is_full(self._buffered):
+            return
         if self._buffered >= HIGH_WATER:
             self._flow.pause_body()
 
@@ -122,6 +134,7 @@
         """Record that the whole body has been received."""
         if self.failure is None:
             self.ended = True
+            self._finish_holding()
             self._finish_if_done()
             self._passed_on.check()
 
@@ -131,6 +144,7 @@
             return
         self.failure = detail
         self._drop_chunks()
+        self._finish_holding()
         self._finish_if_done()
         self._passed_on.check()
 
@@ -190,6 +204,33 @@
             return succeed(Error(f"body of {self._content_length} bytes exceeds {limit}"))
         return _Collector(self, limit).result
 
+    def hold(self, limit: int) -> "Deferred[Result[bytes | None, str]]":
+        """Read the whole body into memory if it has at most `limit` bytes.
+
+        The result is None once there are more; the body can then be consumed. The error is a
+        message, if the caller sends less than it announced or more than `max_size`. Cancelling the
+        result discards the body.
+        """
+        holder = self._holder = _Holder(self, limit)
+        self._on_consume()
+        if self.ended or self.failure is not None:
+            self._finish_holding()
+        elif not holder.is_full(self._buffered):
+            self._flow.resume_body()
+        return holder.result
+
+    def _finish_holding(self) -> None:
+        holder, self._holder = self._holder, None
+        if holder is None or holder.result.called:
+            return
+        if self.failure is not None:
+            holder.result.callback(Error(self.failure))
+            return
+        content = b"".join(self._chunks)
+        self._consumed = True
+        self._drop_chunks()
+        holder.result.callback(Ok(content))
+
     def _pump(self) -> None:
         while self._chunks and self._consumer is not None and not self._paused:
             chunk = self._chunks.popleft()
@@ -217,6 +258,20 @@
         self._buffered = 0
 
 
+class _Holder:
+    """Lets a body be buffered beyond `HIGH_WATER`, up to a limit of its own."""
+
+    def __init__(self, body: RequestBody, limit: int) -> None:
+        self.result: Deferred[Result[bytes | None, str]] = Deferred(lambda _: body.stopProducing())
+        self._limit = limit
+
+    def is_full(self, size: int) -> bool:
+        """Return whether no more is to be buffered; tell the user once the limit is exceeded."""
+        if size > self._limit and not self.result.called:
+            self.result.callback(Ok(None))
+        return self.result.called
+
+
 @implementer(IConsumer)
 class _Collector:
     """Collects a body of up to `limit` bytes."""
--- a/packages/callers/src/cardamomloft/callers/channel.py
+++ b/packages/callers/src/cardamomloft/callers/channel.py
@@ -323,7 +323,8 @@
         )
 
     def _check_upload(self, request: "CallerRequest", received: int) -> None:
-        if self._body_paused or request.body.received > received:
+        is_received = request.body.failure is None and request.body.received > received
+        if self._body_paused or is_received:
             self._await_upload(request)
         else:
             self.transport.abortConnection()
--- a/packages/callers/src/cardamomloft/callers/exchange.py
+++ b/packages/callers/src/cardamomloft/callers/exchange.py
@@ -132,6 +132,12 @@
     return _generated_answer(HTTPStatus.BAD_GATEWAY, FAILED, reason, detail)
 
 
+def too_large(detail: str) -> Answer:
+    """Return 413 for a body of which an endpoint may have got a part before its size was known."""
+    reason = RefusalReason.TOO_LARGE
+    return _generated_answer(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, UNKNOWN, reason, detail)
+
+
 def internal_error(detail: str) -> Answer:
     """Return 500 after an internal error; the request may or may not have run."""
     return _generated_answer(HTTPStatus.INTERNAL_SERVER_ERROR, UNKNOWN, "internal-error", detail)
--- a/packages/callers/tests/test_callers_body.py
+++ b/packages/callers/tests/test_callers_body.py
@@ -88,3 +88,69 @@
     assert "after 2 bytes" in results[1].error
     with pytest.raises(RuntimeError):
         whole.collect(10)
+
+
+def held(body, limit):
+    results = []
+    body.hold(limit).addCallback(results.append)
+    return results
+
+
+@pytest.mark.parametrize("before", [0, 2, 4])
+def test_held_body_is_returned_whole(before):
+    body = RequestBody(None, Flow())
+    body.data_received(b"abcd"[:before])
+    results = held(body, 4)
+    body.data_received(b"abcd"[before:])
+    assert not results
+    body.end()
+    assert results[0].ok == b"abcd"
+    assert not body.unconsumed
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_body_above_the_limit_of_holding_can_be_streamed(late):
+    """Guards against the refusal of large bodies in chunks."""
+    flow = Flow()
+    body, size = RequestBody(None, flow), 3 * HIGH_WATER
+    results = held(body, size)
+    body.data_received(b"x" * size)
+    assert not results and not flow.paused
+    if not late:
+        body.data_received(b"y")
+        assert flow.paused
+    else:
+        body.data_received(b"y" * 5)
+    assert results[0].ok is None
+    assert body.unconsumed
+    consumer = SlowConsumer(body)
+    done = body.startProducing(consumer)
+    while not flow.paused and body.received < size:
+        body.resumeProducing()
+    body.resumeProducing()
+    body.end()
+    body.resumeProducing()
+    assert done.called
+    assert len(consumer.data) == body.received
+
+
+def test_held_body_is_full_at_once_if_more_than_the_limit_has_arrived():
+    body = RequestBody(None, Flow())
+    body.data_received(b"abc")
+    assert held(body, 2)[0].ok is None
+    assert body.unconsumed
+
+
+@pytest.mark.parametrize("is_held", [True, False])
+def test_body_beyond_its_maximum_size_stays_incomplete(is_held):
+    body = RequestBody(None, Flow())
+    body.max_size = 10
+    results = held(body, 100) if is_held else []
+    errors = []
+    if not is_held:
+        body.startProducing(SlowConsumer(body)).addErrback(errors.append)
+    body.data_received(b"x" * 10)
+    assert not body.is_too_large
+    body.data_received(b"x")
+    assert body.is_too_large
+    assert "limit of 10 bytes" in (results[0].error if is_held else str(errors[0].value))
--- a/packages/gateway/src/cardamomloft/gateway/calls.py
+++ b/packages/gateway/src/cardamomloft/gateway/calls.py
@@ -50,6 +50,7 @@
     the caller itself stops waiting. `target` is the path with its query, as sent. `headers` are
     those for the endpoint. `rule` has the priority and the home regions of the `account`, which is
     None for an anonymous caller. `knowledge` names the configuration that decided all this.
+    `max_body_bytes` is the largest body that the configuration allows, None without a limit.
     """
 
     id: str
@@ -63,6 +64,7 @@
     headers: Headers = ()
     account: ClientAccount | None = None
     knowledge: Knowledge = NO_KNOWLEDGE
+    max_body_bytes: int | None = None
 
 
 class Origin(t.NamedTuple):
@@ -189,6 +191,7 @@
             caller_deadline=now + caller_wait,
             headers=self._authenticator.forwarded_headers(head.headers, account),
             account=account,
+            max_body_bytes=self.plan.limits.body_bytes,
         )
 
     def _choose_service(self, rule: RouteRule) -> str:
--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -1,6 +1,5 @@
 """Forwards calls to upstream endpoints, or refuses them with a retry-after time."""
 
-import typing as t
 from datetime import timedelta
 
 from cardamomloft.callers.body import RequestBody
@@ -8,7 +7,7 @@
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.gateway.calls import Call, Origin
 from cardamomloft.gateway.requestcontext import RequestContext
-from cardamomloft.gateway.requestrun import CallerState, RequestRun
+from cardamomloft.gateway.requestrun import CallerState, RequestRun, announced_size
 from expression import Result
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError, ensureDeferred
 
@@ -54,13 +53,14 @@
         caller: CallerState,
         origin: Origin | None,
     ) -> Answer:
+        body.max_size = call.max_body_bytes
         payload = await self._payload(body, call.deadline)
         if isinstance(payload, Refusal):
             self.records.write(call, "refused", self.clock.monotonic(), detail=payload.detail)
             if origin is None:
                 self.on_not_run(call)
             return self.refuse(payload)
-        size = len(payload) if isinstance(payload, bytes) else t.cast(int, payload.length)
+        size = len(payload) if isinstance(payload, bytes) else announced_size(payload)
         self.selector.body_sizes.record(call.rule.name, size)
         return await RequestRun(self, call, head, payload, caller, origin).run()
 
@@ -72,11 +72,11 @@
             return b""
         if isinstance(body.length, int) and body.length > MAX_BUFFERED_BODY_BYTES:
             return body
-        collected = body.collect(MAX_BUFFERED_BODY_BYTES)
+        held = body.hold(MAX_BUFFERED_BODY_BYTES)
         time_left = max(timedelta(0), deadline - self.clock.monotonic())
-        collected.addTimeout(time_left.total_seconds(), self.reactor)
+        held.addTimeout(time_left.total_seconds(), self.reactor)
         try:
-            outcome = await collected
+            outcome = await held
         except TimeoutError:
             return Refusal(
                 RefusalReason.DEADLINE,
@@ -84,6 +84,9 @@
             )
         match outcome:
             case Result(tag="ok", ok=content):
-                return content
+                return body if content is None else content
             case Result(error=detail):
-                return Refusal(RefusalReason.BAD_REQUEST, detail)
+                reason = RefusalReason.BAD_REQUEST
+                if body.is_too_large:
+                    reason = RefusalReason.TOO_LARGE
+                return Refusal(reason, detail)
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -10,7 +10,7 @@
 from http import HTTPStatus
 
 from cardamomloft.callers.body import RequestBody
-from cardamomloft.callers.exchange import Answer, RequestHead, deadline_exceeded, failed
+from cardamomloft.callers.exchange import Answer, RequestHead, deadline_exceeded, failed, too_large
 from cardamomloft.core.fingerprints import fingerprint
 from cardamomloft.core.model import Endpoint, Refusal, RefusalReason
 from cardamomloft.core.retries import AttemptCounts, may_retry
@@ -50,6 +50,11 @@
 _NO_ENDPOINT = Refusal(RefusalReason.UNREACHABLE, "this entry reaches no endpoint")
 
 
+def announced_size(body: RequestBody) -> int:
+    """Return the size of a body that is streamed, 0 for one in chunks."""
+    return body.length if isinstance(body.length, int) else 0
+
+
 class CallerState:
     """Whether the caller has disconnected, after which its request is not sent again."""
 
@@ -426,6 +431,8 @@
                 wait = context.queue.retry_after(self._call, self._head.client, rejected, wait)
             return context.refuse(refusal, wait)
         context.metrics.count(outcome)
+        if isinstance(self._payload, RequestBody) and self._payload.is_too_large:
+            return too_large(detail)
         return deadline_exceeded(detail) if outcome == "late" else failed(detail)
 
     def _log_fields(self) -> dict[str, str]:
@@ -441,5 +448,5 @@
     @cached_property
     def _fingerprint(self) -> str:
         head, payload = self._head, self._payload
-        body = payload if isinstance(payload, bytes) else t.cast(int, payload.length)
+        body = payload if isinstance(payload, bytes) else announced_size(payload)
         return fingerprint(head.method, self._call.target, head.headers, body)
--- a/packages/gateway/tests/test_early_answers_of_endpoints.py
+++ b/packages/gateway/tests/test_early_answers_of_endpoints.py
@@ -18,6 +18,7 @@
 
 MIB = 1024 * 1024
 FIRST = 64 * 1024
+MAX_BODY_BYTES = 8_000_000
 SHORT_DEADLINE_MS, LONG_DEADLINE_MS = 700, 6_000
 NOTICE_S = 3.0
 """Time in which an endpoint learns that an upload stays incomplete, in seconds."""
@@ -39,6 +40,7 @@
         document = json.loads(processes.ROUTES.read_text())
         document["rules"][0]["then"]["timeout"] = "6s"
         document["rules"] = document["rules"][:1]
+        document["limits"]["body_bytes"] = MAX_BODY_BYTES
         endpoints.put(f"http://{store}/v1/kv/gateway/routes/current", document)
         endpoints.register(store, self.endpoint)
         self.settings, self.processes = [], []
@@ -90,6 +92,12 @@
     return "\r\n".join((*lines, "", "")).encode()
 
 
+def chunks_of(body, size=100_000):
+    """Return a body in chunks."""
+    parts = (body[start : start + size] for start in range(0, len(body), size))
+    return b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
+
+
 def read_answer(conn):
     answer = http.client.HTTPResponse(conn)
     answer.begin()
@@ -241,3 +249,35 @@
     assert read_answer(conn)[0] == 200
     got = own_fleet.ended(name)
     assert (got.received, got.whole) == (size, True)
+
+
+@pytest.mark.parametrize("size", [900_000, MIB, MIB + 1, 3_000_000])
+@pytest.mark.parametrize("plan", [None, Plan(FIRST, 1.0)], ids=["read first", "answered early"])
+@pytest.mark.parametrize("number", ROUTES, ids=ROUTE_NAMES)
+def test_body_in_chunks_arrives_whole(fleet, number, plan, size):
+    """Guards against the refusal of bodies in chunks that the configuration allows."""
+    name, body = next(_names), os.urandom(size)
+    conn = fleet.connect(number)
+    data = head(name, plan, chunked=True) + chunks_of(body)
+    threading.Thread(target=conn.sendall, args=(data,)).start()
+    assert read_answer(conn)[0] == 200
+    got = fleet.ended(name)
+    assert (got.received, got.whole) == (size, True)
+    assert got.sha256 == hashlib.sha256(body).hexdigest()
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+@pytest.mark.parametrize("number", ROUTES, ids=ROUTE_NAMES)
+def test_body_that_the_configuration_does_not_allow_is_answered_413(fleet, number, chunked):
+    size, name = MAX_BODY_BYTES + 1, next(_names)
+    conn = fleet.connect(number)
+    body = chunks_of(bytes(size)) if chunked else bytes(size)
+
+    def send():
+        with contextlib.suppress(OSError):
+            conn.sendall(head(name, size=size, chunked=chunked) + body)
+
+    threading.Thread(target=send).start()
+    assert read_answer(conn)[0] == 413
+    got = fleet.endpoint.upload(name)
+    assert got is None or not got.whole
