Let the soak draw endpoints that answer uploads early and read on

Each upload that was acknowledged must be whole at an endpoint unless a process or link ended on its way, endpoints must learn of callers that left, and no body may hold other bytes than its caller's.

--- a/standins/src/cardamomloft_standins/earlyanswers.py
+++ b/standins/src/cardamomloft_standins/earlyanswers.py
@@ -19,6 +19,9 @@
 READ_TIMEOUT_S = 20.0
 """Time that the endpoint waits for the next bytes of a body, in seconds."""
 
+FRAMINGS = ("length", "chunked", "none")
+"""How an answer ends: after its length, after its last chunk, or with its head."""
+
 _sequence = itertools.count(1)
 
 
@@ -36,7 +39,7 @@
     status
         Status of the answer.
     framing
-        ``length``, ``chunked``, or ``none`` for an answer without a body.
+        One of `FRAMINGS`.
     size
         Bytes of the answer's body.
     half_close
@@ -83,6 +86,8 @@
         The bodies that have ended.
     answered
         The names of the requests that were answered.
+    left
+        The names of the uploads whose connections were closed after the answer.
     connections
         Number of connections that were accepted.
     """
@@ -91,6 +96,7 @@
         self.name = f"i-early-{next(_sequence)}"
         self.uploads: list[Upload] = []
         self.answered: list[str] = []
+        self.left: list[str] = []
         self.connections = 0
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
@@ -163,6 +169,7 @@
         self.answered.append(name)
         conn.sendall(head + b"\r\n" + body)
         if plan.leave:
+            self.left.append(name)
             conn.close()
             raise EOFError
         if plan.half_close:
@@ -192,7 +199,14 @@
 
 
 def _read_chunks(stream: t.Any) -> Iterator[bytes]:
-    while size := int(stream.readline() or b"z", 16):
+    while size := int(_read_line(stream), 16):
         yield from _read_length(stream, size)
-        stream.readline()
-    stream.readline()
+        _read_line(stream)
+    _read_line(stream)
+
+
+def _read_line(stream: t.Any) -> bytes:
+    line = stream.readline()
+    if not line.endswith(b"\n"):
+        raise EOFError
+    return line
--- a/standins/src/cardamomloft_standins/endpoints.py
+++ b/standins/src/cardamomloft_standins/endpoints.py
@@ -177,9 +177,16 @@
             endpoint.close()
 
 
-def register(store: str, endpoint: Endpoint) -> None:
+class Registered(t.Protocol):
+    """An endpoint that can be registered."""
+
+    name: str
+    address: str
+
+
+def register(store: str, endpoint: Registered, service: str = "menus") -> None:
     """Write the registration of `endpoint` to the store at `store`."""
-    row = {"service": "menus", "address": endpoint.address, "zone": "a", "slots": 4}
+    row = {"service": service, "address": endpoint.address, "zone": "a", "slots": 4}
     put(f"http://{store}/v1/kv/gateway/upstreams/{endpoint.name}", row)
 
 
--- a/standins/src/cardamomloft_standins/linkfleet.py
+++ b/standins/src/cardamomloft_standins/linkfleet.py
@@ -15,6 +15,7 @@
 
 from cardamomloft_standins import endpoints, processes
 from cardamomloft_standins.cutlinks import Cut, write_links
+from cardamomloft_standins.earlyanswers import EarlyEndpoint
 
 IDEMPOTENT = "/menus/7"
 """Path of requests that may run more than once."""
@@ -37,6 +38,9 @@
 WORK_S = 0.05
 """Time that an endpoint takes for a request, in seconds."""
 
+CONNECTIONS = 360
+"""Connections that an endpoint which may answer early accepts."""
+
 SLOTS = 4
 """Requests that an endpoint with limited slots runs at the same time."""
 
@@ -212,6 +216,8 @@
         Behaviour of the endpoints; by default they have no limit.
     changes
         Settings of the gateways that differ from :func:`~.processes.settings`.
+    early
+        Number of endpoints of the service ``media``, which may answer uploads early.
     """
 
     def __init__(
@@ -222,6 +228,7 @@
         cut_off: int,
         work: endpoints.Behaviour | None = None,
         changes: dict[str, t.Any] | None = None,
+        early: int = 0,
     ) -> None:
         self.folder = folder
         self.store_processes: list[subprocess.Popen[bytes]] = []
@@ -229,6 +236,10 @@
         self.configure(1000)
         service = endpoints.service(self.store, ENDPOINTS, work or _work)
         self.endpoints, self.arrivals = stack.enter_context(service)
+        self.early = [EarlyEndpoint() for _ in range(early)]
+        for endpoint in self.early:
+            stack.callback(endpoint.close)
+            endpoints.register(self.store, endpoint, "media")
         self.settings: list[dict[str, t.Any]] = []
         self._stack = stack
         self._running: dict[str, subprocess.Popen[bytes]] = {}
@@ -251,6 +262,7 @@
         `slow_timeout_ms` is the timeout of slow requests, and `rules` are further ones.
         """
         document = json.loads(processes.ROUTES.read_text())
+        document["services"]["media"] = {"connections": CONNECTIONS}
         document["rules"] += [
             _with_timeout(_ONCE_RULE, timeout_ms),
             _with_timeout(_SLOW_RULE, slow_timeout_ms),
@@ -286,7 +298,7 @@
         return all(
             page["state"] == "ready"
             and len(page["entries"]) == len(self.settings)
-            and page["upstreams"] == len(self.endpoints)
+            and page["upstreams"] == len(self.endpoints) + len(self.early)
             for page in pages
         )
 
@@ -295,14 +307,18 @@
         cut: Cut,
         settings: Iterable[dict[str, t.Any]] | None = None,
         endpoints: int = ENDPOINTS,
+        *,
+        early: bool = False,
     ) -> None:
         """Change the links of some gateways, by default of those to be cut off.
 
-        `endpoints` is the number of endpoints whose links change.
+        `endpoints` is the number of endpoints whose links change, and `early` tells whether the
+        links to all that may answer early change too.
         """
         for cfg in self.cut_off if settings is None else settings:
             known = self._addresses()
-            write_links(self._links_path(cfg), cut, known[:endpoints], known)
+            changed = known[:endpoints] + (known[len(self.endpoints) :] if early else [])
+            write_links(self._links_path(cfg), cut, changed, known)
 
     def runs(self) -> Counter[str]:
         """Return how often each path was run."""
@@ -312,7 +328,7 @@
         return self.folder / f"{cfg['name']}.links"
 
     def _addresses(self) -> list[str]:
-        return [endpoint.address for endpoint in self.endpoints]
+        return [endpoint.address for endpoint in (*self.endpoints, *self.early)]
 
 
 def source_of(name: str) -> str:
--- a/tests/soak/test_lost_links.py
+++ b/tests/soak/test_lost_links.py
@@ -17,6 +17,14 @@
 import pytest
 from cardamomloft_standins import processes
 from cardamomloft_standins.cutlinks import Cut
+from cardamomloft_standins.earlyuploads import (
+    RULE,
+    EarlyUploader,
+    Trouble,
+    late_notices,
+    lost_uploads,
+    mixed_uploads,
+)
 from cardamomloft_standins.keepingcallers import (
     KeepingCaller,
     PipeliningCaller,
@@ -39,9 +47,14 @@
 CALLERS = {KeepingCaller: 3, PipeliningCaller: 2, UploadingCaller: 2}
 """Number of callers of slow requests."""
 
+EARLY_ENDPOINTS = 2
+EARLY_UPLOADERS = 4
 ONCE_CALLERS = 8
 ONCE_DEADLINE_S = 2.0
 SLOW_DEADLINE_S = 3.0
+MIN_ACKNOWLEDGED = 10
+"""Uploads that are answered with success at least, so that the check says something."""
+
 DURATION_S = 8.0
 EVENT_INTERVAL_S = (0.1, 0.9)
 STOP_TIMEOUT_S = 7.0
@@ -76,6 +89,8 @@
         self.fleet = fleet
         self.history = history
         self.rng = random.Random(seed)
+        self._early_rng = random.Random(f"{seed} early")
+        self.troubles: list[Trouble] = []
         self.log: list[str] = []
         self.prober = VersionProber(fleet, seed)
         self.disturbances: list[Disturbance] = []
@@ -119,14 +134,17 @@
     def cut(self, cut: Cut, settings: list, endpoints: int) -> None:
         now = time.monotonic()
         self.history.changes += [Change(cfg["name"], now, cut, endpoints) for cfg in settings]
-        self.fleet.cut(cut, settings, endpoints=endpoints)
+        early = cut is Cut.NONE or self._early_rng.random() < 0.3
+        state = cut if early else Cut.NONE
+        self.troubles += [Trouble(cfg["name"], now, state) for cfg in settings]
+        self.fleet.cut(cut, settings, endpoints=endpoints, early=early)
 
     def configure(self, once_ms: int, slow_ms: int) -> None:
         with self._configuring:
             begun, number = time.monotonic(), len(self.prober.versions) + 1
             self.history.timeouts.append(Timeouts(begun, once_ms / 1000, slow_ms / 1000))
             self.prober.begun.append(begun)
-            self.fleet.configure(once_ms, slow_ms, version_rules(number))
+            self.fleet.configure(once_ms, slow_ms, [*version_rules(number), RULE])
             self.prober.versions.append(Version(number, time.monotonic()))
 
     def pause_store(self) -> None:
@@ -225,16 +243,33 @@
     )
 
 
+def check_uploads(uploaders: list[EarlyUploader], fleet: LinkFleet, disturber: Disturber) -> None:
+    """Check that acknowledged uploads are whole, and that endpoints learn of callers that leave."""
+    sent = [one for uploader in uploaders for one in uploader.sent]
+    got = [one for endpoint in fleet.early for one in endpoint.uploads]
+    left = [name for endpoint in fleet.early for name in endpoint.left]
+    history, troubles = disturber.history, disturber.troubles
+    assert sum(one.status in (200, 201) for one in sent) > MIN_ACKNOWLEDGED, len(sent)
+    lost = lost_uploads(sent, got, history.killed, history.stopped, troubles, left)
+    assert not lost, "\n".join(map(str, (*lost, *troubles, *disturber.log)))
+    late_ones = late_notices(sent, got, troubles)
+    assert not late_ones, "\n".join(map(str, (*late_ones, *disturber.log)))
+    assert not mixed_uploads(sent, got), disturber.log
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_request_runs_twice_or_is_given_up_while_links_and_processes_fail(tmp_path, seed):
     work = RecordedWork(lambda path: work_s(seed, path))
     with contextlib.ExitStack() as stack:
-        fleet = LinkFleet(stack, tmp_path, GATEWAYS, 2, work)
+        fleet = LinkFleet(stack, tmp_path, GATEWAYS, 2, work, early=EARLY_ENDPOINTS)
         history = LinkHistory(endpoint.name for endpoint in fleet.endpoints)
         disturber = Disturber(fleet, history, seed)
         disturber.configure(1000, 3000)
         assert processes.eventually(fleet.has_converged, 60)
         callers = start_callers(fleet, seed)
+        uploaders = [EarlyUploader(fleet, f"u{n}", f"{seed}u{n}") for n in range(EARLY_UPLOADERS)]
+        for uploader in uploaders:
+            uploader.start()
         disturber.prober.start()
         end = time.monotonic() + DURATION_S
         while time.monotonic() < end:
@@ -245,12 +280,14 @@
         time.sleep(SETTLE_S)
         settled_at = time.monotonic()
         time.sleep(RECOVERY_S)
-        for thread in (*callers, disturber.prober):
+        for thread in (*callers, *uploaders, disturber.prober):
             thread.stopped.set()
-        for thread in (*callers, disturber.prober):
+        for thread in (*callers, *uploaders, disturber.prober):
             thread.join(10)
+        time.sleep(SETTLE_S)
         results = [result for caller in callers for result in caller.results]
         runs = Counter(work.accepted)
+    check_uploads(uploaders, fleet, disturber)
     once = [path for path, count in runs.items() if path.startswith(ONCE) and count > 1]
     assert not once, disturber.log
     refused = [result.path for result in results if result.status == 503]
