Let a stopping entry pass on acknowledged uploads before it ends

The stop of the other binary waited for answers and for its callers' connections, not for bodies that an upstream has answered and that are still in memory. It waits for them now, as gateways do. test_a_stop_waits_for_acknowledged_bodies_that_are_being_passed_on failed before.

--- a/packages/entry/src/cardamomloft/entry/stopping.py
+++ b/packages/entry/src/cardamomloft/entry/stopping.py
@@ -18,7 +18,10 @@
 
 
 async def close(node: "EntryNode", timers: Timers, clock: Clock) -> None:
-    """Wait for requests in flight, hand over the shares and close the callers' connections."""
+    """Wait for requests in flight, hand over the shares and close the callers' connections.
+
+    Then wait for bodies that upstreams have answered and that are still being passed on.
+    """
     await node.app.drained()
     while node.executor is not None and (
         node.executor.running or node.forwarder.pending_cancellations
@@ -34,6 +37,7 @@
     if node.steward is not None:
         await node.steward.release()
     await node.app.disconnect()
+    await node.client.passed_on()
     node.lifecycle.drained()
 
 
--- a/packages/entry/tests/test_node.py
+++ b/packages/entry/tests/test_node.py
@@ -117,9 +117,15 @@
 
 
 class FakeClient:
+    def __init__(self):
+        self.passing = succeed(None)
+
     def poll(self, endpoint):
         return succeed(Error("no report"))
 
+    async def passed_on(self):
+        await self.passing
+
 
 class Bench:
     """A node with fake adapters and peers; `start` opens no sockets."""
@@ -294,6 +300,18 @@
     assert bench.ended == [None] and bench.seat_row()["stopped"]
 
 
+def test_a_stop_waits_for_acknowledged_bodies_that_are_being_passed_on(store):
+    """Guards against processes that end with the rest of an acknowledged upload in memory."""
+    bench = Bench(store).start()
+    passing = bench.node.client.passing = Deferred()
+    bench.node.stop()
+    bench.pass_time(10)
+    assert bench.ended == []
+    passing.callback(None)
+    bench.pass_time(5)
+    assert bench.ended == [None]
+
+
 def test_a_stop_waits_for_operations_of_disconnected_callers(store):
     bench = Bench(store).start()
     bench.node.executor.running = 1
