Test further forms of early answers

Attempts that are cancelled beside another, bodies of the sizes of the buffers, requests for the head only, and callers that leave after they have sent all.

--- a/packages/gateway/tests/test_early_answers_of_endpoints.py
+++ b/packages/gateway/tests/test_early_answers_of_endpoints.py
@@ -120,11 +120,11 @@
         thread.join()
 
 
-@pytest.mark.parametrize("size", [200_000, 900_000, MIB, MIB + 1, 3_000_000])
+@pytest.mark.parametrize("size", [FIRST, 2 * FIRST, 200_000, 900_000, MIB, MIB + 1, 3_000_000])
 @pytest.mark.parametrize("number", ROUTES, ids=ROUTE_NAMES)
 def test_deadline_of_the_next_request_does_not_cut_an_acknowledged_upload(fleet, number, size):
     """Guards against the reset of a connection that still carries an acknowledged body."""
-    name, body, plan = next(_names), os.urandom(size), Plan(after=FIRST, pause=3.0)
+    name, body, plan = next(_names), os.urandom(size), Plan(min(FIRST, size // 2), pause=3.0)
     conn = fleet.connect(number)
     threading.Thread(target=conn.sendall, args=(head(name, plan, size) + body,)).start()
     assert read_answer(conn)[0] == 200
@@ -150,6 +150,18 @@
     assert processes.eventually(lambda: "upload-incomplete" in fleet.log(), 1)
 
 
+@pytest.mark.parametrize("size", [900_000, 3_000_000])
+@pytest.mark.parametrize("number", ROUTES, ids=ROUTE_NAMES)
+def test_caller_that_leaves_after_it_has_sent_all_does_not_cut_its_upload(fleet, number, size):
+    name, body, plan = next(_names), os.urandom(size), Plan(FIRST, pause=1.0)
+    conn = fleet.connect(number)
+    conn.sendall(head(name, plan, size) + body)
+    assert read_answer(conn)[0] == 200
+    conn.close()
+    got = fleet.ended(name)
+    assert (got.received, got.whole) == (size, True)
+
+
 PLANS = {
     "without a body": Plan(FIRST, 1.0, status=204, framing="none"),
     "chunked answer": Plan(FIRST, 1.0, framing="chunked"),
--- a/packages/upstreams/tests/test_stored_bodies.py
+++ b/packages/upstreams/tests/test_stored_bodies.py
@@ -103,15 +103,22 @@
     assert harness.opened == 1
 
 
-def test_deadline_of_the_next_request_does_not_reset_a_body_that_may_be_unread():
+@pytest.mark.parametrize("is_late", [True, False], ids=["deadline", "cancelled beside another"])
+@pytest.mark.parametrize("next_body", [None, BODY, "streamed"])
+def test_end_of_the_next_attempt_does_not_reset_a_body_that_may_be_unread(is_late, next_body):
     """Guards against the reset of a body that waits in the endpoint's receive buffer."""
     harness = HostHarness()
     result, wire = upload(harness)
     wire.answer_early(0)
     assert delivered(result)[0].result.complete
-    late = harness.send(request_id="r2")
-    harness.reactor.advance(1)
-    assert late.result.error.detail == "deadline passed"
+    body = streamed() if next_body == "streamed" else next_body
+    attempt = harness.send(body=body, method="POST", request_id="r2")
+    if is_late:
+        harness.reactor.advance(1)
+    else:
+        attempt.cancel()
+    detail = "deadline passed" if is_late else "cancelled"
+    assert attempt.result.error.detail == detail
     assert wire.transport.disconnecting and not wire.transport.disconnected
 
 
@@ -187,6 +194,19 @@
     assert not harness.client.in_flight
 
 
+def test_upload_goes_on_after_an_early_answer_to_a_request_for_the_head_only():
+    harness = HostHarness()
+    body = streamed()
+    result = harness.send(body=body, method="HEAD")
+    wire = harness.connect()
+    wire.send(OK[:-2])
+    assert delivered(result)[0].result.complete
+    assert not body.stopProducing.called
+    consumer_of(body).write(b"x" * 100)
+    body.startProducing.return_value.callback(None)
+    assert wire.transport.disconnecting and not wire.transport.disconnected
+
+
 def test_rejected_early_answer_resets_its_connection():
     harness = HostHarness()
     body = streamed()
