Divide the client of upstreams by its nouns

client.py held what is sent, the exchange and the client; connections.py the connection and the pool. Code is moved, not changed; a test patches the class in the module that uses it.

--- a/packages/callers/tests/test_edges_sockets.py
+++ b/packages/callers/tests/test_edges_sockets.py
@@ -7,9 +7,10 @@
 from cardamomloft.callers.body import HIGH_WATER
 from cardamomloft.callers.exchange import complete, to_answer
 from cardamomloft.core.model import Endpoint, Unknown
-from cardamomloft.upstreams import client
+from cardamomloft.upstreams import exchange
 from cardamomloft.upstreams.body import AnswerBody
-from cardamomloft.upstreams.client import UpstreamClient, UpstreamRequest
+from cardamomloft.upstreams.client import UpstreamClient
+from cardamomloft.upstreams.sends import UpstreamRequest
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, gatherResults, inlineCallbacks
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
@@ -134,7 +135,7 @@
                 if not paused.called:
                     paused.callback(self._received)
 
-        self.patch(client, "AnswerBody", WatchedBody)
+        self.patch(exchange, "AnswerBody", WatchedBody)
 
         def answer(peer):
             peer.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % SIZE)
--- a/packages/entry/src/cardamomloft/entry/executor.py
+++ b/packages/entry/src/cardamomloft/entry/executor.py
@@ -44,7 +44,8 @@
 )
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.store.keyvalue import Store
-from cardamomloft.upstreams.client import UpstreamClient, UpstreamRequest
+from cardamomloft.upstreams.client import UpstreamClient
+from cardamomloft.upstreams.sends import UpstreamRequest
 from expression import Result
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.python.failure import Failure
--- a/packages/entry/src/cardamomloft/entry/forwarding.py
+++ b/packages/entry/src/cardamomloft/entry/forwarding.py
@@ -27,13 +27,9 @@
 from cardamomloft.core.router import Dispatch, Dropped, Router, Waiting
 from cardamomloft.entry.pacing import PacedBody, PacedConsumer
 from cardamomloft.runtime.metrics import Metrics
-from cardamomloft.upstreams.client import (
-    SendFailure,
-    UpstreamAnswer,
-    UpstreamClient,
-    UpstreamRequest,
-)
+from cardamomloft.upstreams.client import UpstreamClient
 from cardamomloft.upstreams.dialect import REQUEST_ID_HEADER
+from cardamomloft.upstreams.sends import SendFailure, UpstreamAnswer, UpstreamRequest
 from expression import Error, Ok, Result
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IConsumer
--- a/packages/entry/tests/test_executor.py
+++ b/packages/entry/tests/test_executor.py
@@ -23,7 +23,7 @@
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.store.failures import StoreFailure
 from cardamomloft.store.keyvalue import Record
-from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer
+from cardamomloft.upstreams.sends import SendFailure, UpstreamAnswer
 from expression import Error, Ok
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
 
--- a/packages/entry/tests/test_forwarding.py
+++ b/packages/entry/tests/test_forwarding.py
@@ -18,7 +18,7 @@
 from cardamomloft.entry.forwarding import Forwarder
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.upstreams.body import Delivery
-from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer
+from cardamomloft.upstreams.sends import SendFailure, UpstreamAnswer
 from expression import Error, Ok
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import Clock
--- a/packages/gateway/src/cardamomloft/gateway/endpointfeedback.py
+++ b/packages/gateway/src/cardamomloft/gateway/endpointfeedback.py
@@ -15,7 +15,7 @@
     endpoint_status,
 )
 from cardamomloft.gateway.requestcontext import RequestContext
-from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer
+from cardamomloft.upstreams.sends import SendFailure, UpstreamAnswer
 from expression import Result
 
 
--- a/packages/gateway/src/cardamomloft/gateway/outcomes.py
+++ b/packages/gateway/src/cardamomloft/gateway/outcomes.py
@@ -6,7 +6,6 @@
 from http import HTTPStatus
 
 from cardamomloft.callers.exchange import Answer, Source, complete, end_to_end
-from cardamomloft.upstreams.client import EndedBy, SendFailure, UpstreamAnswer
 from cardamomloft.upstreams.dialect import (
     Dialect,
     HeaderLoad,
@@ -15,6 +14,7 @@
     parse_retry_after,
     states_work_time,
 )
+from cardamomloft.upstreams.sends import EndedBy, SendFailure, UpstreamAnswer
 from expression import Result
 
 MAX_BUFFERED_ANSWER_BYTES = 256 * 1024
--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/client.py
@@ -21,11 +21,9 @@
 from cardamomloft.gateway.peerproxy.silence import HelperSilence, Watch
 from cardamomloft.gateway.peerproxy.versions import PeerVersions
 from cardamomloft.runtime.metrics import Metrics
-from cardamomloft.upstreams.client import (
-    UpstreamClient,
-    UpstreamRequest,
-)
+from cardamomloft.upstreams.client import UpstreamClient
 from cardamomloft.upstreams.dialect import Dialect
+from cardamomloft.upstreams.sends import UpstreamRequest
 from twisted.internet.defer import CancelledError, Deferred, DeferredQueue, ensureDeferred
 from twisted.python.failure import Failure
 
--- a/packages/gateway/src/cardamomloft/gateway/peerproxy/hops.py
+++ b/packages/gateway/src/cardamomloft/gateway/peerproxy/hops.py
@@ -17,7 +17,7 @@
 from cardamomloft.core.model import RefusalReason
 from cardamomloft.gateway.outcomes import MAX_BUFFERED_ANSWER_BYTES
 from cardamomloft.gateway.peerproxy.header import CONFIGURATION_HEADER
-from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer
+from cardamomloft.upstreams.sends import SendFailure, UpstreamAnswer
 from expression import Result
 
 _MS = timedelta(milliseconds=1)
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -32,12 +32,7 @@
 from cardamomloft.gateway.peerroute import PeerRoute
 from cardamomloft.gateway.records import SendRecord
 from cardamomloft.gateway.requestcontext import RequestContext
-from cardamomloft.upstreams.client import (
-    EndedBy,
-    SendFailure,
-    UpstreamAnswer,
-    UpstreamRequest,
-)
+from cardamomloft.upstreams.sends import EndedBy, SendFailure, UpstreamAnswer, UpstreamRequest
 from expression import Result
 
 MIN_TIME_LEFT = timedelta(milliseconds=5)
--- a/packages/gateway/tests/test_attempts_beside.py
+++ b/packages/gateway/tests/test_attempts_beside.py
@@ -4,7 +4,7 @@
 from cardamomloft.callers.exchange import Answer
 from cardamomloft.gateway.peerproxy.client import ProxyOutcome
 from cardamomloft.gateway.peerproxy.hops import Hop
-from cardamomloft.upstreams.client import SendFailure
+from cardamomloft.upstreams.sends import SendFailure
 from cardamomloft_standins import gateway as kit
 from cardamomloft_standins.forwarderharness import NOT_CONNECTED, RESET, SHED, ForwarderHarness
 from expression import Error
--- a/packages/gateway/tests/test_peer_proxy.py
+++ b/packages/gateway/tests/test_peer_proxy.py
@@ -22,7 +22,7 @@
 from cardamomloft.gateway.peerproxy.silence import PROBE_TIMEOUT, SILENCE_TIME
 from cardamomloft.gateway.peerproxy.versions import PeerVersions
 from cardamomloft.runtime.metrics import Metrics
-from cardamomloft.upstreams.client import SendFailure
+from cardamomloft.upstreams.sends import SendFailure
 from cardamomloft_standins import gateway as kit
 from cardamomloft_standins.gatewayharness import GatewayHarness
 from expression import Error, Ok
--- a/packages/gateway/tests/test_unsent_at_stops.py
+++ b/packages/gateway/tests/test_unsent_at_stops.py
@@ -4,7 +4,7 @@
 from cardamomloft.callers.exchange import RequestHead
 from cardamomloft.gateway.peerproxy.client import UNSENT_TIME
 from cardamomloft.runtime.stopplan import ANSWER_FRACTION, END_FRACTION
-from cardamomloft.upstreams.client import SendFailure
+from cardamomloft.upstreams.sends import SendFailure
 from cardamomloft_standins import gateway as kit
 from cardamomloft_standins.gatewayharness import GatewayHarness
 from expression import Error
--- a/packages/upstreams/tests/test_dialect.py
+++ b/packages/upstreams/tests/test_dialect.py
@@ -5,7 +5,7 @@
 
 import pytest
 from cardamomloft.core.model import Endpoint
-from cardamomloft.upstreams.client import UpstreamClient, UpstreamRequest
+from cardamomloft.upstreams.client import UpstreamClient
 from cardamomloft.upstreams.connections import (
     IDLE_FRACTION,
     IDLE_TIMEOUT_S,
@@ -19,6 +19,7 @@
     parse_retry_after,
     states_work_time,
 )
+from cardamomloft.upstreams.sends import UpstreamRequest
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
--- a/packages/upstreams/tests/test_upstreams_client.py
+++ b/packages/upstreams/tests/test_upstreams_client.py
@@ -6,13 +6,9 @@
 import pytest
 from cardamomloft.core.model import Endpoint
 from cardamomloft.upstreams.body import Delivery
-from cardamomloft.upstreams.client import (
-    EndedBy,
-    SendFailure,
-    UpstreamClient,
-    UpstreamRequest,
-)
+from cardamomloft.upstreams.client import UpstreamClient
 from cardamomloft.upstreams.connections import IDLE_TIMEOUT_S
+from cardamomloft.upstreams.sends import EndedBy, SendFailure, UpstreamRequest
 from twisted.internet.defer import Deferred
 from twisted.internet.error import (
     ConnectionDone,
--- a/standins/src/cardamomloft_standins/experiment/simulation.py
+++ b/standins/src/cardamomloft_standins/experiment/simulation.py
@@ -15,8 +15,8 @@
 from cardamomloft.gateway.noticehandler import NoticeHandler
 from cardamomloft.gateway.records import RequestLog
 from cardamomloft.runtime.metrics import Metrics
-from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer, UpstreamRequest
 from cardamomloft.upstreams.dialect import parse_header_load
+from cardamomloft.upstreams.sends import SendFailure, UpstreamAnswer, UpstreamRequest
 from expression import Error, Result
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
--- a/standins/src/cardamomloft_standins/forwarderharness.py
+++ b/standins/src/cardamomloft_standins/forwarderharness.py
@@ -10,7 +10,7 @@
 from cardamomloft.gateway.noticehandler import NoticeHandler
 from cardamomloft.gateway.records import RequestLog
 from cardamomloft.runtime.metrics import Metrics
-from cardamomloft.upstreams.client import SendFailure
+from cardamomloft.upstreams.sends import SendFailure
 from expression import Error
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import Clock
--- a/standins/src/cardamomloft_standins/gateway.py
+++ b/standins/src/cardamomloft_standins/gateway.py
@@ -17,9 +17,9 @@
 from cardamomloft.gateway.calls import CallerHeaders
 from cardamomloft.gateway.control import Changes, Listing
 from cardamomloft.store.failures import StoreFailure
-from cardamomloft.upstreams.client import SendFailure, UpstreamAnswer
 from cardamomloft.upstreams.dialect import Dialect
 from cardamomloft.upstreams.observers import LinkObservers
+from cardamomloft.upstreams.sends import SendFailure, UpstreamAnswer
 from expression import Error, Ok
 from twisted.internet.defer import Deferred, succeed
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -44,7 +44,7 @@
 from cardamomloft.core.steering import Steering
 from cardamomloft.entry.executor import FORWARDED_BY_HEADER, Executor
 from cardamomloft.runtime.metrics import Metrics
-from cardamomloft.upstreams.client import UpstreamAnswer
+from cardamomloft.upstreams.sends import UpstreamAnswer
 from expression import Ok, Result
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
 
