Keep lines of earlier tests out of the test of logged decisions

Seen: too many request lines, if tests that write some run before in the same process. Cause: eliot keeps what is logged before there is a destination, and gives it to the first one. The fixture drops it. Fails with test_gateway.py before it on the code before, passes now; the checks are as they were.

--- a/packages/gateway/tests/test_decisions_logged.py
+++ b/packages/gateway/tests/test_decisions_logged.py
@@ -34,6 +34,8 @@
     """Return a function that returns the logged lines of an event."""
     lines: list[dict] = []
     eliot.add_destinations(lines.append)
+    # The first destination of a process gets what was logged before.
+    lines.clear()
     yield lambda event: [row for row in lines if row["message_type"] == f"cardamomloft:{event}"]
     eliot.remove_destination(lines.append)
 
