Move the periodic log lines of a gateway to a module of their own

node.py wires the parts; what they have counted is logged in periodiclogs. Code is moved, not changed.

--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -26,11 +26,11 @@
 from cardamomloft.gateway.forwarding import Forwarder
 from cardamomloft.gateway.gossip import ASK_INTERVAL, COMPARE_INTERVAL
 from cardamomloft.gateway.inforce import PlanInForce
-from cardamomloft.gateway.loadstatus import log_loads
 from cardamomloft.gateway.lookups import LookupResult, lookup_result
 from cardamomloft.gateway.noticehandler import NoticeHandler
 from cardamomloft.gateway.peerproxy.fallback import PeerFallback
 from cardamomloft.gateway.peerproxy.listener import HEADER_BYTES, RequestAccess
+from cardamomloft.gateway.periodiclogs import FIGURES_INTERVAL, PeriodicLogs
 from cardamomloft.gateway.presence import Presence
 from cardamomloft.gateway.records import RequestLog
 from cardamomloft.gateway.retrybudgets import RetryBudgets
@@ -57,9 +57,6 @@
 from twisted.internet.interfaces import IListeningPort
 from twisted.python.failure import Failure
 
-COUNTERS_LOG_INTERVAL = timedelta(seconds=2)
-"""Interval at which the growth of the counters is logged, a line of up to about 50 counts."""
-
 _TICK = timedelta(milliseconds=200)
 """Interval of periodic checks, such as for records that were not renewed after a store outage."""
 
@@ -209,6 +206,15 @@
         self.account_access.set_revocation_time(bounds.revocation_time)
         self.account_access.build_quotas(cfg.get("quotas"), self.metrics)
         self.selector.shared_loads.counts = self.metrics.counters
+        self._logs = PeriodicLogs(
+            clock,
+            self._timekeeper,
+            self.metrics,
+            self.plan,
+            self.selector,
+            self.feed,
+            self.forwarder,
+        )
         self._set_features()
         self.forwarder.on_not_run = self.account_access.return_token
         self.notice_handler.publish = gossip.publish
@@ -284,7 +290,7 @@
             self._timers.every(REPORT_INTERVAL, self.feed.usage.report)
         self._timers.every(COMPARE_INTERVAL, self.feed.gossip.compare)
         self._timers.every(ASK_INTERVAL, self.feed.gossip.ask)
-        self._timers.every(COUNTERS_LOG_INTERVAL, self._log_counters)
+        self._timers.every(FIGURES_INTERVAL, self._logs.log_figures)
         log("started", entry=self._cfg["name"], zone=self._cfg["zone"])
 
     def stop(self, signal: StopSignal | None = None) -> None:
@@ -415,29 +421,12 @@
     # Timers.
 
     def _tick(self) -> None:
-        self._log_clock_irregularity()
+        self._logs.log_irregular_time()
         self.account_access.log_verification()
         self.view.tick()
         self.notice_handler.tick()
         self.fallback.report()
 
-    def _log_clock_irregularity(self) -> None:
-        found = self._timekeeper.check()
-        if found is not None:
-            ms = timedelta(milliseconds=1)
-            log("irregular-time", late_ms=found.late // ms, stepped_ms=found.stepped // ms)
-
-    def _log_counters(self) -> None:
-        """Log the growth of the counters, since the metrics page is lost if the process crashes."""
-        grown = self.metrics.take_growth()
-        if grown:
-            log("figures", **grown)
-        if self.feed.usage is not None:
-            self.feed.usage.log_limited()
-        self.plan.log_splits()
-        log_loads(self.selector.shared_loads, self._clock.monotonic())
-        self.forwarder.queue.log()
-
     def _on_fault(self, failure: Failure) -> None:
         self.metrics.count("faults")
         log("fault", detail=failure.getErrorMessage(), trace=failure.getTraceback())
--- a/standins/src/cardamomloft_standins/cutlinks.py
+++ b/standins/src/cardamomloft_standins/cutlinks.py
@@ -12,6 +12,7 @@
 import pathlib
 import socket
 import sys
+import threading
 import typing as t
 
 from twisted.internet.error import ConnectionDone, ConnectionLost
@@ -62,7 +63,7 @@
 
 def write_each(path: pathlib.Path, links: Links) -> None:
     """Change each link of the process that reads `path`."""
-    staging = path.with_suffix(".new")
+    staging = path.with_suffix(f".{threading.get_ident()}")
     staging.write_text(json.dumps(links))
     staging.replace(path)
 
--- a/standins/src/cardamomloft_standins/earlyanswers.py
+++ b/standins/src/cardamomloft_standins/earlyanswers.py
@@ -171,7 +171,7 @@
         if plan.leave:
             self.left.append(name)
             conn.close()
-            raise EOFError
+            raise ConnectionAbortedError
         if plan.half_close:
             conn.shutdown(socket.SHUT_WR)
         return True
