Name the upload that is lost in the log, not the request behind it

A connection that is closed with a stored body has the id of the next request already; upload-incomplete named that one. The test of the log's lines has the case and failed before.

--- a/packages/upstreams/src/cardamomloft/upstreams/connections.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -73,6 +73,7 @@
     target: bytes | None = None
     request_id = ""
     _upload_stopped = False
+    _stored_id = ""
 
     def __init__(
         self,
@@ -177,6 +178,11 @@
         if response is not None:
             self._exchange_state.record_answer(response.code)
 
+    def _record_answer_complete(self) -> None:
+        self._record_status()
+        self._exchange_state.record_answer_complete()
+        self._stored_id = self.request_id
+
     # Uploads.
 
     def _stop_upload_on_error(self, response: IResponse, request: t.Any) -> IResponse:
@@ -203,8 +209,7 @@
         if self._upload_stopped or self._parser is None:
             super()._finishResponse_TRANSMITTING(rest)
             return
-        self._record_status()
-        self._exchange_state.record_answer_complete()
+        self._record_answer_complete()
         self._carriers.add(self)
         self._state = _TRANSMITTING_AFTER_RESPONSE
         self._responseDeferred.chainDeferred(self._finishedRequest)
@@ -230,7 +235,7 @@
         return None
 
     def _log_incomplete(self, reason: Failure) -> None:
-        log("upload-incomplete", id=self.request_id, detail=reason.getErrorMessage())
+        log("upload-incomplete", id=self._stored_id, detail=reason.getErrorMessage())
 
     # The end of an answer.
 
@@ -241,8 +246,7 @@
         granted = self._parser and self._parser.connHeaders.getRawHeaders(b"keep-alive")
         if granted:
             self.idle_s = usable_idle_s(granted[0])
-        self._record_status()
-        self._exchange_state.record_answer_complete()
+        self._record_answer_complete()
         ending = self._exchange_state.ending(self.transport.unsent)
         if ending is not Ending.REUSE and self._currentRequest is not None:
             self._currentRequest.persistent = False
--- a/packages/upstreams/tests/test_stored_bodies.py
+++ b/packages/upstreams/tests/test_stored_bodies.py
@@ -228,7 +228,11 @@
     assert delivered(result)[0].result.complete
     wire.protocol.connectionLost(Failure(ConnectionLost()))
     result, wire = upload(harness, request_id="r2")
-    wire.answer_early(100)
+    wire.answer_early(0)
+    assert delivered(result)[0].result.complete
+    harness.send(request_id="r3")
+    wire.transport.hold(100)
+    harness.reactor.advance(1)
     wire.protocol.connectionLost(Failure(ConnectionLost()))
     assert [(kind, fields["id"]) for kind, fields in lines] == [
         ("upload-incomplete", "r1"),
