Clear crashes under a request that was answered before they became known

Cause: each loss is a crash under the request, three of them quarantine it, and only an answer that comes after a notice cleared it. Gateways whose links worked had answered it 0.1 s before the notices came; then all refused it, so no further answer could come.

Now answers of the last seconds are kept, and clear a crash that became known after them, if they came since one second before it. That request crashes nothing: one that does is never answered, and the tests of such requests pass unchanged. Fingerprints are computed only once a crash is known.

test_request_that_was_answered_here_is_not_quarantined_for_lost_connections_elsewhere failed before and passes now.

--- a/packages/core/src/cardamomloft/core/quarantine.py
+++ b/packages/core/src/cardamomloft/core/quarantine.py
@@ -1,10 +1,13 @@
 """Quarantine of requests that crash upstreams.
 
 When an upstream crashes, every request that it was processing is suspected. A harmless request is
-cleared when a retry is answered; the request that causes the crashes is never answered.
+cleared when a retry is answered; the request that causes the crashes is never answered. Entries
+learn of crashes with a delay, so an answer clears those that become known after it too. Load: links
+to several upstreams are reset, which looks like crashes under a request that many callers send.
 """
 
-from collections.abc import Iterable
+from collections import deque
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from cardamomloft.core.notices import CRASH_RETENTION, CrashUnderRequest
@@ -21,6 +24,47 @@
 """Connection losses of one upstream within this time belong to the same crash."""
 
 
+ANSWERS_KEPT = timedelta(seconds=3)
+"""How long an answer is kept, at least the time until a crash is known at all entries."""
+
+MAX_ANSWERS = 300
+"""Maximum number of answers kept; beyond it the oldest are evicted."""
+
+
+class RecentAnswers:
+    """The requests that were answered in the last seconds.
+
+    Their fingerprints are computed only once a crash is known.
+    """
+
+    def __init__(self) -> None:
+        self._answers: deque[tuple[timedelta, Callable[[], str]]] = deque(maxlen=MAX_ANSWERS)
+
+    def __len__(self) -> int:
+        return len(self._answers)
+
+    def record(self, fingerprint: Callable[[], str], now: timedelta) -> None:
+        """Record that a request was answered now."""
+        self.expire(now)
+        self._answers.append((now, fingerprint))
+
+    def clear_crash(self, notice: CrashUnderRequest, at: timedelta) -> bool:
+        """Return whether the request was answered since shortly before a crash noted at `at`.
+
+        The connections of one crash are lost within `RESTART_TIME`.
+        """
+        since = at - RESTART_TIME
+        return any(
+            answered >= since and fingerprint() == notice.fingerprint
+            for answered, fingerprint in reversed(self._answers)
+        )
+
+    def expire(self, now: timedelta) -> None:
+        """Delete old answers."""
+        while self._answers and now - self._answers[0][0] > ANSWERS_KEPT:
+            self._answers.popleft()
+
+
 class Quarantine:
     """Crashes by request fingerprint, and the requests that are refused because of them."""
 
--- a/packages/core/tests/test_quarantine.py
+++ b/packages/core/tests/test_quarantine.py
@@ -4,7 +4,14 @@
 
 import pytest
 from cardamomloft.core.notices import CRASH_RETENTION, CrashUnderRequest
-from cardamomloft.core.quarantine import CRASHES_TO_QUARANTINE, RESTART_TIME, Quarantine
+from cardamomloft.core.quarantine import (
+    ANSWERS_KEPT,
+    CRASHES_TO_QUARANTINE,
+    MAX_ANSWERS,
+    RESTART_TIME,
+    Quarantine,
+    RecentAnswers,
+)
 from cardamomloft.core.registrations import UpstreamIncarnation
 
 MS = timedelta(milliseconds=1)
@@ -80,3 +87,30 @@
     assert quarantine.refused_until("f", until) is None
     quarantine.expire(NOW + 3000 * MS + CRASH_RETENTION)
     assert not quarantine
+
+
+@pytest.mark.parametrize(
+    ("answered", "fingerprint", "cleared"),
+    [
+        (timedelta(0), "f", True),
+        (RESTART_TIME, "f", True),
+        (-RESTART_TIME, "f", True),
+        (-RESTART_TIME - MS, "f", False),
+        (timedelta(0), "g", False),
+    ],
+)
+def test_answer_clears_a_crash_that_becomes_known_after_it(answered, fingerprint, cleared):
+    answers = RecentAnswers()
+    answers.record(lambda: fingerprint, NOW + answered)
+    assert answers.clear_crash(CrashUnderRequest("f", "i-1", 0, 1), NOW) is cleared
+
+
+def test_few_answers_are_kept_for_a_short_time():
+    answers = RecentAnswers()
+    for _ in range(2 * MAX_ANSWERS):
+        answers.record(lambda: "f", NOW)
+    assert len(answers) == MAX_ANSWERS
+    answers.expire(NOW + ANSWERS_KEPT)
+    assert len(answers) == MAX_ANSWERS
+    answers.expire(NOW + ANSWERS_KEPT + MS)
+    assert not len(answers)
--- a/packages/gateway/src/cardamomloft/gateway/noticehandler.py
+++ b/packages/gateway/src/cardamomloft/gateway/noticehandler.py
@@ -13,7 +13,7 @@
     UpstreamLeaving,
     UpstreamRateLimit,
 )
-from cardamomloft.core.quarantine import Quarantine
+from cardamomloft.core.quarantine import Quarantine, RecentAnswers
 from cardamomloft.core.ratelimits import RateLimits
 from cardamomloft.core.registrations import UpstreamIncarnation
 from cardamomloft.core.upstreamtable import Upstream, UpstreamTable
@@ -55,6 +55,7 @@
         self._rate_limits = rate_limits
         self._metrics = metrics
         self._quarantine = Quarantine()
+        self._answers = RecentAnswers()
         self.cut_off = CutOffEntries()
         self.publish: Callable[[Iterable[Notice]], None] = self._apply_own
 
@@ -73,8 +74,13 @@
         now = self._clock.monotonic()
         self.publish([self._quarantine.crash_notice(fingerprint, upstream.incarnation, now)])
 
-    def record_answer(self, fingerprint: Callable[[], str]) -> None:
-        """Record that a request was answered; its fingerprint is computed only if needed."""
+    def record_answer(self, fingerprint: Callable[[], str], *, keep: bool = True) -> None:
+        """Record that a request was answered; its fingerprint is computed only if needed.
+
+        With `keep` it is kept for some seconds, and so is what it refers to.
+        """
+        if keep:
+            self._answers.record(fingerprint, self._clock.monotonic())
         if self._quarantine:
             self.publish(self._quarantine.clearing_notices(fingerprint()))
 
@@ -117,6 +123,7 @@
         now = self._clock.monotonic()
         self.cut_off.expire(now)
         self._quarantine.expire(now)
+        self._answers.expire(now)
         self._rate_limits.expire(now)
 
     def _apply_own(self, notices: Iterable[Notice]) -> None:
@@ -124,7 +131,11 @@
             self.apply(DatedNotice(notice, self._clock.monotonic()))
 
     def _apply_crash(self, notice: CrashUnderRequest, at: timedelta) -> None:
-        if self._quarantine.apply(notice, at):
+        started = self._quarantine.apply(notice, at)
+        if not notice.excused and self._answers.clear_crash(notice, at):
+            self._metrics.count("crashes_cleared")
+            self.publish([notice._replace(excused=True)])
+        elif started:
             self._metrics.count("requests_quarantined")
             log("request-quarantined", fingerprint=notice.fingerprint, upstream=notice.upstream)
 
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -42,6 +42,9 @@
 MAX_UNSENT_TIME = timedelta(milliseconds=600)
 """Time spent on connections that could not be established after which another gateway is asked."""
 
+MAX_KEPT_BODY_BYTES = 16 * 1024
+"""Size of a body up to which a request is kept for a while after its answer."""
+
 _NO_ENDPOINT = Refusal(RefusalReason.UNREACHABLE, "this entry reaches no endpoint")
 
 
@@ -329,9 +332,9 @@
             case Served(faulty=True):
                 self._may_have_run = True
                 self._selector.record_failure(upstream, now)
-                self._context.notice_handler.record_answer(self._get_fingerprint)
+                self._record_answer()
             case Served():
-                self._context.notice_handler.record_answer(self._get_fingerprint)
+                self._record_answer()
                 self._selector.record_answer(upstream, now - sent_at, load)
             case Refused(misdirected=True):
                 self._context.upstream_table.mark_leaving(upstream)
@@ -349,6 +352,12 @@
                     self._counts.record_unsent(now - sent_at, unreachable=outcome.unreachable)
                 self._feedback.record_failure(upstream, outcome, self._get_fingerprint)
 
+    def _record_answer(self) -> None:
+        """Record that the request crashes no endpoint."""
+        payload = self._payload
+        keep = not isinstance(payload, bytes) or len(payload) <= MAX_KEPT_BODY_BYTES
+        self._context.notice_handler.record_answer(self._get_fingerprint, keep=keep)
+
     def _record_end(self, outcome: Outcome, duration: timedelta) -> None:
         self._rejected_with_room = isinstance(outcome, Refused) and outcome.had_room
         ran = not isinstance(outcome, Refused) and not getattr(outcome, "not_run", False)
--- a/packages/gateway/tests/test_heeding.py
+++ b/packages/gateway/tests/test_heeding.py
@@ -3,8 +3,8 @@
 from collections import deque
 
 import pytest
-from cardamomloft.core.notices import CRASH_RETENTION
-from cardamomloft.core.quarantine import RESTART_TIME
+from cardamomloft.core.notices import CRASH_RETENTION, CrashUnderRequest, DatedNotice
+from cardamomloft.core.quarantine import CRASHES_TO_QUARANTINE, RESTART_TIME
 from cardamomloft_standins import gateway as kit
 from cardamomloft_standins.forwarderharness import (
     CRASH,
@@ -72,6 +72,26 @@
     assert bench.answer().status == 200
 
 
+def learn_of_crashes(bench, fingerprint) -> None:
+    """Apply notices of other gateways of three crashes under a request just now."""
+    handler = bench.forwarder.notice_handler
+    for number in range(CRASHES_TO_QUARANTINE):
+        notice = CrashUnderRequest(fingerprint, f"i-{number}", 0, 1)
+        handler.apply(DatedNotice(notice, bench.time.clock.monotonic()))
+
+
+@pytest.mark.parametrize("answered", [True, False])
+def test_request_that_was_answered_here_is_not_quarantined_for_lost_connections_elsewhere(answered):
+    """Guards against quarantines of harmless requests while links of other gateways are reset."""
+    fingerprint = quarantined(kit.answer()).forwarder.notice_handler.quarantined()[0]
+    bench = ForwarderHarness(kit.answer(), endpoints=8)
+    if answered:
+        assert bench.answer().status == 200
+    learn_of_crashes(bench, fingerprint)
+    assert bench.answer().status == (200 if answered else 503)
+    assert bool(bench.forwarder.notice_handler.quarantined()) is not answered
+
+
 @pytest.mark.parametrize("outcome", [RESET, NOT_CONNECTED, SHED, CUT_SHORT])
 def test_other_failures_are_not_counted_as_crashes(outcome):
     bench = ForwarderHarness(outcome, endpoints=8)
