Give up answers whose head has no end

What callers would see: a gateway that is killed for its memory, and all its requests lost, after one request to an endpoint that sends header lines without end.

Cause: the parser of answers limits a line, not their number, and nothing bounds interim answers.

Both cases of test_answer_whose_head_has_no_end_is_given_up failed before.

--- a/packages/upstreams/src/cardamomloft/upstreams/connections.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -14,7 +14,7 @@
     IHalfCloseableProtocol,
 )
 from twisted.python.failure import Failure
-from twisted.web._newclient import HTTP11ClientProtocol
+from twisted.web._newclient import HTTP11ClientProtocol, ParseError
 from twisted.web.iweb import IResponse
 from zope.interface import implementer
 
@@ -31,6 +31,9 @@
 connection. It is no shorter than the longest deadline of a request, since an endpoint that reads a
 body slowly may be at work on it; it bounds how long closed connections keep unsent data."""
 
+MAX_ANSWER_HEAD_BYTES = 64 * 1024
+"""Bytes of an answer's head, and of interim answers before it, beyond which it is given up."""
+
 _KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 
 # States of HTTP11ClientProtocol.
@@ -39,6 +42,9 @@
 _TRANSMITTING_AFTER_RESPONSE = "TRANSMITTING_AFTER_RECEIVING_RESPONSE"
 _WAITING = "WAITING"
 
+_HEAD_STATES = ("STATUS", "HEADER")
+"""States of `HTTPParser` before the body of an answer."""
+
 
 @implementer(IHalfCloseableProtocol)
 class UpstreamConnection(HTTP11ClientProtocol):
@@ -74,6 +80,7 @@
     request_id = ""
     _upload_stopped = False
     _stored_id = ""
+    _head_bytes = 0
 
     def __init__(
         self,
@@ -101,6 +108,7 @@
     def request(self, request: t.Any) -> "Deferred[t.Any]":
         """Send one request; an error status stops an upload that is still in progress."""
         self.exchange += 1
+        self._head_bytes = 0
         self._exchange_state.begin(has_body=request.bodyProducer is not None)
         if self.target is not None:
             request.uri = self.target
@@ -135,6 +143,7 @@
         elif self.state != _TRANSMITTING_AFTER_RESPONSE:
             super().dataReceived(data)
             self._record_status()
+            self._limit_head(len(data))
 
     def readConnectionLost(self) -> None:  # noqa: N802
         """Go on sending a body to an endpoint that has answered and closed only its side."""
@@ -173,6 +182,17 @@
         self._state = QUIESCENT
         return True
 
+    def _limit_head(self, size: int) -> None:
+        """Give up an answer after `size` more bytes if its head has no end."""
+        if self._parser is None or self._parser.state not in _HEAD_STATES:
+            self._head_bytes = 0
+            return
+        self._head_bytes += size
+        if self._head_bytes > MAX_ANSWER_HEAD_BYTES:
+            detail = f"head of an answer beyond {MAX_ANSWER_HEAD_BYTES} bytes"
+            self._giveUp(Failure(ParseError(detail, b"")))
+            self.transport.abortConnection()
+
     def _record_status(self) -> None:
         response = getattr(self._parser, "response", None)
         if response is not None:
--- a/packages/upstreams/tests/test_upstreams_client.py
+++ b/packages/upstreams/tests/test_upstreams_client.py
@@ -7,7 +7,7 @@
 from cardamomloft.core.model import Endpoint
 from cardamomloft.upstreams.body import Delivery
 from cardamomloft.upstreams.client import UpstreamClient
-from cardamomloft.upstreams.connections import IDLE_TIMEOUT_S
+from cardamomloft.upstreams.connections import IDLE_TIMEOUT_S, MAX_ANSWER_HEAD_BYTES
 from cardamomloft.upstreams.sends import EndedBy, SendFailure, UpstreamRequest
 from twisted.internet.defer import Deferred
 from twisted.internet.error import (
@@ -315,6 +315,42 @@
     assert delivered(second)[1].value() == b"k2"
 
 
+@pytest.mark.parametrize(
+    ("begin", "more"),
+    [
+        (b"HTTP/1.1 200 OK\r\n", b"A: " + b"b" * 1000 + b"\r\n"),
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 50),
+    ],
+    ids=["header lines", "interim answers"],
+)
+def test_answer_whose_head_has_no_end_is_given_up(begin, more):
+    """Guards against endpoints that fill a gateway's memory with a head."""
+    harness = Harness()
+    result = harness.send()
+    wire = harness.connect()
+    wire.send(begin)
+    sent = 0
+    while not wire.transport.disconnected and sent < 10 * MAX_ANSWER_HEAD_BYTES:
+        wire.send(more)
+        sent += len(more)
+    assert sent <= MAX_ANSWER_HEAD_BYTES + len(more)
+    wire.close()
+    assert not result.result.error.not_run
+    assert not harness.client.in_flight
+
+
+def test_answer_with_a_long_head_and_body_is_taken():
+    harness = Harness()
+    result = harness.send()
+    wire = harness.connect()
+    lines = b"A: b\r\n" * (MAX_ANSWER_HEAD_BYTES // 8)
+    wire.send(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n" + lines + b"\r\n")
+    delivery, sink = delivered(result)
+    for _ in range(10):
+        wire.send(b"x" * 10_000)
+    assert delivery.result.complete and len(sink.value()) == 100_000
+
+
 def test_an_answer_with_another_request_id_is_rejected():
     harness = Harness()
     result = harness.send(request_id="r2")
