End uploads at once whose endpoint sends bytes that are no answer

Cause: while a body is being sent, the HTTP client reports a malformed answer to nobody, and drops the reference by which it could later. Held bodies are not concerned, since they count as sent at once.

Now the body is stopped, the failure is reported, and the connection is reset, as after an early error status. Both cases of test_upload_ends_at_once_if_its_endpoint_sends_no_answer failed before.

--- a/packages/upstreams/src/cardamomloft/upstreams/connections.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -224,6 +224,20 @@
             self.transport.abortConnection()
         return response
 
+    def _giveUp(self, reason: Failure) -> None:  # noqa: N802
+        # The base class reports nothing before the body is sent, and forgets to whom.
+        transmitting = self.state == _TRANSMITTING
+        if transmitting:
+            self._currentRequest.stopWriting()
+            self._exchange_state.record_body_incomplete()
+            self.transport.unregisterProducer()
+            self._state = _WAITING
+            self._responseDeferred.chainDeferred(self._finishedRequest)
+        super()._giveUp(reason)
+        if transmitting:
+            # Closing would wait until the upstream has read what is still in the send buffer.
+            self.transport.abortConnection()
+
     def _finishResponse_TRANSMITTING(self, rest: bytes) -> None:  # noqa: N802
         # The upstream may read on after an early success; the base class would close now.
         if self._upload_stopped or self._parser is None:
--- a/packages/upstreams/tests/test_upstreams_client.py
+++ b/packages/upstreams/tests/test_upstreams_client.py
@@ -339,6 +339,25 @@
     assert not harness.client.in_flight
 
 
+@pytest.mark.parametrize(
+    "answer",
+    [b"no answer\r\n", b"HTTP/1.1 200 OK\r\n" + b"A: b\r\n" * MAX_ANSWER_HEAD_BYTES],
+    ids=["malformed", "without end"],
+)
+def test_upload_ends_at_once_if_its_endpoint_sends_no_answer(answer):
+    """Guards against uploads that wait for their deadline after bytes that are no answer."""
+    harness = Harness()
+    body = streamed()
+    result = harness.send(body=body, method="POST")
+    wire = harness.connect()
+    wire.send(answer)
+    assert body.stopProducing.called
+    assert wire.transport.disconnected
+    wire.close()
+    assert not result.result.error.not_run
+    assert not harness.client.in_flight
+
+
 def test_answer_with_a_long_head_and_body_is_taken():
     harness = Harness()
     result = harness.send()
