Log when, why and until when a gateway holds endpoints for cold, and what it sends

Now the line upstreams-cold names the endpoints with source, time left and what this gateway sent them meanwhile, endpoint-sends counts sends to cold endpoints, and with outdated data to all, every 2 s, the counter sends-cold does so by service, and /status shows cold_ms and cold_source of each endpoint. No decision changes; the functions of the cold limit move to core/coldness unchanged.

--- /dev/null
+++ b/packages/core/src/cardamomloft/core/coldness/limits.py
@@ -0,0 +1,60 @@
+"""The limit of a cold endpoint, which holds over all entries together."""
+
+import typing as t
+from datetime import timedelta
+
+from cardamomloft.core.budgets import DIVIDED_FRACTION, Division
+
+
+class ColdLimit(t.NamedTuple):
+    """Rate limit of a cold endpoint in requests per second, over all entries.
+
+    The limit is ``rate * overage + slack``, where ``rate`` is the rate that the service states.
+    """
+
+    overage: float
+    slack: float
+
+
+_SECOND = timedelta(seconds=1)
+_COLD_MARGIN = timedelta(milliseconds=150)
+"""Allowance for jitter between sending a request and its arrival, from the link and from queues."""
+
+
+def cold_allowance(rate: float, limit: ColdLimit, division: Division, rank: int) -> int:
+    """Return the number of requests per second that an entry may send to a cold endpoint.
+
+    Parameters
+    ----------
+    rate
+        Requests per second that the service states for a cold endpoint.
+    limit
+        What is allowed beyond the stated rate.
+    division
+        How the limit is divided.
+    rank
+        This entry's rank among them for this endpoint, from 0. If the limit is below one request
+        per entry, only the lowest ranks get one.
+    """
+    if not division.share(_SECOND):
+        return 0
+    budget = int(DIVIDED_FRACTION * (rate * limit.overage + limit.slack))
+    entries = division.entries
+    return budget // entries if budget >= entries else int(rank < budget)
+
+
+def may_send_cold(sends: list[timedelta], allowance: int, now: timedelta) -> bool:
+    """Return whether an entry may send a request to a cold endpoint now.
+
+    Parameters
+    ----------
+    sends
+        Instants at which it has sent requests to that endpoint; old ones are removed here.
+    allowance
+        Requests that it may send in any second.
+    now
+        Monotonic instant.
+    """
+    while sends and now - sends[0] > _SECOND + _COLD_MARGIN:
+        sends.pop(0)
+    return len(sends) < allowance
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -12,9 +12,11 @@
 from datetime import timedelta
 
 from cardamomloft.core.affinity import text_hash
-from cardamomloft.core.budgets import ColdLimit, Division, cold_allowance, may_send_cold
+from cardamomloft.core.budgets import Division
 from cardamomloft.core.cachestate import CacheState, CacheTracker
 from cardamomloft.core.choices import Choice, Preferences, Reason
+from cardamomloft.core.coldness.limits import ColdLimit, cold_allowance, may_send_cold
+from cardamomloft.core.coldness.sendcounts import SendCounts
 from cardamomloft.core.connectivity.outages import EndpointOutages
 from cardamomloft.core.estimates import (
     SMOOTHING_FACTOR,
@@ -93,6 +95,8 @@
         The loads that entries share; by default those of no service.
     outages : EndpointOutages
         The endpoints that accept no connections, which get no requests however many they are.
+    send_counts : SendCounts
+        Counts of the requests sent to each endpoint, for the log.
     has_connection
         Returns whether there is an idle connection to an address.
     """
@@ -118,6 +122,7 @@
         self.policies: Mapping[str, ServicePolicy] = {}
         self.entries = 1
         self.outages = EndpointOutages()
+        self.send_counts = SendCounts()
         self.has_connection: Callable[[str], bool] = lambda address: False
         self.record_age: Callable[[timedelta], timedelta] = lambda now: timedelta.max
         self._bounds = LoadBounds(preferences, self.cache_states)
@@ -351,6 +356,7 @@
     def record_sent(self, upstream: Upstream, now: timedelta) -> None:
         """Record that a request is sent to `upstream`."""
         upstream.in_flight += 1
+        self.send_counts.record(upstream)
         self.shared_loads.record_sent(upstream, now)
         if self.rate_limits:
             self.rate_limits.record_sent(upstream.incarnation)
--- a/packages/core/src/cardamomloft/core/upstreamtable.py
+++ b/packages/core/src/cardamomloft/core/upstreamtable.py
@@ -2,10 +2,11 @@
 
 import typing as t
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 
 from cardamomloft.core.affinity import text_hash
+from cardamomloft.core.coldness.sources import ColdSource
 from cardamomloft.core.recent import RecentSet
 from cardamomloft.core.registrations import RENEWAL_GRACE, Registration, UpstreamIncarnation
 
@@ -54,6 +55,8 @@
         The last load report, or None.
     cold_until
         Monotonic instant until which the endpoint is cold.
+    cold_source
+        What last told this entry that it is cold.
     cold_sends
         Monotonic instants of the requests sent to it while it was cold.
     joined_at
@@ -83,6 +86,7 @@
     __slots__ = (
         "paused_until",
         "cold_sends",
+        "cold_source",
         "cold_until",
         "failures",
         "full_until",
@@ -107,6 +111,7 @@
         self.in_flight = 0
         self.report: LoadReport | None = None
         self.cold_until = now + registration.cold_left
+        self.cold_source = ColdSource.REGISTRATION
         self.joined_at: timedelta | None = now
         self.failures = 0
         self.ejected_until = timedelta(0)
@@ -119,6 +124,11 @@
         self.service_time: timedelta | None = None
         self.work_ratio = 1.0
 
+    def mark_cold(self, until: timedelta, source: ColdSource) -> None:
+        """Count it as cold until then, unless it is known to be cold for longer."""
+        if until > self.cold_until:
+            self.cold_until, self.cold_source = until, source
+
     @property
     def id(self) -> str:
         """The endpoint's id, which other incarnations may share."""
@@ -145,11 +155,15 @@
     ----------
     membership
         Increases whenever an incarnation of an endpoint is added or removed.
+    on_cold
+        Called with endpoints that were held for warm until this instant, or were not known, and
+        are cold.
     """
 
     def __init__(self, regions: Mapping[str, str]) -> None:
         self.regions = regions
         self.membership = 0
+        self.on_cold: Callable[[list[Upstream], timedelta], None] = _ignore_cold
         self.drained_zones: set[str] = set()
         self._by_id: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
@@ -210,13 +224,16 @@
             self._by_id[registration.id] = upstream
             self.membership += 1
             self._stale = True
+            if registration.cold_left:
+                self.on_cold([upstream], now)
             return True
         before = known.registration._replace(cold_left=registration.cold_left)
         changed = known.missing or known.unreadable or before != registration
         known.registration = registration
         known.missing = known.unreadable = False
         if registration.cold_left:
-            known.cold_until = max(known.cold_until, now + registration.cold_left)
+            left = {registration.id: registration.cold_left}
+            self._mark_cold([known], left, ColdSource.REGISTRATION, now)
         if changed:
             self._stale = True
         return changed
@@ -298,13 +315,26 @@
         if zone not in self.drained_zones:
             return False
         self.drained_zones.discard(zone)
-        for upstream in self._by_id.values():
-            if upstream.registration.zone == zone:
-                cold_time = cold_times.get(upstream.registration.service, timedelta(0))
-                upstream.cold_until = max(upstream.cold_until, now + cold_time)
+        restored = [up for up in self._by_id.values() if up.registration.zone == zone]
+        left = {up.id: cold_times.get(up.registration.service, timedelta(0)) for up in restored}
+        self._mark_cold(restored, left, ColdSource.DRAIN_END, now)
         self._stale = True
         return True
 
+    def _mark_cold(
+        self,
+        upstreams: list[Upstream],
+        left: Mapping[str, timedelta],
+        source: ColdSource,
+        now: timedelta,
+    ) -> None:
+        """Count each endpoint as cold for the time by its id, and report those that were warm."""
+        warm = [up for up in upstreams if up.cold_until <= now]
+        for upstream in upstreams:
+            upstream.mark_cold(now + left[upstream.id], source)
+        if found := [up for up in warm if up.cold_until > now]:
+            self.on_cold(found, now)
+
     def leave(self, incarnation: UpstreamIncarnation) -> bool:
         """Exclude a leaving incarnation, registered or not; return whether this is new."""
         if incarnation in self._leaving:
@@ -351,6 +381,10 @@
                 self._versions[service] += 1
 
 
+def _ignore_cold(upstreams: list[Upstream], now: timedelta) -> None:
+    """Do nothing: nobody asked to be told."""
+
+
 class _Starts:
     """The start of the latest known incarnation of each endpoint, including withdrawn ones."""
 
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -6,9 +6,9 @@
 from datetime import timedelta
 
 import pytest
-from cardamomloft.core.budgets import ColdLimit
 from cardamomloft.core.cachestate import CacheState
 from cardamomloft.core.choices import Choice, Preferences, Reason
+from cardamomloft.core.coldness.limits import ColdLimit
 from cardamomloft.core.estimates import REPORT_MAX_AGE
 from cardamomloft.core.model import Refusal
 from cardamomloft.core.placement.choosing import NEAR_RATIO, Option, choose_option, must_wait
--- a/packages/core/tests/test_ranks.py
+++ b/packages/core/tests/test_ranks.py
@@ -5,7 +5,7 @@
 import pytest
 from cardamomloft.core import ranks
 from cardamomloft.core.affinity import text_hash, unit_hash
-from cardamomloft.core.budgets import ColdLimit
+from cardamomloft.core.coldness.limits import ColdLimit
 from cardamomloft.core.model import Refusal
 from cardamomloft.core.ranks import EntryRanks
 from cardamomloft.core.registrations import Registration
--- a/packages/core/tests/test_selection.py
+++ b/packages/core/tests/test_selection.py
@@ -5,7 +5,7 @@
 
 import pytest
 from cardamomloft.core.affinity import Candidate, first_ranked, text_hash, unit_hash
-from cardamomloft.core.budgets import ColdLimit
+from cardamomloft.core.coldness.limits import ColdLimit
 from cardamomloft.core.estimates import REPORT_MAX_AGE, expected_load
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.notices import UpstreamRateLimit
--- a/packages/core/tests/test_unshared_placement.py
+++ b/packages/core/tests/test_unshared_placement.py
@@ -4,7 +4,7 @@
 import random
 from datetime import timedelta
 
-from cardamomloft.core.budgets import ColdLimit
+from cardamomloft.core.coldness.limits import ColdLimit
 from cardamomloft.core.model import Refusal
 from cardamomloft.core.registrations import Registration
 from cardamomloft.core.routes import ServicePolicy
--- a/packages/gateway/src/cardamomloft/gateway/changefeed.py
+++ b/packages/gateway/src/cardamomloft/gateway/changefeed.py
@@ -106,8 +106,7 @@
         self.gossip = Gossip(
             reactor, clock, rng, self._peer_addresses, self.send, on_notice, metrics, own.peers
         )
-
-        self.gossip.is_outdated = lambda: self._sources.is_outdated(clock.monotonic())
+        self.gossip.is_outdated = self.is_outdated
 
     def start(self, on_fault: OnFault) -> None:
         """Listen for messages of other gateways, if this gateway has an address for them.
@@ -154,6 +153,10 @@
         """Verify the data often enough to refuse withdrawn keys within this time, None to not."""
         self._sources.revocation_time = revocation_time
 
+    def is_outdated(self) -> bool:
+        """Return whether the data is older than it would be if the store or a relay answered."""
+        return self._sources.is_outdated(self._clock.monotonic())
+
     def verified_age(self) -> timedelta | None:
         """Return the time since this gateway's data was proved to be current; None if never."""
         return self._sources.verified_age(self._clock.monotonic())
--- a/packages/gateway/src/cardamomloft/gateway/endpointfeedback.py
+++ b/packages/gateway/src/cardamomloft/gateway/endpointfeedback.py
@@ -48,6 +48,8 @@
             cache_state = context.selector.cache_states.state_of(upstream, call.key)
             context.selector.cache_states.record_sent(upstream, call.key)
         context.metrics.count(f"sends.{reason}.{call.service}")
+        if upstream.cold_until > self._now():
+            context.metrics.count(f"sends-cold.{call.service}")
         context.metrics.count(f"touch.{cache_state}.{call.service}")
         return cache_state
 
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -7,8 +7,8 @@
 from cardamomloft.callers.app import CallersApp, listen
 from cardamomloft.callers.body import RequestBody
 from cardamomloft.callers.exchange import Answer, RequestHead
-from cardamomloft.core.budgets import ColdLimit
 from cardamomloft.core.clock import Clock
+from cardamomloft.core.coldness.limits import ColdLimit
 from cardamomloft.core.entrytable import EntryTable
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.naming import EntryLookup
@@ -21,6 +21,7 @@
 from cardamomloft.gateway.accountaccess import AccountAccess
 from cardamomloft.gateway.calls import Call, CallerHeaders
 from cardamomloft.gateway.changefeed import ChangeFeed
+from cardamomloft.gateway.coldlogs import ColdLogs
 from cardamomloft.gateway.control import Control, Listing
 from cardamomloft.gateway.following import Follower, poll_timing
 from cardamomloft.gateway.forwarding import Forwarder
@@ -214,6 +215,7 @@
             self.selector,
             self.feed,
             self.forwarder,
+            ColdLogs(self.upstream_table, self.selector, self.feed, clock.monotonic),
         )
         self._set_features()
         self.forwarder.on_not_run = self.account_access.return_token
--- a/packages/gateway/src/cardamomloft/gateway/periodiclogs.py
+++ b/packages/gateway/src/cardamomloft/gateway/periodiclogs.py
@@ -6,6 +6,7 @@
 from cardamomloft.core.selection import Selector
 from cardamomloft.core.timekeeping import ClockMonitor
 from cardamomloft.gateway.changefeed import ChangeFeed
+from cardamomloft.gateway.coldlogs import ColdLogs
 from cardamomloft.gateway.forwarding import Forwarder
 from cardamomloft.gateway.inforce import PlanInForce
 from cardamomloft.gateway.loadstatus import log_loads
@@ -25,7 +26,7 @@
     ----------
     clock, timekeeper
         Source of time, and what notices that it is irregular.
-    metrics, plan, selector, feed, forwarder
+    metrics, plan, selector, feed, forwarder, cold_logs
         The parts.
     """
 
@@ -38,6 +39,7 @@
         selector: Selector,
         feed: ChangeFeed,
         forwarder: Forwarder,
+        cold_logs: ColdLogs,
     ) -> None:
         self._clock = clock
         self._timekeeper = timekeeper
@@ -46,6 +48,7 @@
         self._selector = selector
         self._feed = feed
         self._forwarder = forwarder
+        self._cold_logs = cold_logs
 
     def log_irregular_time(self) -> None:
         """Log if repeated work came late, or if the time of day moved against the steady clock."""
@@ -63,3 +66,4 @@
         self._plan.log_splits()
         log_loads(self._selector.shared_loads, self._clock.monotonic())
         self._forwarder.queue.log()
+        self._cold_logs.log_sends()
--- a/packages/gateway/src/cardamomloft/gateway/status.py
+++ b/packages/gateway/src/cardamomloft/gateway/status.py
@@ -98,6 +98,7 @@
         if gateway.forwarder.queue.enabled:
             page["queues"] = gateway.forwarder.queue.status()
         if limits:
+            now = gateway.forwarder.clock.monotonic()
             page["endpoints"] = [
                 {
                     "id": up.id,
@@ -106,6 +107,8 @@
                     "in_flight": up.in_flight,
                     "failures": up.failures,
                     "report": up.report and up.report[:3],
+                    "cold_ms": max(timedelta(0), up.cold_until - now) // timedelta(milliseconds=1),
+                    "cold_source": str(up.cold_source) if up.cold_until > now else None,
                     "rate_limit": gateway.selector.rate_limits.limit_of(up.incarnation),
                 }
                 for up in gateway.upstream_table.all()
--- a/packages/gateway/tests/test_decisions_logged.py
+++ b/packages/gateway/tests/test_decisions_logged.py
@@ -4,6 +4,7 @@
 import pytest
 from cardamomloft.callers.exchange import RequestHead
 from cardamomloft.core.model import Refusal
+from cardamomloft.core.registrations import ZoneDrained, ZoneRestored
 from cardamomloft.core.routes import ServiceShare
 from cardamomloft.gateway.calls import CallerHeaders
 from cardamomloft.gateway.control import Changes
@@ -11,8 +12,10 @@
 from cardamomloft.gateway.inforce import PlanInForce
 from cardamomloft.gateway.knowledge import Knowledge
 from cardamomloft.gateway.records import RequestLog
+from cardamomloft.store.failures import StoreFailure
 from cardamomloft_standins import gateway as kit
-from expression import Ok
+from cardamomloft_standins.gatewayharness import GatewayHarness
+from expression import Error, Ok
 from twisted.internet.task import Clock
 
 MS = kit.MS
@@ -132,3 +135,28 @@
 
 def test_knowledge_without_a_proof_states_no_age():
     assert Knowledge(3, "listing").fields()["verified_age_ms"] is None
+
+
+def test_log_tells_when_and_why_a_gateway_holds_endpoints_for_cold_and_what_it_sends(logged):
+    run = GatewayHarness()
+    run.send_request()
+    run.deliver_changes(ZoneDrained("a"))
+    run.deliver_changes(ZoneRestored("a"), index=12)
+    (line,) = logged("upstreams-cold")
+    assert (line["source"], line["count"]) == ("drain-end", 1)
+    (row,) = line["endpoints"]
+    assert row["id"] == "i-1" and row["left_ms"] > 0
+    run.time.advance(2000 * MS)
+    (row,) = logged("endpoint-sends")[-1]["cold"]
+    assert (row["id"], row["source"]) == ("i-1", "drain-end")
+
+
+def test_log_names_the_endpoints_that_a_gateway_with_outdated_data_holds_for_warm(logged):
+    run = GatewayHarness()
+    run.control.next_changes = Error(StoreFailure(False, "no answer"))
+    run.time.advance(4000 * MS)
+    run.send_request()
+    run.time.advance(2000 * MS)
+    lines = [row for row in logged("endpoint-sends") if row["warm"]]
+    assert [row["warm"] for row in lines] == [{"i-1": 1}]
+    assert lines[0]["outdated"] and lines[0]["verified_age_ms"] > 2000
--- a/scripts/slopes_gateway.py
+++ b/scripts/slopes_gateway.py
@@ -10,7 +10,7 @@
 import typing as t
 from datetime import timedelta
 
-from cardamomloft.core.budgets import ColdLimit
+from cardamomloft.core.coldness.limits import ColdLimit
 from cardamomloft.core.naming import entries_for
 from cardamomloft.core.registrations import EntryRecord, Registration
 from cardamomloft.core.selection import Preferences, Selector
--- a/standins/src/cardamomloft_standins/experiment/policies.py
+++ b/standins/src/cardamomloft_standins/experiment/policies.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Collection
 from datetime import timedelta
 
-from cardamomloft.core.budgets import ColdLimit
+from cardamomloft.core.coldness.limits import ColdLimit
 from cardamomloft.core.estimates import expected_load
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.routes import RouteRule
--- a/standins/src/cardamomloft_standins/experiment/simulation.py
+++ b/standins/src/cardamomloft_standins/experiment/simulation.py
@@ -6,7 +6,8 @@
 
 from cardamomloft.callers.body import RequestBody
 from cardamomloft.callers.exchange import Answer, RequestHead
-from cardamomloft.core.budgets import ColdLimit, RetryBudget
+from cardamomloft.core.budgets import RetryBudget
+from cardamomloft.core.coldness.limits import ColdLimit
 from cardamomloft.core.registrations import Registration
 from cardamomloft.core.routes import RouteRule, ServicePolicy, ServiceShare
 from cardamomloft.core.upstreamtable import UpstreamTable
--- a/standins/src/cardamomloft_standins/forwarderharness.py
+++ b/standins/src/cardamomloft_standins/forwarderharness.py
@@ -2,7 +2,8 @@
 
 from cardamomloft.callers.body import RequestBody
 from cardamomloft.callers.exchange import RequestHead
-from cardamomloft.core.budgets import ColdLimit, RetryBudget
+from cardamomloft.core.budgets import RetryBudget
+from cardamomloft.core.coldness.limits import ColdLimit
 from cardamomloft.core.selection import Preferences, Selector
 from cardamomloft.core.upstreamtable import UpstreamTable
 from cardamomloft.gateway.calls import RequestReader
--- a/standins/src/cardamomloft_standins/loadharness.py
+++ b/standins/src/cardamomloft_standins/loadharness.py
@@ -12,9 +12,9 @@
 from datetime import timedelta
 
 from cardamomloft.core.affinity import Candidate, first_ranked
-from cardamomloft.core.budgets import ColdLimit
 from cardamomloft.core.cachestate import CacheState
 from cardamomloft.core.clientaccounts.quotas import QuotaCoordinator, QuotaPolicy
+from cardamomloft.core.coldness.limits import ColdLimit
 from cardamomloft.core.entrytable import EntryTable
 from cardamomloft.core.estimates import expected_load
 from cardamomloft.core.loads.estimating import shared_load
