Show with gateways on one clock that cold endpoints get too many requests

A fleet of real selectors, views, followers and gossip sends callers' requests to endpoints that become cold 0.05 to 1.1 s before the end of a drain, and counts arrivals at each in any second, over all gateways; 15.5 are allowed.

--- a/standins/src/cardamomloft_standins/relayharness.py
+++ b/standins/src/cardamomloft_standins/relayharness.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from datetime import timedelta
 
+from cardamomloft.core.coldness.limits import ColdLimit
 from cardamomloft.core.entrytable import EntryTable
 from cardamomloft.core.messages import NoticeDigest
 from cardamomloft.core.model import Incarnation
@@ -18,7 +19,8 @@
 from cardamomloft.gateway.changefeed import ChangeFeed
 from cardamomloft.gateway.control import Changes, Listing
 from cardamomloft.gateway.following import Follower, poll_timing
-from cardamomloft.gateway.gossip import ASK_INTERVAL
+from cardamomloft.gateway.gossip import ASK_INTERVAL, COMPARE_INTERVAL
+from cardamomloft.gateway.noticehandler import NoticeHandler
 from cardamomloft.gateway.storeview import StoreView
 from cardamomloft.runtime.metrics import Metrics
 from cardamomloft.store.failures import StoreFailure
@@ -45,6 +47,9 @@
 TICK_INTERVAL = 200 * MS
 """Interval of the ticks that expire unconfirmed facts."""
 
+COLD_LIMIT = ColdLimit(1.5, 5.0)
+"""What all gateways together may send to a cold endpoint, beside the rate of its service."""
+
 CALL_TIMEOUT = 700 * MS
 """Timeout of a call to the store."""
 
@@ -255,17 +260,29 @@
             self.entries,
             lambda: self.present,
             DRAIN_TIME,
-            self.notices.append,
+            self._on_notice,
             random.Random(seed),
             metrics,
         )
         self.feed.port.peers = self
         self.upstream_table = UpstreamTable(dict.fromkeys("abc", record.region))
-        selector = Selector(self.upstream_table, self.name, record.zone, None, Preferences())
+        self.selector = Selector(
+            self.upstream_table, self.name, record.zone, COLD_LIMIT, Preferences()
+        )
+        self.notice_handler = NoticeHandler(
+            time.clock, self.upstream_table, self.selector.rate_limits, metrics
+        )
         self.view = StoreView(
-            time.clock, self.upstream_table, self.entries, selector, _ignore, self._on_plan, metrics
+            time.clock,
+            self.upstream_table,
+            self.entries,
+            self.selector,
+            _ignore,
+            self._on_plan,
+            metrics,
         )
         gossip = self.feed.gossip
+        self.notice_handler.publish = gossip.publish
         gossip.plan = lambda: self.plan
         gossip.on_plan = lambda plan, sender: self._on_plan(plan)
         self.follower = Follower(
@@ -278,22 +295,28 @@
             self._on_changes,
             self._on_returned,
         )
-        self._ticks = LoopingCall(self.view.tick)
-        self._asks = LoopingCall(gossip.ask)
-        self._ticks.clock = self._asks.clock = time.reactor
+        self._loops = [
+            (LoopingCall(self.view.tick), TICK_INTERVAL),
+            (LoopingCall(gossip.ask), ASK_INTERVAL),
+        ]
+
+    def compare_notices(self) -> None:
+        """Let it compare notices with others, once it is started."""
+        self._loops.append((LoopingCall(self.feed.gossip.compare), COMPARE_INTERVAL))
 
     def start(self) -> None:
         """Start to follow the store."""
-        self._ticks.start(TICK_INTERVAL.total_seconds(), now=False)
-        self._asks.start(ASK_INTERVAL.total_seconds(), now=False)
+        for loop, interval in self._loops:
+            loop.clock = self.time.reactor
+            loop.start(interval.total_seconds(), now=False)
         self.follower.start(self.faults.append)
 
     def stop(self) -> None:
         """Stop the change feed."""
         self.stopped = True
-        if self._ticks.running:
-            self._ticks.stop()
-            self._asks.stop()
+        for loop, _ in self._loops:
+            if loop.running:
+                loop.stop()
         self.feed.stop()
         self.follower.stop()
 
@@ -315,6 +338,10 @@
         """The drained zones."""
         return set(self.upstream_table.drained_zones)
 
+    def _on_notice(self, dated: DatedNotice) -> None:
+        self.notices.append(dated)
+        self.notice_handler.apply(dated)
+
     def _on_changes(self, facts) -> None:
         withdrawn = [fact for fact in facts if isinstance(fact, EntryWithdrawn)]
         self.withdrawals += [self.time.clock.monotonic()] * len(withdrawn)
@@ -323,6 +350,7 @@
     def _on_plan(self, plan) -> None:
         if plan.number > self.plans[-1]:
             self.plan = plan
+            self.selector.policies = plan.services
             self.plans.append(plan.number)
             self.put_in_force[plan.number] = self.time.clock.monotonic()
 
@@ -336,9 +364,14 @@
 
 
 class Deployment:
-    """Gateways of one region that know each other, and a store with a plan."""
+    """Gateways of one region that know each other, and a store with a plan.
+
+    With `compares_notices` each compares its notices with another one's from time to time.
+    """
 
-    def __init__(self, seed: int = 1, count: int = ENTRY_COUNT) -> None:
+    def __init__(
+        self, seed: int = 1, count: int = ENTRY_COUNT, *, compares_notices: bool = False
+    ) -> None:
         self.time = kit.Time(Clock())
         self.store = Store(self.time)
         self.network = Network(self.time, random.Random(seed))
@@ -351,6 +384,8 @@
             for at, record in enumerate(records)
         ]
         for gateway in self.gateways:
+            if compares_notices:
+                gateway.compare_notices()
             gateway.start()
             self.store.write(("entry", gateway.name), EntryRecorded(gateway.record))
         self.relays = [row.name for row in relays_of("east", records)]
