Count an endpoint's sends whether it is cold, known again or just returned

What callers' endpoints saw: more requests in a second than a cold endpoint tolerates, in tests.

Causes, three of one class, a limit that is applied only to what happened after its reason became known: the sends of the second before an endpoint became cold were not counted; a registration that lapsed and returned began with no sends and as warm as its record, which may be older than the end of its zone's drain; the end of a drain counted only where the drain itself had been seen, so a gateway that got both in one answer held the endpoints for warm.

Now every send counts for a second, a registration that returns keeps counts and cold time, and the end of a drain makes the zone's endpoints cold also where the drain was not seen, and those that register later. An end that is stated again, as answers of relays do, is no new one.

--- a/packages/core/src/cardamomloft/core/coldness/limits.py
+++ b/packages/core/src/cardamomloft/core/coldness/limits.py
@@ -1,6 +1,7 @@
 """The limit of a cold endpoint, which holds over all entries together."""
 
 import typing as t
+from collections import deque
 from datetime import timedelta
 
 from cardamomloft.core.budgets import DIVIDED_FRACTION, Division
@@ -43,18 +44,27 @@
     return budget // entries if budget >= entries else int(rank < budget)
 
 
-def may_send_cold(sends: list[timedelta], allowance: int, now: timedelta) -> bool:
-    """Return whether an entry may send a request to a cold endpoint now.
+class RecentSends:
+    """The instants of an entry's requests to one endpoint in the last second.
 
-    Parameters
-    ----------
-    sends
-        Instants at which it has sent requests to that endpoint; old ones are removed here.
-    allowance
-        Requests that it may send in any second.
-    now
-        Monotonic instant.
+    They are kept whether the endpoint is cold or not, since it may become cold at any time.
     """
-    while sends and now - sends[0] > _SECOND + _COLD_MARGIN:
-        sends.pop(0)
-    return len(sends) < allowance
+
+    __slots__ = ("_instants",)
+
+    def __init__(self) -> None:
+        self._instants: deque[timedelta] = deque()
+
+    def record(self, now: timedelta) -> None:
+        """Record a request that is sent now."""
+        self._instants.append(now)
+        self._expire(now)
+
+    def count(self, now: timedelta) -> int:
+        """Return the number of requests that may arrive in one second with one sent now."""
+        self._expire(now)
+        return len(self._instants)
+
+    def _expire(self, now: timedelta) -> None:
+        while self._instants and now - self._instants[0] > _SECOND + _COLD_MARGIN:
+            self._instants.popleft()
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -15,7 +15,7 @@
 from cardamomloft.core.budgets import Division
 from cardamomloft.core.cachestate import CacheState, CacheTracker
 from cardamomloft.core.choices import Choice, Preferences, Reason
-from cardamomloft.core.coldness.limits import ColdLimit, cold_allowance, may_send_cold
+from cardamomloft.core.coldness.limits import ColdLimit, cold_allowance
 from cardamomloft.core.coldness.sendcounts import SendCounts
 from cardamomloft.core.connectivity.outages import EndpointOutages
 from cardamomloft.core.estimates import (
@@ -347,7 +347,7 @@
             rate = policy.cold_per_s if policy else 0.0
             rank = self._ranks.rank_for(upstream.id, upstream.seed)
             allowance = cold_allowance(rate, self.cold_limit, self.division(now), rank)
-            if may_send_cold(upstream.cold_sends, allowance, now):
+            if upstream.recent_sends.count(now) < allowance:
                 return upstream
         return None
 
@@ -360,8 +360,7 @@
         self.shared_loads.record_sent(upstream, now)
         if self.rate_limits:
             self.rate_limits.record_sent(upstream.incarnation)
-        if upstream.cold_until > now:
-            upstream.cold_sends.append(now)
+        upstream.recent_sends.record(now)
 
     def record_end(self, upstream: Upstream) -> None:
         """Record the end of a request, whatever its outcome."""
--- a/packages/core/src/cardamomloft/core/upstreamtable.py
+++ b/packages/core/src/cardamomloft/core/upstreamtable.py
@@ -1,12 +1,14 @@
 """The table of upstream endpoints: which are registered and which may get new requests."""
 
 import typing as t
-from collections import Counter
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 
 from cardamomloft.core.affinity import text_hash
+from cardamomloft.core.coldness.limits import RecentSends
 from cardamomloft.core.coldness.sources import ColdSource
+from cardamomloft.core.coldness.zonedrains import ZoneDrains
 from cardamomloft.core.recent import RecentSet
 from cardamomloft.core.registrations import RENEWAL_GRACE, Registration, UpstreamIncarnation
 
@@ -28,6 +30,10 @@
 MAX_LEAVING = 10_000
 """Maximum number of incarnations kept as leaving, and of those kept as gone."""
 
+MAX_WITHDRAWN = 1_000
+"""Maximum number of withdrawn incarnations whose state is kept, in case they register again; those
+withdrawn longest ago are evicted."""
+
 
 class LoadReport(t.NamedTuple):
     """The load that an endpoint reported at the monotonic instant `at`.
@@ -57,8 +63,8 @@
         Monotonic instant until which the endpoint is cold.
     cold_source
         What last told this entry that it is cold.
-    cold_sends
-        Monotonic instants of the requests sent to it while it was cold.
+    recent_sends
+        This entry's requests to it in the last second.
     joined_at
         Monotonic instant of its first registration; None if it was in the first listing.
     failures
@@ -85,7 +91,7 @@
 
     __slots__ = (
         "paused_until",
-        "cold_sends",
+        "recent_sends",
         "cold_source",
         "cold_until",
         "failures",
@@ -117,7 +123,7 @@
         self.ejected_until = timedelta(0)
         self.full_until = timedelta(0)
         self.paused_until = timedelta(0)
-        self.cold_sends: list[timedelta] = []
+        self.recent_sends = RecentSends()
         self.leaving = False
         self.missing = False
         self.unreadable = False
@@ -164,7 +170,7 @@
         self.regions = regions
         self.membership = 0
         self.on_cold: Callable[[list[Upstream], timedelta], None] = _ignore_cold
-        self.drained_zones: set[str] = set()
+        self._drains = ZoneDrains()
         self._by_id: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._candidates_by_service: dict[str, list[_Candidate]] = {}
@@ -173,6 +179,7 @@
         self._starts = _Starts()
         self._leaving = RecentSet[UpstreamIncarnation](MAX_LEAVING)
         self._gone = RecentSet[UpstreamIncarnation](MAX_LEAVING)
+        self._withdrawn: OrderedDict[UpstreamIncarnation, Upstream] = OrderedDict()
         self._grace_until = timedelta(0)
         self._has_list = False
 
@@ -219,12 +226,13 @@
         if known is None or known.registration.started_ms != registration.started_ms:
             upstream = Upstream(registration, region, now)
             upstream.leaving = upstream.incarnation in self._leaving
+            self._restore_coldness(upstream)
             if not self._has_list:
                 upstream.joined_at = None
             self._by_id[registration.id] = upstream
             self.membership += 1
             self._stale = True
-            if registration.cold_left:
+            if upstream.cold_until > now:
                 self.on_cold([upstream], now)
             return True
         before = known.registration._replace(cold_left=registration.cold_left)
@@ -232,8 +240,8 @@
         known.registration = registration
         known.missing = known.unreadable = False
         if registration.cold_left:
-            left = {registration.id: registration.cold_left}
-            self._mark_cold([known], left, ColdSource.REGISTRATION, now)
+            until = {registration.id: now + registration.cold_left}
+            self._mark_cold([known], until, ColdSource.REGISTRATION, now)
         if changed:
             self._stale = True
         return changed
@@ -264,6 +272,9 @@
         del self._by_id[upstream_id]
         self.membership += 1
         self._gone.add(upstream.incarnation)
+        self._withdrawn[upstream.incarnation] = upstream
+        if len(self._withdrawn) > MAX_WITHDRAWN:
+            self._withdrawn.popitem(last=False)
         self._stale = True
         return True
 
@@ -299,39 +310,64 @@
         missing = [upstream.id for upstream in self._by_id.values() if upstream.missing]
         return [upstream_id for upstream_id in missing if self.withdraw(upstream_id, now)]
 
+    @property
+    def drained_zones(self) -> set[str]:
+        """The zones whose endpoints are excluded."""
+        return self._drains.drained
+
     def drain_zone(self, zone: str) -> bool:
         """Exclude the endpoints of `zone`; return whether that is new."""
-        if zone in self.drained_zones:
-            return False
-        self.drained_zones.add(zone)
-        self._stale = True
-        return True
+        is_new = self._drains.begin(zone)
+        self._stale = self._stale or is_new
+        return is_new
 
-    def restore_zone(self, zone: str, now: timedelta, cold_times: Mapping[str, timedelta]) -> bool:
+    def restore_zone(
+        self, zone: str, at: timedelta, cold_times: Mapping[str, timedelta], now: timedelta
+    ) -> bool:
         """Use the endpoints of `zone` again, at first as cold; return whether that is new.
 
-        They got no requests during the drain, so their caches may have expired.
+        They got no requests during the drain, which may have ended before this entry knew of it,
+        so their caches may have expired.
+
+        Parameters
+        ----------
+        zone
+            The zone.
+        at
+            Monotonic instant of the end of its drain.
+        cold_times
+            How long endpoints are cold after it, by service.
+        now
+            Monotonic instant.
         """
-        if zone not in self.drained_zones:
+        if not self._drains.end(zone, at, cold_times):
             return False
-        self.drained_zones.discard(zone)
         restored = [up for up in self._by_id.values() if up.registration.zone == zone]
-        left = {up.id: cold_times.get(up.registration.service, timedelta(0)) for up in restored}
-        self._mark_cold(restored, left, ColdSource.DRAIN_END, now)
+        until = {up.id: self._drains.cold_until(zone, up.registration.service) for up in restored}
+        self._mark_cold(restored, until, ColdSource.DRAIN_END, now)
         self._stale = True
         return True
 
+    def _restore_coldness(self, upstream: Upstream) -> None:
+        """Apply what is known of an endpoint that registers for the first time, or again."""
+        before = self._withdrawn.pop(upstream.incarnation, None)
+        if before is not None:
+            upstream.recent_sends = before.recent_sends
+            upstream.mark_cold(before.cold_until, before.cold_source)
+        row = upstream.registration
+        upstream.mark_cold(self._drains.cold_until(row.zone, row.service), ColdSource.DRAIN_END)
+
     def _mark_cold(
         self,
         upstreams: list[Upstream],
-        left: Mapping[str, timedelta],
+        until: Mapping[str, timedelta],
         source: ColdSource,
         now: timedelta,
     ) -> None:
-        """Count each endpoint as cold for the time by its id, and report those that were warm."""
+        """Count each endpoint as cold until the instant by its id; report those that were warm."""
         warm = [up for up in upstreams if up.cold_until <= now]
         for upstream in upstreams:
-            upstream.mark_cold(now + left[upstream.id], source)
+            upstream.mark_cold(until[upstream.id], source)
         if found := [up for up in warm if up.cold_until > now]:
             self.on_cold(found, now)
 
@@ -370,7 +406,7 @@
             row = upstream.registration
             if row.draining or upstream.leaving or upstream.unreadable:
                 continue
-            if row.zone in self.drained_zones:
+            if row.zone in self._drains.drained:
                 continue
             self._by_service.setdefault(row.service, []).append(upstream)
         self._candidates_by_service = {
--- a/packages/core/tests/test_cold_limit.py
+++ b/packages/core/tests/test_cold_limit.py
@@ -70,13 +70,13 @@
 
 def test_endpoints_of_a_restored_zone_are_cold_though_its_drain_was_not_seen():
     table, _ = _selector()
-    table.restore_zone("a", SECOND, {"menus": 3 * SECOND})
+    table.restore_zone("a", SECOND, {"menus": 3 * SECOND}, SECOND)
     assert table.get("i-1").cold_until == 4 * SECOND
 
 
 def test_endpoint_that_registers_after_the_end_of_its_zones_drain_is_cold():
     table, _ = _selector()
     table.drain_zone("a")
-    table.restore_zone("a", SECOND, {"menus": 3 * SECOND})
+    table.restore_zone("a", SECOND, {"menus": 3 * SECOND}, SECOND)
     table.register(ROW._replace(id="i-2"), 2 * SECOND)
     assert table.get("i-2").cold_until == 4 * SECOND
--- a/packages/gateway/src/cardamomloft/gateway/storeview.py
+++ b/packages/gateway/src/cardamomloft/gateway/storeview.py
@@ -238,7 +238,8 @@
     @_apply.register
     def _(self, fact: ZoneRestored) -> None:
         cold_times = {name: row.cold_time for name, row in self._selector.policies.items()}
-        if self._upstream_table.restore_zone(fact.zone, self._clock.monotonic(), cold_times):
+        now = self._clock.monotonic()
+        if self._upstream_table.restore_zone(fact.zone, now, cold_times, now):
             log("zone-restored", zone=fact.zone)
 
     @_apply.register
--- a/standins/src/cardamomloft_standins/experiment/simulation.py
+++ b/standins/src/cardamomloft_standins/experiment/simulation.py
@@ -204,7 +204,8 @@
 
     def _restore(self, zone: str) -> None:
         for table in self._upstream_tables():
-            table.restore_zone(zone, self.clock.monotonic(), {SERVICE: _POLICY.cold_time})
+            now = self.clock.monotonic()
+            table.restore_zone(zone, now, {SERVICE: _POLICY.cold_time}, now)
 
     def delay(self, zone: str, other: str) -> float:
         """Return the one-way latency between two zones, in seconds."""
