Rank gateways for a limit among all that may still use it

What endpoints saw: with more gateways than requests in the limit of a cold endpoint, only some gateways may send to it. Each ranked itself among those recorded now, but divided by those of the last hour. When records lapse while their gateways serve on, all ranks fall, and more gateways find themselves among the first: 20 to 30 requests in a second where 15.5 are allowed, at 30 gateways of which the records of 10 or 20 were lost. The limits that endpoints state and the rounding of quotas use the same ranks. No disruption of the store is needed at that moment.

Now ranks count everybody who is counted in the division. What it costs: gateways that are gone for good hold ranks for the hour for which their shares are set aside.

--- a/packages/core/src/cardamomloft/core/entrytable.py
+++ b/packages/core/src/cardamomloft/core/entrytable.py
@@ -46,8 +46,16 @@
 
     def recent_count(self, now: timedelta) -> int:
         """Return the number of entries that were present at any time within `count_window`."""
-        gone = sum(now - at <= self.count_window for at in self._gone_at.values())
-        return self.count + gone
+        return 1 + len(self.recent_others(now))
+
+    def recent_others(self, now: timedelta) -> list[str]:
+        """Return the names of the other entries that were present within `count_window`.
+
+        Those that have gone may still use their shares, as their records may have lapsed.
+        """
+        present = [name for name in self._records if name != self._own.name]
+        gone = (name for name, at in self._gone_at.items() if now - at <= self.count_window)
+        return [*present, *gone]
 
     def add(self, record: EntryRecord, now: timedelta) -> bool:
         """Store an entry's record; return whether it is new or changed."""
--- a/packages/gateway/src/cardamomloft/gateway/storeview.py
+++ b/packages/gateway/src/cardamomloft/gateway/storeview.py
@@ -185,11 +185,12 @@
                 self._apply(unconfirmed.fact)
 
     def _update_selector_entries(self) -> None:
-        divisor = self._entries.recent_count(self._clock.monotonic())
+        others = self._entries.recent_others(self._clock.monotonic())
+        divisor = 1 + len(others)
         if divisor != self._selector.entries:
             log("limits-divided", entries=divisor)
         self._selector.entries = divisor
-        self._selector.others = [row.name for row in self._entries.records(with_own=False)]
+        self._selector.others = others
 
     @singledispatchmethod
     def _apply(self, fact: Fact) -> None:
