Let gateways tell each other of drains and of endpoints that become cold

What endpoints saw: up to 36 requests in a second where a cold one tolerates 15.5. What callers saw: requests sent to endpoints that were about to be taken away, for as long as their gateway lacked the store.

Cause: that a zone is drained, and that its endpoints are cold after it, was told by the store only. A gateway that the store does not answer went on sending there as if nothing had happened.

Now who reads a drain, its end or a cold time in the store publishes a notice. One gateway without the store hears it from others within a gossip round, or by asking, as it asks for configurations. A cold time counts at once everywhere. A drain counts at gateways whose data is outdated, if it was read later than that data; once the store answers, its word holds again. A process that starts after the end of a drain hears that there was one. Many that read the same issue the same notice, so it spreads as one; nothing is sent without a drain.

--- a/packages/core/src/cardamomloft/core/notices.py
+++ b/packages/core/src/cardamomloft/core/notices.py
@@ -37,6 +37,10 @@
 """How long a rate limit is kept after it was last published."""
 
 
+COLD_RETENTION = timedelta(minutes=1)
+"""How long notices about drains and cold endpoints are kept, which is longer than most outages of
+the store."""
+
 LINKS_DOWN_RETENTION = timedelta(seconds=6)
 """How long a report of an entry about its links is kept. It is repeated while they are down."""
 
@@ -175,7 +179,76 @@
         return LINKS_DOWN_RETENTION
 
 
-Notice = UpstreamLeaving | CrashUnderRequest | UpstreamRateLimit | LinksDown
+class ZoneDrain(t.NamedTuple):
+    """The drain of a zone began or ended, as an entry has read in the store.
+
+    Attributes
+    ----------
+    zone
+        The zone.
+    serial
+        Increases with each beginning and end, so that the latest is kept.
+    drained
+        Whether it began.
+    """
+
+    zone: str
+    serial: int
+    drained: bool
+
+    @property
+    def key(self) -> tuple[t.Any, ...]:
+        """Identifies the subject; of notices with the same key one is kept."""
+        return (self.zone,)
+
+    @property
+    def rank(self) -> tuple[int, bool]:
+        """Of two notices with the same key the one of higher rank is kept."""
+        return (self.serial, self.drained)
+
+    @property
+    def retention(self) -> timedelta:
+        """How long the notice is kept after its creation."""
+        return COLD_RETENTION
+
+
+class UpstreamCold(t.NamedTuple):
+    """A running incarnation of upstream `id` has become cold, as an entry has read in the store.
+
+    Attributes
+    ----------
+    id, started_ms
+        The incarnation.
+    serial
+        Increases each time, so that the latest is kept.
+    left_ms
+        Time for which it is cold, from the creation of the notice.
+    """
+
+    id: str
+    started_ms: int
+    serial: int
+    left_ms: int
+
+    @property
+    def key(self) -> tuple[t.Any, ...]:
+        """Identifies the subject; of notices with the same key one is kept."""
+        return (self.id, self.started_ms)
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Of two notices with the same key the one of higher rank is kept."""
+        return (self.serial, self.left_ms)
+
+    @property
+    def retention(self) -> timedelta:
+        """How long the notice is kept after its creation."""
+        return COLD_RETENTION
+
+
+Notice = (
+    UpstreamLeaving | CrashUnderRequest | UpstreamRateLimit | LinksDown | ZoneDrain | UpstreamCold
+)
 
 
 class DatedNotice(t.NamedTuple):
--- a/packages/core/src/cardamomloft/core/restoration.py
+++ b/packages/core/src/cardamomloft/core/restoration.py
@@ -13,7 +13,7 @@
 """
 
 import typing as t
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from datetime import timedelta
 from functools import singledispatch
 
@@ -47,9 +47,9 @@
     return ClassifiedFacts(tuple(accepted), tuple(unconfirmed))
 
 
-def missing_drains(facts: Iterable[Fact], table: UpstreamTable) -> set[str]:
-    """Return the zones that are drained at this entry but not in the restored store."""
-    return table.drained_zones - {fact.zone for fact in facts if isinstance(fact, ZoneDrained)}
+def missing_drains(facts: Iterable[Fact], drained_zones: Set[str]) -> set[str]:
+    """Return the zones that are drained at this entry but not in a listing of the store."""
+    return set(drained_zones) - {fact.zone for fact in facts if isinstance(fact, ZoneDrained)}
 
 
 @singledispatch
--- a/packages/core/src/cardamomloft/core/routes.py
+++ b/packages/core/src/cardamomloft/core/routes.py
@@ -98,6 +98,11 @@
     accounts: tuple[ClientAccount, ...] | None = None
 
 
+def cold_times(plan: RoutePlan) -> dict[str, timedelta]:
+    """Return for how long the endpoints of each service are cold."""
+    return {name: policy.cold_time for name, policy in plan.services.items()}
+
+
 def longest_prefix_first(rules: Iterable[RouteRule]) -> tuple[RouteRule, ...]:
     """Return `rules` ordered so that the first match has the longest matching prefix."""
     return tuple(sorted(rules, key=lambda rule: -len(rule.prefix)))
--- a/packages/core/src/cardamomloft/core/upstreamtable.py
+++ b/packages/core/src/cardamomloft/core/upstreamtable.py
@@ -171,6 +171,7 @@
         self.membership = 0
         self.on_cold: Callable[[list[Upstream], timedelta], None] = _ignore_cold
         self._drains = ZoneDrains()
+        self._cold_times: Mapping[str, timedelta] = {}
         self._by_id: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._candidates_by_service: dict[str, list[_Candidate]] = {}
@@ -321,9 +322,7 @@
         self._stale = self._stale or is_new
         return is_new
 
-    def restore_zone(
-        self, zone: str, at: timedelta, cold_times: Mapping[str, timedelta], now: timedelta
-    ) -> bool:
+    def restore_zone(self, zone: str, at: timedelta, now: timedelta) -> bool:
         """Use the endpoints of `zone` again, at first as cold; return whether that is new.
 
         They got no requests during the drain, which may have ended before this entry knew of it,
@@ -335,27 +334,53 @@
             The zone.
         at
             Monotonic instant of the end of its drain.
-        cold_times
-            How long endpoints are cold after it, by service.
         now
             Monotonic instant.
         """
-        if not self._drains.end(zone, at, cold_times):
+        if not self._drains.end(zone, at):
             return False
-        restored = [up for up in self._by_id.values() if up.registration.zone == zone]
-        until = {up.id: self._drains.cold_until(zone, up.registration.service) for up in restored}
-        self._mark_cold(restored, until, ColdSource.DRAIN_END, now)
+        self._mark_zone_cold(zone, now)
         self._stale = True
         return True
 
+    def record_drain_end(self, zone: str, at: timedelta, now: timedelta) -> None:
+        """Count the endpoints of `zone` as cold, as `restore_zone`, but keep its drain here."""
+        self._drains.record_end(zone, at)
+        self._mark_zone_cold(zone, now)
+
+    def has_drain_ended_since(self, zone: str, at: timedelta) -> bool:
+        """Return whether a drain of `zone` ended at a monotonic instant or later."""
+        return self._drains.ended_at(zone) >= at
+
+    def set_cold_times(self, cold_times: Mapping[str, timedelta], now: timedelta) -> None:
+        """Use the times for which the endpoints of each service are cold after a drain."""
+        self._cold_times = cold_times
+        for zone in self._drains.ended():
+            self._mark_zone_cold(zone, now)
+
+    def mark_cold(self, incarnation: UpstreamIncarnation, until: timedelta, now: timedelta) -> None:
+        """Count an endpoint as cold until then if it is registered, as another entry says."""
+        upstream = self._by_id.get(incarnation.upstream_id)
+        if upstream is not None and upstream.incarnation == incarnation:
+            self._mark_cold([upstream], {upstream.id: until}, ColdSource.NOTICE, now)
+
+    def _mark_zone_cold(self, zone: str, now: timedelta) -> None:
+        restored = [up for up in self._by_id.values() if up.registration.zone == zone]
+        until = {up.id: self._cold_after_drain(up) for up in restored}
+        self._mark_cold(restored, until, ColdSource.DRAIN_END, now)
+
+    def _cold_after_drain(self, upstream: Upstream) -> timedelta:
+        row = upstream.registration
+        cold_time = self._cold_times.get(row.service, timedelta(0))
+        return self._drains.cold_until(row.zone, cold_time)
+
     def _restore_coldness(self, upstream: Upstream) -> None:
         """Apply what is known of an endpoint that registers for the first time, or again."""
         before = self._withdrawn.pop(upstream.incarnation, None)
         if before is not None:
             upstream.recent_sends = before.recent_sends
             upstream.mark_cold(before.cold_until, before.cold_source)
-        row = upstream.registration
-        upstream.mark_cold(self._drains.cold_until(row.zone, row.service), ColdSource.DRAIN_END)
+        upstream.mark_cold(self._cold_after_drain(upstream), ColdSource.DRAIN_END)
 
     def _mark_cold(
         self,
--- a/packages/core/tests/test_cold_limit.py
+++ b/packages/core/tests/test_cold_limit.py
@@ -34,6 +34,7 @@
     selector = Selector(table, "e-0", "a", ColdLimit(1.5, 5), Preferences())
     selector.policies = {"menus": ServicePolicy("menus", 360, 3 * SECOND, 7.0)}
     selector.entries = 4
+    table.set_cold_times({"menus": 3 * SECOND}, timedelta(0))
     table.register(ROW, timedelta(0))
     return table, selector
 
@@ -70,13 +71,21 @@
 
 def test_endpoints_of_a_restored_zone_are_cold_though_its_drain_was_not_seen():
     table, _ = _selector()
-    table.restore_zone("a", SECOND, {"menus": 3 * SECOND}, SECOND)
+    table.restore_zone("a", SECOND, SECOND)
     assert table.get("i-1").cold_until == 4 * SECOND
 
 
 def test_endpoint_that_registers_after_the_end_of_its_zones_drain_is_cold():
     table, _ = _selector()
     table.drain_zone("a")
-    table.restore_zone("a", SECOND, {"menus": 3 * SECOND}, SECOND)
+    table.restore_zone("a", SECOND, SECOND)
     table.register(ROW._replace(id="i-2"), 2 * SECOND)
     assert table.get("i-2").cold_until == 4 * SECOND
+
+
+def test_end_of_a_drain_that_is_known_before_the_cold_times_are_counts():
+    table = UpstreamTable({"a": "east"})
+    table.record_drain_end("a", SECOND, SECOND)
+    table.register(ROW, SECOND)
+    table.set_cold_times({"menus": 3 * SECOND}, 2 * SECOND)
+    assert table.get("i-1").cold_until == 4 * SECOND
--- a/packages/core/tests/test_restoration.py
+++ b/packages/core/tests/test_restoration.py
@@ -77,4 +77,4 @@
     table, _ = tables()
     for zone in ("a", "b"):
         table.drain_zone(zone)
-    assert missing_drains([ZoneDrained("b"), ZoneDrained("c")], table) == {"a"}
+    assert missing_drains([ZoneDrained("b"), ZoneDrained("c")], table.drained_zones) == {"a"}
--- a/packages/core/tests/test_upstreambook.py
+++ b/packages/core/tests/test_upstreambook.py
@@ -150,7 +150,8 @@
     assert table.drain_zone("a")
     assert not table.drain_zone("a")
     assert _ids(table) == ["i-2"]
-    assert table.restore_zone("a", 5000 * MS, {"menus": 3000 * MS}, 5000 * MS)
+    table.set_cold_times({"menus": 3000 * MS}, 4000 * MS)
+    assert table.restore_zone("a", 5000 * MS, 5000 * MS)
     assert _ids(table) == ["i-1", "i-2"]
     assert table.get("i-1").cold_until == 8000 * MS
     assert table.get("i-2").cold_until == ZERO
--- a/packages/feed/src/cardamomloft/feed/noticecodec.py
+++ b/packages/feed/src/cardamomloft/feed/noticecodec.py
@@ -12,8 +12,10 @@
     DatedNotice,
     LinksDown,
     Notice,
+    UpstreamCold,
     UpstreamLeaving,
     UpstreamRateLimit,
+    ZoneDrain,
 )
 from cardamomloft.feed.typedcodec import TypedCodec
 from expression import Error, Result
@@ -47,16 +49,28 @@
     notice: LinksDown
 
 
-_Row = _Leaving | _Crash | _RateLimit | _Links
+class _Drain(t.NamedTuple):
+    age_ms: int
+    notice: ZoneDrain
+
+
+class _Cold(t.NamedTuple):
+    age_ms: int
+    notice: UpstreamCold
+
+
+_Row = _Leaving | _Crash | _RateLimit | _Links | _Drain | _Cold
 
 _ROW_TYPES = {
     UpstreamLeaving: _Leaving,
     CrashUnderRequest: _Crash,
     UpstreamRateLimit: _RateLimit,
     LinksDown: _Links,
+    ZoneDrain: _Drain,
+    UpstreamCold: _Cold,
 }
 
-_codec: TypedCodec[_Row] = TypedCodec((_Leaving, _Crash, _RateLimit, _Links))
+_codec: TypedCodec[_Row] = TypedCodec((_Leaving, _Crash, _RateLimit, _Links, _Drain, _Cold))
 
 
 def encode_notices(notices: Iterable[DatedNotice], now: timedelta) -> bytes:
--- a/packages/feed/tests/test_noticecodec.py
+++ b/packages/feed/tests/test_noticecodec.py
@@ -6,8 +6,10 @@
 from cardamomloft.core.notices import (
     CrashUnderRequest,
     DatedNotice,
+    UpstreamCold,
     UpstreamLeaving,
     UpstreamRateLimit,
+    ZoneDrain,
 )
 from cardamomloft.feed.noticecodec import MAX_AGE_MS, decode_notices, encode_notices
 from hypothesis import given
@@ -20,6 +22,8 @@
     DatedNotice(CrashUnderRequest("f", "i-2", 0, 2, excused=True), NOW),
     DatedNotice(UpstreamRateLimit("i-3", 7, 1, 7.8), NOW - 30 * MS),
     DatedNotice(UpstreamRateLimit("i-4", 7, 2, None), NOW),
+    DatedNotice(ZoneDrain("a", 3, True), NOW - 40 * MS),
+    DatedNotice(UpstreamCold("i-5", 7, 1, 2900), NOW),
 ]
 
 
@@ -49,6 +53,8 @@
         UpstreamLeaving("x" * 501, 0),
         CrashUnderRequest("x" * 501, "i", 0, 1),
         UpstreamRateLimit("x" * 501, 0, 1, 4.0),
+        ZoneDrain("x" * 501, 1, True),
+        UpstreamCold("x" * 501, 0, 1, 3000),
     ],
 )
 def test_overlong_texts_are_an_error(notice):
--- a/packages/gateway/src/cardamomloft/gateway/changefeed.py
+++ b/packages/gateway/src/cardamomloft/gateway/changefeed.py
@@ -157,6 +157,10 @@
         """Return whether the data is older than it would be if the store or a relay answered."""
         return self._sources.is_outdated(self._clock.monotonic())
 
+    def complete_until(self) -> timedelta | None:
+        """Return the monotonic instant up to which the data is complete; None without data."""
+        return self._sources.complete_until
+
     def verified_age(self) -> timedelta | None:
         """Return the time since this gateway's data was proved to be current; None if never."""
         return self._sources.verified_age(self._clock.monotonic())
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -14,7 +14,7 @@
 from cardamomloft.core.naming import EntryLookup
 from cardamomloft.core.recordlease import LAPSED_SHARE_TIME
 from cardamomloft.core.registrations import EntryRecord, Fact
-from cardamomloft.core.routes import RoutePlan
+from cardamomloft.core.routes import RoutePlan, cold_times
 from cardamomloft.core.selection import Preferences, Selector
 from cardamomloft.core.timekeeping import ClockMonitor
 from cardamomloft.core.upstreamtable import UpstreamTable
@@ -23,6 +23,7 @@
 from cardamomloft.gateway.changefeed import ChangeFeed
 from cardamomloft.gateway.coldlogs import ColdLogs
 from cardamomloft.gateway.control import Control, Listing
+from cardamomloft.gateway.drainview import connect_drains
 from cardamomloft.gateway.following import Follower, poll_timing
 from cardamomloft.gateway.forwarding import Forwarder
 from cardamomloft.gateway.gossip import ASK_INTERVAL, COMPARE_INTERVAL
@@ -201,6 +202,7 @@
             self.metrics,
         )
         gossip = self.feed.gossip
+        connect_drains(self.view.drains, self.feed, self.notice_handler)
         self.account_access = AccountAccess(
             self._reactor, clock, self._rng, own, self.entries, self.selector, self.feed, self.ready
         )
@@ -408,6 +410,7 @@
         if not self.plan.replace(plan, source):
             return
         self.selector.policies = plan.services
+        self.upstream_table.set_cold_times(cold_times(plan), self._clock.monotonic())
         self.account_access.set_accounts(plan.accounts or ())
         self.app.set_idle_timeout(plan.limits.idle_timeout)
         self.app.set_head_limits(plan.limits.head_bytes, plan.limits.head_timeout)
--- a/packages/gateway/src/cardamomloft/gateway/noticehandler.py
+++ b/packages/gateway/src/cardamomloft/gateway/noticehandler.py
@@ -10,8 +10,10 @@
     DatedNotice,
     LinksDown,
     Notice,
+    UpstreamCold,
     UpstreamLeaving,
     UpstreamRateLimit,
+    ZoneDrain,
 )
 from cardamomloft.core.quarantine import Quarantine, RecentAnswers
 from cardamomloft.core.ratelimits import RateLimits
@@ -39,6 +41,8 @@
     ----------
     publish
         Sends notices to all gateways and applies them here.
+    on_drain, on_cold
+        Called with notices about drains and cold endpoints, and the instant of their issue.
     cut_off : CutOffEntries
         The gateways that have lost their links to the endpoints.
     """
@@ -57,6 +61,8 @@
         self._quarantine = Quarantine()
         self._answers = RecentAnswers()
         self.cut_off = CutOffEntries()
+        self.on_drain: Callable[[ZoneDrain, timedelta], None] = lambda notice, at: None
+        self.on_cold: Callable[[UpstreamCold, timedelta], None] = lambda notice, at: None
         self.publish: Callable[[Iterable[Notice]], None] = self._apply_own
 
     def refused_until(self, fingerprint: Callable[[], str]) -> timedelta | None:
@@ -113,6 +119,10 @@
                 self._apply_rate_limit(notice, at)
             case LinksDown():
                 self._apply_links(notice, at)
+            case ZoneDrain():
+                self.on_drain(notice, at)
+            case UpstreamCold():
+                self.on_cold(notice, at)
 
     def quarantined(self) -> list[str]:
         """Return the fingerprints of the quarantined requests."""
--- a/packages/gateway/src/cardamomloft/gateway/storeview.py
+++ b/packages/gateway/src/cardamomloft/gateway/storeview.py
@@ -30,6 +30,7 @@
 from cardamomloft.core.upstreamtable import UpstreamTable
 from cardamomloft.feed.changetable import FactKey, is_same_fact, key_of
 from cardamomloft.gateway.control import Listing
+from cardamomloft.gateway.drainview import DrainView
 from cardamomloft.runtime.logs import ReportedProblems, log
 from cardamomloft.runtime.metrics import Metrics
 
@@ -64,6 +65,8 @@
 
     Attributes
     ----------
+    drains : DrainView
+        The drains that are in force.
     listed
         Whether a complete listing has been applied.
     """
@@ -85,6 +88,7 @@
         self._close_idle = close_idle
         self._on_plan = on_plan
         self._metrics = metrics
+        self.drains = DrainView(clock, upstream_table)
         self._unreadable = ReportedProblems()
         self._era: int | None = None
         self._unconfirmed: dict[FactKey, _UnconfirmedFact] = {}
@@ -102,10 +106,11 @@
         entries = {fact.record.name for fact in facts if isinstance(fact, EntryRecorded)}
         _log_gone(self._upstream_table.withdraw_unlisted(upstreams, now))
         self._entries.withdraw_unlisted(entries, now)
-        for zone in missing_drains(listing.facts, self._upstream_table):
+        for zone in missing_drains(listing.facts, self.drains.zones()):
             if key_of(ZoneRestored(zone)) not in self._unconfirmed:
                 self._apply(ZoneRestored(zone))
         self.listed = True
+        self.drains.tick()
 
     def _is_restored(self, index: Position) -> bool:
         """Record the era of a listing; return whether the store was restored from an older copy."""
@@ -122,7 +127,7 @@
         self._upstream_table.start_grace_period(now)
         self._entries.start_grace_period(now)
         accepted, unconfirmed = classify_facts(listing.facts, self._upstream_table, self._entries)
-        drains = missing_drains(listing.facts, self._upstream_table)
+        drains = missing_drains(listing.facts, self.drains.zones())
         unconfirmed = (*unconfirmed, *map(ZoneRestored, sorted(drains)))
         self._unconfirmed = {
             key_of(fact): _UnconfirmedFact(fact, now + CONFIRMATION_TIMEOUT) for fact in unconfirmed
@@ -175,6 +180,7 @@
         for name in self._entries.tick(now):
             log("entry-gone", name=name)
         self._apply_confirmed(now)
+        self.drains.tick()
         self._update_selector_entries()
 
     def _apply_confirmed(self, now: timedelta) -> None:
@@ -203,8 +209,13 @@
     @_apply.register
     def _(self, fact: UpstreamRegistered) -> None:
         row, before = fact.registration, self._upstream_table.get(fact.registration.id)
+        now = self._clock.monotonic()
+        was_warm = before is not None and before.cold_until <= now
         self._unreadable.forget(row.id)
-        if self._upstream_table.register(row, self._clock.monotonic()):
+        changed = self._upstream_table.register(row, now)
+        if was_warm and before.cold_until > now:
+            self.drains.announce_cold(before)
+        if changed:
             if before is not None and self._upstream_table.get(row.id) is not before:
                 # The idle connections belong to the previous incarnation.
                 self._close_idle(before.registration.address)
@@ -233,15 +244,12 @@
 
     @_apply.register
     def _(self, fact: ZoneDrained) -> None:
-        if self._upstream_table.drain_zone(fact.zone):
-            log("zone-drained", zone=fact.zone)
+        # A first listing may come from a copy of the store that is behind.
+        self.drains.apply_stored(fact.zone, drained=True, announce=self.listed)
 
     @_apply.register
     def _(self, fact: ZoneRestored) -> None:
-        cold_times = {name: row.cold_time for name, row in self._selector.policies.items()}
-        now = self._clock.monotonic()
-        if self._upstream_table.restore_zone(fact.zone, now, cold_times, now):
-            log("zone-restored", zone=fact.zone)
+        self.drains.apply_stored(fact.zone, drained=False, announce=self.listed)
 
     @_apply.register
     def _(self, fact: EntryRecorded) -> None:
--- a/packages/gateway/tests/test_restored_store.py
+++ b/packages/gateway/tests/test_restored_store.py
@@ -402,6 +402,23 @@
 @settings(max_examples=40, deadline=None)
 @given(STEPS, st.integers(0, 99))
 @example([("zone", 0, 23), ("restore", 6, 21), ("forget", 0, 0)], 0)
+@example(
+    [
+        ("loss", 0, 43),
+        ("cut", 0, 58),
+        ("restore", 0, 0),
+        ("restore", 0, 28),
+        ("zone", 0, 34),
+        ("configure", 2, 45),
+        ("restore", 7, 12),
+        ("restore", 9, 38),
+        ("loss", 4, 3),
+        ("forget", 3, 57),
+        ("zone", 8, 51),
+        ("forget", 9, 33),
+    ],
+    79,
+)
 def test_gateways_converge_after_any_sequence_of_restores_and_faults(steps, seed):
     run_steps(steps, seed)
 
--- a/standins/src/cardamomloft_standins/experiment/simulation.py
+++ b/standins/src/cardamomloft_standins/experiment/simulation.py
@@ -205,7 +205,8 @@
     def _restore(self, zone: str) -> None:
         for table in self._upstream_tables():
             now = self.clock.monotonic()
-            table.restore_zone(zone, now, {SERVICE: _POLICY.cold_time}, now)
+            table.set_cold_times({SERVICE: _POLICY.cold_time}, now)
+            table.restore_zone(zone, now, now)
 
     def delay(self, zone: str, other: str) -> float:
         """Return the one-way latency between two zones, in seconds."""
--- a/standins/src/cardamomloft_standins/relayharness.py
+++ b/standins/src/cardamomloft_standins/relayharness.py
@@ -11,13 +11,15 @@
 from cardamomloft.core.model import Incarnation
 from cardamomloft.core.notices import DatedNotice
 from cardamomloft.core.positions import Position
+from cardamomloft.core.recordlease import LAPSED_SHARE_TIME
 from cardamomloft.core.registrations import EntryRecorded, EntryWithdrawn, PlanRead
-from cardamomloft.core.routes import RoutePlan
+from cardamomloft.core.routes import RoutePlan, cold_times
 from cardamomloft.core.selection import Preferences, Selector
 from cardamomloft.core.upstreamtable import UpstreamTable
 from cardamomloft.feed.relays import relays_of
 from cardamomloft.gateway.changefeed import ChangeFeed
 from cardamomloft.gateway.control import Changes, Listing
+from cardamomloft.gateway.drainview import connect_drains
 from cardamomloft.gateway.following import Follower, poll_timing
 from cardamomloft.gateway.gossip import ASK_INTERVAL, COMPARE_INTERVAL
 from cardamomloft.gateway.noticehandler import NoticeHandler
@@ -237,7 +239,7 @@
     def __init__(self, record, store: Store, network: Network, time: kit.Time, seed: int) -> None:
         self.record, self.name, self.network = record, record.name, network
         self.me = Incarnation(record.name, str(seed))
-        self.entries = EntryTable(record, timedelta(seconds=10))
+        self.entries = EntryTable(record, LAPSED_SHARE_TIME + timedelta(seconds=10))
         self.time = time
         self.plan: RoutePlan | None = None
         self.plans: list[int] = [0]
@@ -247,6 +249,7 @@
         self.recoveries: list[timedelta] = []
         self.withdrawals: list[timedelta] = []
         self.stopped = False
+        self.compares_notices = False
         self.notices: list[DatedNotice] = []
         network.gateways[record.peers] = self
         client = Client(store, self.name)
@@ -269,6 +272,8 @@
         self.selector = Selector(
             self.upstream_table, self.name, record.zone, COLD_LIMIT, Preferences()
         )
+        started_at = time.clock.monotonic()
+        self.selector.record_age = lambda now: now - started_at
         self.notice_handler = NoticeHandler(
             time.clock, self.upstream_table, self.selector.rate_limits, metrics
         )
@@ -283,6 +288,7 @@
         )
         gossip = self.feed.gossip
         self.notice_handler.publish = gossip.publish
+        connect_drains(self.view.drains, self.feed, self.notice_handler)
         gossip.plan = lambda: self.plan
         gossip.on_plan = lambda plan, sender: self._on_plan(plan)
         self.follower = Follower(
@@ -291,7 +297,7 @@
             self.feed.control,
             random.Random(seed),
             poll_timing(DRAIN_TIME),
-            self.view.apply_listing,
+            self._on_listing,
             self._on_changes,
             self._on_returned,
         )
@@ -302,6 +308,7 @@
 
     def compare_notices(self) -> None:
         """Let it compare notices with others, once it is started."""
+        self.compares_notices = True
         self._loops.append((LoopingCall(self.feed.gossip.compare), COMPARE_INTERVAL))
 
     def start(self) -> None:
@@ -342,6 +349,12 @@
         self.notices.append(dated)
         self.notice_handler.apply(dated)
 
+    def _on_listing(self, listing: Listing) -> None:
+        first = not self.view.listed
+        self.view.apply_listing(listing)
+        if first and self.compares_notices:
+            self.feed.gossip.catch_up()
+
     def _on_changes(self, facts) -> None:
         withdrawn = [fact for fact in facts if isinstance(fact, EntryWithdrawn)]
         self.withdrawals += [self.time.clock.monotonic()] * len(withdrawn)
@@ -351,6 +364,7 @@
         if plan.number > self.plans[-1]:
             self.plan = plan
             self.selector.policies = plan.services
+            self.upstream_table.set_cold_times(cold_times(plan), self.time.clock.monotonic())
             self.plans.append(plan.number)
             self.put_in_force[plan.number] = self.time.clock.monotonic()
 
