Take a group of gateways for cut off too that hear each other, but not the store

Cause: they heard nearly half of those that they asked, at times more, and took that for contact. Now who answers says whether the store answers it. One that it answers is contact; without one, four of five that were asked must answer. Endpoints that requests would go to are asked first, so that callers lose less.

--- a/packages/core/src/cardamomloft/core/connectivity/contacts.py
+++ b/packages/core/src/cardamomloft/core/connectivity/contacts.py
@@ -9,11 +9,10 @@
 CONTACT_TIME = timedelta(seconds=2)
 """Time for which questions and answers count."""
 
-MIN_ANSWERED = 0.5
-"""Fraction of the entries asked of which an answer shows that this entry is in contact.
+MIN_ANSWERED = 0.8
+"""Fraction of the entries asked that must answer if the store answers none of them.
 
-Entries that the store answers tell the others by gossip, and reach any that are in contact with
-most of them. If the store answers nobody, nobody reads changes there either.
+If all of them are without it, nobody reads changes there. The silent ones may be in touch with it.
 """
 
 
@@ -23,6 +22,7 @@
     def __init__(self) -> None:
         self._asked: deque[tuple[timedelta, str]] = deque()
         self._heard_at: dict[str, timedelta] = {}
+        self._informed_at = -CONTACT_TIME
 
     def record_asked(self, name: str, now: timedelta) -> None:
         """Record that another entry is asked for an answer."""
@@ -34,8 +34,14 @@
         """Record that a message of another entry has arrived."""
         self._heard_at[name] = now
 
+    def record_informed(self, now: timedelta) -> None:
+        """Record that another entry, which the store answers, was heard; it tells what it reads."""
+        self._informed_at = now
+
     def are_lost(self, now: timedelta) -> bool:
-        """Return whether too few of those asked lately were heard; not without questions."""
+        """Return whether changes may be read that nobody would tell; not without questions."""
+        if now - self._informed_at < CONTACT_TIME:
+            return False
         times = {name: at for at, name in self._asked if ANSWER_TIME <= now - at <= CONTACT_TIME}
         heard = sum(self._heard_at.get(name, -CONTACT_TIME) >= at for name, at in times.items())
         return bool(times) and heard < MIN_ANSWERED * len(times)
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -186,6 +186,9 @@
         if all(self._is_out(up, tried, now) for up in order):
             order = self.ranker.all(rule, service, key)
         primary = order[0]
+        if self._uninformed:
+            for upstream in order[: self._preferences.endpoints_per_key]:
+                upstream.wanted_at = now
         if self.outages:
             order = [up for up in order if not self._is_lost(up)]
             if not order:
--- a/packages/core/src/cardamomloft/core/upstreamtable.py
+++ b/packages/core/src/cardamomloft/core/upstreamtable.py
@@ -63,6 +63,8 @@
         Monotonic instant until which the endpoint is cold.
     warm_until
         Monotonic instant until which its own word that it is warm counts.
+    wanted_at
+        Monotonic instant at which a request would last have gone to it, were it known to be warm.
     cold_source
         What last told this entry that it is cold.
     recent_sends
@@ -109,6 +111,7 @@
         "seed",
         "unreadable",
         "service_time",
+        "wanted_at",
         "warm_until",
         "work_ratio",
     )
@@ -122,6 +125,7 @@
         self.cold_until = now + registration.cold_left
         self.cold_source = ColdSource.REGISTRATION
         self.warm_until = timedelta(0)
+        self.wanted_at = timedelta(0)
         self.joined_at: timedelta | None = now
         self.failures = 0
         self.ejected_until = timedelta(0)
--- a/packages/gateway/src/cardamomloft/gateway/coldinquiries.py
+++ b/packages/gateway/src/cardamomloft/gateway/coldinquiries.py
@@ -31,9 +31,14 @@
 ANSWER_TIME = timedelta(milliseconds=500)
 """Time in which an endpoint must answer."""
 
+WANTED_TIME = timedelta(seconds=1)
+"""Time after a request that an endpoint would have got, in which it is asked before others."""
+
 MAX_ASKED = 8
 """Maximum number of endpoints asked in a tick, 40 a second."""
 
+_NEVER = timedelta(0)
+
 
 class ColdInquiries:
     """Asks endpoints on behalf of one gateway.
@@ -72,13 +77,13 @@
         self._asked_at: dict[str, timedelta] = {}
 
     def tick(self) -> None:
-        """Ask the endpoints that are due, those asked longest ago first; call it periodically."""
+        """Ask the endpoints that are due, those with requests first; call it periodically."""
         if not self._selector.is_uninformed():
             self._asked_at.clear()
             return
         now = self._clock.monotonic()
         due = [up for up in self._table.all() if self._is_due(up, now)]
-        due.sort(key=lambda up: self._asked_at.get(up.id, timedelta(0)))
+        due.sort(key=lambda up: (-self._is_wanted(up, now), self._asked_at.get(up.id, _NEVER)))
         for upstream in due[:MAX_ASKED]:
             self._ask(upstream, now)
 
@@ -89,6 +94,9 @@
             return False
         return bool(self._path(upstream)) and self._selector.may_ask(upstream, now)
 
+    def _is_wanted(self, upstream: Upstream, now: timedelta) -> bool:
+        return now - upstream.wanted_at < WANTED_TIME
+
     def _path(self, upstream: Upstream) -> str:
         policy = self._selector.policies.get(upstream.registration.service)
         return "" if policy is None else policy.health_path
--- a/packages/gateway/src/cardamomloft/gateway/gossip.py
+++ b/packages/gateway/src/cardamomloft/gateway/gossip.py
@@ -201,6 +201,8 @@
         if message.asking and plan is not None and plan.number > message.configuration:
             self._send(address, ConfigurationPush(encode_facts([PlanRead(plan)])))
         now = self._clock.monotonic()
+        if message.informed:
+            self.contacts.record_informed(now)
         if message.sums == self._notice_table.checksums(now):
             if message.asking and not message.answers:
                 # The asking gateway must know that it is in contact.
@@ -230,7 +232,14 @@
         plan, now = self.plan(), self._clock.monotonic()
         number = 0 if plan is None else plan.number
         sums = self._notice_table.checksums(now)
-        return NoticeDigest(sums, answers, asking or self._is_starting(), number, self._address)
+        return NoticeDigest(
+            sums,
+            answers,
+            asking or self._is_starting(),
+            number,
+            self._address,
+            plan is not None and not self.is_outdated(),
+        )
 
     def _is_starting(self) -> bool:
         return self._clock.monotonic() - self._started_at < CATCH_UP_TIME
--- a/packages/gateway/tests/test_cold_endpoints.py
+++ b/packages/gateway/tests/test_cold_endpoints.py
@@ -143,6 +143,21 @@
     assert fleet.most_in_second() <= ALLOWED
 
 
+@seeds
+@places
+@pytest.mark.parametrize("cut", [2, 3, 4])
+def test_group_of_gateways_without_the_store_and_the_others_keeps_the_limit(seed, zones, cut):
+    """The gateways of a group hear each other, and none of them the store."""
+    fleet = _fleet(seed, 6, zones)
+    names = {gateway.name for gateway in fleet.gateways[:cut]}
+    fleet.store.cut.update(names)
+    fleet.network.separated.update(names)
+    fleet.run(1000 * MS)
+    fleet.evacuate("a", 6000 * MS)
+    fleet.run(SETTLE_TIME)
+    assert fleet.most_in_second() <= ALLOWED
+
+
 @seeds
 @places
 @pytest.mark.parametrize("cut", [1, 3, 6])
--- a/standins/src/cardamomloft_standins/relayharness.py
+++ b/standins/src/cardamomloft_standins/relayharness.py
@@ -211,13 +211,15 @@
 class Network:
     """Delivers messages between gateways with latency and loss.
 
-    Messages from and to the gateways in `silenced` are dropped.
+    Messages from and to the gateways in `silenced` are dropped, and those between the gateways in
+    `separated` and the others.
     """
 
     def __init__(self, time: kit.Time, rng: random.Random) -> None:
         self.time, self.rng = time, rng
         self.loss = 0.0
         self.silenced: set[str] = set()
+        self.separated: set[str] = set()
         self.gateways: dict[str, Gateway] = {}
 
     def send(self, sender: "Gateway", address: str, message, to) -> bool:
@@ -226,6 +228,8 @@
         lost = self.rng.random() < self.loss
         if lost or {sender.name, receiver.name} & self.silenced:
             return True
+        if len({sender.name, receiver.name} & self.separated) == 1:
+            return True
         if to not in (None, receiver.me):
             return True
         self.time.reactor.callLater(
