Take back that cut-off gateways take endpoints for cold and ask them

Requests concentrate on the endpoints that have just said that they are warm, and one that becomes cold gets 0.7 s of them.

--- a/packages/core/src/cardamomloft/core/coldness/sources.py
+++ b/packages/core/src/cardamomloft/core/coldness/sources.py
@@ -8,10 +8,9 @@
 
     `ColdSource.REGISTRATION`: its registration states for how long it stays cold.
     `ColdSource.DRAIN_END`: its zone was drained, and the drain has ended. `ColdSource.NOTICE`:
-    another entry says that it has become cold. `ColdSource.ENDPOINT`: it says so itself.
+    another entry says that it has become cold.
     """
 
     REGISTRATION = "registration"
     DRAIN_END = "drain-end"
     NOTICE = "notice"
-    ENDPOINT = "endpoint"
--- a/packages/core/src/cardamomloft/core/messages.py
+++ b/packages/core/src/cardamomloft/core/messages.py
@@ -137,8 +137,7 @@
 
     The receiver sends its notices in the buckets that differ and, unless this message `answers`
     another one, its own checksums. An entry that is `asking` for a newer configuration sends the
-    number of its own one and the `address` to answer to, since others may not know it yet. An entry
-    is `informed` while the store or a relay answers it in time.
+    number of its own one and the `address` to answer to, since others may not know it yet.
     """
 
     sums: tuple[int, ...]
@@ -146,7 +145,6 @@
     asking: bool
     configuration: int
     address: str
-    informed: bool = False
 
 
 class ConfigurationPush(t.NamedTuple):
--- a/packages/core/src/cardamomloft/core/routes.py
+++ b/packages/core/src/cardamomloft/core/routes.py
@@ -67,14 +67,13 @@
 
     `connections` is the maximum number of connections to one endpoint from all callers together.
     For `cold_time` after its start, an endpoint accepts `cold_per_s` requests per second from all
-    callers together. At `health_path` it says whether it is cold; empty if it doesn't.
+    callers together.
     """
 
     name: str
     connections: int
     cold_time: timedelta
     cold_per_s: float
-    health_path: str = ""
 
 
 class CallerLimits(t.NamedTuple):
--- a/packages/core/src/cardamomloft/core/selection.py
+++ b/packages/core/src/cardamomloft/core/selection.py
@@ -97,9 +97,6 @@
         The endpoints that accept no connections, which get no requests however many they are.
     send_counts : SendCounts
         Counts of the requests sent to each endpoint, for the log.
-    is_uninformed
-        Returns whether nobody would tell this entry that an endpoint has become cold. Endpoints
-        that have not said themselves that they are warm count as cold then.
     has_connection
         Returns whether there is an idle connection to an address.
     """
@@ -127,8 +124,6 @@
         self.outages = EndpointOutages()
         self.send_counts = SendCounts()
         self.has_connection: Callable[[str], bool] = lambda address: False
-        self.is_uninformed: Callable[[], bool] = lambda: False
-        self._uninformed = False
         self.record_age: Callable[[timedelta], timedelta] = lambda now: timedelta.max
         self._bounds = LoadBounds(preferences, self.cache_states)
         self._ranks = EntryRanks(name)
@@ -179,16 +174,12 @@
         now
             Monotonic instant.
         """
-        self._uninformed = self.is_uninformed()
         order = self.ranker.first(rule, service, key)
         if not order:
             return Refusal(RefusalReason.NO_PLACE, f"{service} has no endpoint")
         if all(self._is_out(up, tried, now) for up in order):
             order = self.ranker.all(rule, service, key)
         primary = order[0]
-        if self._uninformed:
-            for upstream in order[: self._preferences.endpoints_per_key]:
-                upstream.wanted_at = now
         if self.outages:
             order = [up for up in order if not self._is_lost(up)]
             if not order:
@@ -205,7 +196,7 @@
         eligible = [up for up in order if up.ejected_until <= now]
         if len(eligible) < len(order) * (1 - MAX_EJECTED_FRACTION):
             eligible = order
-        warm = [up for up in eligible if not self._counts_as_cold(up, now)]
+        warm = [up for up in eligible if up.cold_until <= now]
         if warm and self._chooses_by_time(service):
             left = self._untried_shared(warm, rule, tried)
             if left and self._placement.knows(left, now):
@@ -226,7 +217,7 @@
             )
         if chosen is not None:
             return Choice(chosen, _reason(chosen, primary, untried[0], bool(tried)))
-        cold = [up for up in eligible if self._counts_as_cold(up, now) and up.id not in tried]
+        cold = [up for up in eligible if up.cold_until > now and up.id not in tried]
         if not warm:
             chosen = self._cold_with_room(cold, now)
         if chosen is not None:
@@ -317,9 +308,7 @@
 
     def _is_out(self, upstream: Upstream, tried: Collection[str], now: timedelta) -> bool:
         """Return whether an endpoint is cold, or can't get this request now."""
-        if self._counts_as_cold(upstream, now) or upstream.id in tried:
-            return True
-        if self._hold(upstream, now):
+        if upstream.cold_until > now or upstream.id in tried or self._hold(upstream, now):
             return True
         if not self.outages:
             return False
@@ -352,29 +341,15 @@
         )
         return max(pause, wait)
 
-    def _counts_as_cold(self, upstream: Upstream, now: timedelta) -> bool:
-        if upstream.cold_until > now:
-            return True
-        return self._uninformed and upstream.warm_until <= now
-
     def _cold_with_room(self, cold: list[Upstream], now: timedelta) -> Upstream | None:
-        return next((up for up in cold if self._is_within_cold_limit(up, now)), None)
-
-    def _is_within_cold_limit(self, upstream: Upstream, now: timedelta) -> bool:
-        policy = self.policies.get(upstream.registration.service)
-        rate = policy.cold_per_s if policy else 0.0
-        rank = self._ranks.rank_for(upstream.id, upstream.seed)
-        allowance = cold_allowance(rate, self.cold_limit, self.division(now), rank)
-        # A place is kept for the question whether it is cold.
-        kept = int(self._uninformed and upstream.cold_until <= now)
-        return upstream.recent_sends.count(now) < allowance - kept
-
-    def may_ask(self, upstream: Upstream, now: timedelta) -> bool:
-        """Return whether an endpoint that isn't known to be cold may be asked whether it is.
-
-        A first question is allowed whatever was sent while the endpoint was held for warm.
-        """
-        return upstream.cold_until <= now and not self._is_lost(upstream)
+        for upstream in cold:
+            policy = self.policies.get(upstream.registration.service)
+            rate = policy.cold_per_s if policy else 0.0
+            rank = self._ranks.rank_for(upstream.id, upstream.seed)
+            allowance = cold_allowance(rate, self.cold_limit, self.division(now), rank)
+            if upstream.recent_sends.count(now) < allowance:
+                return upstream
+        return None
 
     # Feedback from requests.
 
--- a/packages/core/src/cardamomloft/core/upstreamtable.py
+++ b/packages/core/src/cardamomloft/core/upstreamtable.py
@@ -61,10 +61,6 @@
         The last load report, or None.
     cold_until
         Monotonic instant until which the endpoint is cold.
-    warm_until
-        Monotonic instant until which its own word that it is warm counts.
-    wanted_at
-        Monotonic instant at which a request would last have gone to it, were it known to be warm.
     cold_source
         What last told this entry that it is cold.
     recent_sends
@@ -111,8 +107,6 @@
         "seed",
         "unreadable",
         "service_time",
-        "wanted_at",
-        "warm_until",
         "work_ratio",
     )
 
@@ -124,8 +118,6 @@
         self.report: LoadReport | None = None
         self.cold_until = now + registration.cold_left
         self.cold_source = ColdSource.REGISTRATION
-        self.warm_until = timedelta(0)
-        self.wanted_at = timedelta(0)
         self.joined_at: timedelta | None = now
         self.failures = 0
         self.ejected_until = timedelta(0)
@@ -366,17 +358,11 @@
         for zone in self._drains.ended():
             self._mark_zone_cold(zone, now)
 
-    def mark_cold(
-        self,
-        incarnation: UpstreamIncarnation,
-        until: timedelta,
-        now: timedelta,
-        source: ColdSource = ColdSource.NOTICE,
-    ) -> None:
-        """Count an endpoint as cold until then if it is registered."""
+    def mark_cold(self, incarnation: UpstreamIncarnation, until: timedelta, now: timedelta) -> None:
+        """Count an endpoint as cold until then if it is registered, as another entry says."""
         upstream = self._by_id.get(incarnation.upstream_id)
         if upstream is not None and upstream.incarnation == incarnation:
-            self._mark_cold([upstream], {upstream.id: until}, source, now)
+            self._mark_cold([upstream], {upstream.id: until}, ColdSource.NOTICE, now)
 
     def _mark_zone_cold(self, zone: str, now: timedelta) -> None:
         restored = [up for up in self._by_id.values() if up.registration.zone == zone]
--- a/packages/gateway/src/cardamomloft/gateway/changefeed.py
+++ b/packages/gateway/src/cardamomloft/gateway/changefeed.py
@@ -129,7 +129,6 @@
 
     def receive(self, sender: Incarnation, message: Message) -> None:
         """Handle a message of another gateway."""
-        self.gossip.contacts.record_heard(sender.seat, self._clock.monotonic())
         if isinstance(message, NoticePush | NoticeDigest | ConfigurationPush):
             self.gossip.receive(sender, message)
         elif isinstance(message, UsageReport | UsageAnswer | ZoneUsage | CoordinatorHint):
@@ -158,10 +157,6 @@
         """Return whether the data is older than it would be if the store or a relay answered."""
         return self._sources.is_outdated(self._clock.monotonic())
 
-    def is_cut_off(self) -> bool:
-        """Return whether neither the store nor other gateways tell this one of changes."""
-        return self.is_outdated() and self.gossip.contacts.are_lost(self._clock.monotonic())
-
     def complete_until(self) -> timedelta | None:
         """Return the monotonic instant up to which the data is complete; None without data."""
         return self._sources.complete_until
--- a/packages/gateway/src/cardamomloft/gateway/documents.py
+++ b/packages/gateway/src/cardamomloft/gateway/documents.py
@@ -89,14 +89,12 @@
 class ServiceRow(TypedDict):
     """Capacity of each endpoint of a service.
 
-    During `cold_time` after its start an endpoint gets about `cold_per_s` requests per second. At
-    `health_path` it says whether it is cold.
+    During `cold_time` after its start an endpoint gets about `cold_per_s` requests per second.
     """
 
     connections: Count
     cold_time: NotRequired[DurationText]
     cold_per_s: NotRequired[t.Annotated[float, Limits(ge=0)]]
-    health_path: NotRequired[t.Annotated[str, Limits(pattern=r"/\S*")]]
 
 
 @strict
@@ -297,5 +295,4 @@
         connections=row["connections"],
         cold_time=parse_duration(row.get("cold_time", "0s")),
         cold_per_s=row.get("cold_per_s", 0.0),
-        health_path=row.get("health_path", ""),
     )
--- a/packages/gateway/src/cardamomloft/gateway/gossip.py
+++ b/packages/gateway/src/cardamomloft/gateway/gossip.py
@@ -15,7 +15,6 @@
 from functools import singledispatchmethod
 
 from cardamomloft.core.clock import Clock
-from cardamomloft.core.connectivity.contacts import Contacts
 from cardamomloft.core.messages import ConfigurationPush, Message, NoticeDigest, NoticePush
 from cardamomloft.core.model import Incarnation
 from cardamomloft.core.notices import DatedNotice, Notice, NoticeTable
@@ -85,8 +84,6 @@
 
     Attributes
     ----------
-    contacts : Contacts
-        The gateways that were asked lately, and those that were heard.
     plan
         Returns the configuration in force, None before the first.
     is_outdated
@@ -118,7 +115,6 @@
         self.plan: Callable[[], RoutePlan | None] = lambda: None
         self.is_outdated: Callable[[], bool] = lambda: False
         self.on_plan: Callable[[RoutePlan, str], None] = lambda plan, sender: None
-        self.contacts = Contacts()
         self._notice_table = NoticeTable()
         self._unsent: list[DatedNotice] = []
         self._push_timer: IDelayedCall | None = None
@@ -141,14 +137,7 @@
         """Ask for a newer configuration if the data is outdated; call it each `ASK_INTERVAL`."""
         if self.is_outdated():
             self._metrics.count("configurations_asked")
-            now = self._clock.monotonic()
-            addresses = self._peer_addresses()
-            self.contacts.retain(set(addresses))
-            digest = self._digest(answers=False, asking=True)
-            names = sorted(addresses)
-            for name in self._rng.sample(names, min(ASK_FANOUT, len(names))):
-                self.contacts.record_asked(name, now)
-                self._send(addresses[name], digest)
+            self._send_to_random(ASK_FANOUT, self._digest(answers=False, asking=True))
 
     def ask_one(self, name: str) -> None:
         """Ask one gateway for a newer configuration."""
@@ -201,12 +190,7 @@
         if message.asking and plan is not None and plan.number > message.configuration:
             self._send(address, ConfigurationPush(encode_facts([PlanRead(plan)])))
         now = self._clock.monotonic()
-        if message.informed:
-            self.contacts.record_informed(now)
         if message.sums == self._notice_table.checksums(now):
-            if message.asking and not message.answers:
-                # The asking gateway must know that it is in contact.
-                self._send(address, self._digest(answers=True))
             return
         missing = self._notice_table.differing(message.sums, now)
         if missing:
@@ -232,14 +216,7 @@
         plan, now = self.plan(), self._clock.monotonic()
         number = 0 if plan is None else plan.number
         sums = self._notice_table.checksums(now)
-        return NoticeDigest(
-            sums,
-            answers,
-            asking or self._is_starting(),
-            number,
-            self._address,
-            plan is not None and not self.is_outdated(),
-        )
+        return NoticeDigest(sums, answers, asking or self._is_starting(), number, self._address)
 
     def _is_starting(self) -> bool:
         return self._clock.monotonic() - self._started_at < CATCH_UP_TIME
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -21,7 +21,6 @@
 from cardamomloft.gateway.accountaccess import AccountAccess
 from cardamomloft.gateway.calls import Call, CallerHeaders
 from cardamomloft.gateway.changefeed import ChangeFeed
-from cardamomloft.gateway.coldinquiries import ColdInquiries
 from cardamomloft.gateway.coldlogs import ColdLogs
 from cardamomloft.gateway.control import Control, Listing
 from cardamomloft.gateway.drainview import connect_drains
@@ -204,15 +203,6 @@
         )
         gossip = self.feed.gossip
         connect_drains(self.view.drains, self.feed, self.notice_handler)
-        self.selector.is_uninformed = self.feed.is_cut_off
-        self._inquiries = ColdInquiries(
-            clock,
-            self.upstream_table,
-            self.selector,
-            self._client,
-            self.metrics,
-            self._on_fault,
-        )
         self.account_access = AccountAccess(
             self._reactor, clock, self._rng, own, self.entries, self.selector, self.feed, self.ready
         )
@@ -439,7 +429,6 @@
         self._logs.log_irregular_time()
         self.account_access.log_verification()
         self.view.tick()
-        self._inquiries.tick()
         self.notice_handler.tick()
         self.fallback.report()
 
--- a/packages/upstreams/src/cardamomloft/upstreams/dialect.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/dialect.py
@@ -45,9 +45,6 @@
     load
         Answer header with the endpoint's load as ``running,waiting,slots`` or
         ``running,waiting,slots,work_percent``, or None. Further figures are ignored.
-    instance, cold_ms
-        Headers of the answer to a health check: the endpoint's id, and for how many more
-        milliseconds it is cold, absent if it is not; None without such checks.
     close_ends_body
         Whether a body without a length is complete when its connection is closed cleanly.
     reuse_always
@@ -63,8 +60,6 @@
     leaving: str = LEAVING_HEADER
     rate_limit: str = RATE_LIMIT_HEADER
     load: str | None = None
-    instance: str | None = None
-    cold_ms: str | None = None
     close_ends_body: bool = False
     reuse_always: bool = False
 
@@ -110,12 +105,6 @@
     return float(match[0]) if match else None
 
 
-def parse_cold_time(text: str | None) -> timedelta:
-    """Return for how long an endpoint says to be cold; 0 if it does not, or not readably."""
-    match = _DECIMAL.match(text) if text else None
-    return timedelta(milliseconds=float(match[0])) if match else timedelta(0)
-
-
 def parse_retry_after(text: str | None) -> timedelta | None:
     """Return the Retry-After time of a refusal, or None if it is missing or malformed.
 
--- a/standins/src/cardamomloft_standins/gateway.py
+++ b/standins/src/cardamomloft_standins/gateway.py
@@ -45,7 +45,7 @@
 )
 ORDERS = RULE._replace(name="orders", prefix="/orders/", idempotent=False)
 LIMITS = CallerLimits(16384, 2000, 3000 * MS, 15_000 * MS)
-POLICY = ServicePolicy("menus", 360, 3000 * MS, 7.0, "/health")
+POLICY = ServicePolicy("menus", 360, 3000 * MS, 7.0)
 
 
 def plan(number: int = 1, rules=(RULE, ORDERS)) -> RoutePlan:
