--- a/packages/gateway/tests/test_cold_endpoints.py
+++ b/packages/gateway/tests/test_cold_endpoints.py
@@ -86,6 +86,17 @@
     assert fleet.most_in_second() <= ALLOWED
 
 
+@seeds
+@pytest.mark.parametrize("cold_before", [50, 600])
+def test_gateways_that_all_start_right_after_a_drain_has_ended_keep_the_limit(seed, cold_before):
+    """Nobody is left who has seen the drain."""
+    fleet = _fleet(seed, 6, "a")
+    fleet.evacuate("a", 5000 * MS, cold_before * MS)
+    fleet.restart_all(pause=500 * MS)
+    fleet.run(SETTLE_TIME)
+    assert fleet.most_in_second() <= ALLOWED
+
+
 @seeds
 @sizes
 @places
--- a/standins/src/cardamomloft_standins/coldfleet.py
+++ b/standins/src/cardamomloft_standins/coldfleet.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import defaultdict, deque
+from collections.abc import Callable
 from datetime import timedelta
 
 from cardamomloft.core.choices import Choice
@@ -115,6 +116,10 @@
                 self._send_requests()
             super().run(STEP)
 
+    def later(self, delay: timedelta, action: Callable[[], None]) -> None:
+        """Do something after a delay, while the clocks are advanced."""
+        self.time.reactor.callLater(delay.total_seconds(), action)
+
     def drain(self, zone: str) -> None:
         """Write that a zone gets no requests."""
         self.store.write(("zone", zone), ZoneDrained(zone))
@@ -155,9 +160,24 @@
 
     def restart(self, gateway: Gateway, pause: timedelta = 100 * MS) -> Gateway:
         """Kill a gateway, and start another process under its name."""
+        self._kill(gateway)
+        self.run(pause)
+        return self._start(gateway)
+
+    def restart_all(self, pause: timedelta) -> None:
+        """Kill all gateways at once, and start a process for each."""
+        killed = list(self.gateways)
+        for gateway in killed:
+            self._kill(gateway)
+        self.run(pause)
+        for gateway in killed:
+            self._start(gateway)
+
+    def _kill(self, gateway: Gateway) -> None:
         gateway.stop()
         self.gateways.remove(gateway)
-        self.run(pause)
+
+    def _start(self, gateway: Gateway) -> Gateway:
         self._starts += 1
         started = Gateway(
             gateway.record, self.store, self.network, self.time, 1000 * self._starts + self.number
