--- a/packages/core/tests/test_cold_limit.py
+++ b/packages/core/tests/test_cold_limit.py
@@ -6,27 +6,15 @@
 from cardamomloft.core.choices import Choice, Preferences
 from cardamomloft.core.coldness.limits import ColdLimit
 from cardamomloft.core.registrations import Registration
-from cardamomloft.core.routes import RouteRule, ServicePolicy, ServiceShare
+from cardamomloft.core.routes import ServicePolicy
 from cardamomloft.core.selection import Selector
 from cardamomloft.core.upstreamtable import UpstreamTable
+from cardamomloft_standins import gateway as kit
 
 MS = timedelta(milliseconds=1)
 SECOND = 1000 * MS
 ROW = Registration("i-1", "menus", "10.0.0.1:80", "a", 4, False, timedelta(0))
-RULE = RouteRule(
-    name="menus",
-    host="a.example",
-    prefix="/menus/",
-    services=(ServiceShare("menus", 1),),
-    idempotent=True,
-    timeout=2 * SECOND,
-    target=SECOND,
-    attempts=1,
-    priority=0,
-    keyed=False,
-    homes=frozenset(),
-    anonymous=False,
-)
+RULE = kit.RULE._replace(keyed=False)
 
 
 def _selector() -> tuple[UpstreamTable, Selector]:
