Read the heads of endpoints' answers by one strict grammar

What callers saw: an endpoint in trouble answered with status 000, and its caller got "HTTP/1.1 0 Unknown" with the body as an answer. The same for 001, 099, 2, 20, -20, 600, 999, 1000, 0200, +200 and a tab before 200; for versions HTTP/2.0, 0.9, 1.10, http/1.1 and SIP/2.0; for values with NUL, 0x01, 0x0b, 0x7f or a bare CR, which were passed on; for "chunked" beside "identity", after a vertical tab, in HTTP/1.0, or beside a length; and for trailers that are no fields.

Cause: the parser of Twisted takes what int() and split() take, and guards were added to it one by one. Fix: AnswerReader (runtime/answers/grammar.py) states the grammar of RFC 9112 and RFC 9110 once, without a network. A malformed answer says nothing about its request: it is failed or unknown, never "not run". One that may be repeated goes to another endpoint within its budget.

Changed for endpoints that worked: folded lines and a length beside a transfer encoding are malformed now (RFC 9112 allows both), 101 fails at once instead of at the deadline, and a line of 16 to 64 KiB is taken, which was counted as a lost connection.

--- a/packages/gateway/src/cardamomloft/gateway/endpointfeedback.py
+++ b/packages/gateway/src/cardamomloft/gateway/endpointfeedback.py
@@ -15,7 +15,7 @@
     endpoint_status,
 )
 from cardamomloft.gateway.requestcontext import RequestContext
-from cardamomloft.upstreams.sends import SendFailure, UpstreamAnswer
+from cardamomloft.upstreams.sends import EndedBy, SendFailure, UpstreamAnswer
 from expression import Result
 
 
@@ -108,6 +108,8 @@
         Endpoints that accept no connections are known to the monitor of endpoints, which finds out
         when they do again, so that they need not be ejected for a time.
         """
+        if failure.ended_by is EndedBy.MALFORMED:
+            self._context.metrics.count("answers.malformed")
         links, cut = self._context.links, failure.cut
         if links is None:
             self._selector.record_failure(upstream, self._now())
--- /dev/null
+++ b/packages/runtime/src/cardamomloft/runtime/answers/__init__.py
@@ -0,0 +1,1 @@
+"""Strict reading of HTTP answers, for every client of the project."""
--- /dev/null
+++ b/packages/runtime/src/cardamomloft/runtime/answers/connections.py
@@ -0,0 +1,71 @@
+"""A client's connection to an HTTP server, whose answers are read strictly.
+
+The parser of Twisted gets only heads that are valid, so that its leniency has no effect.
+"""
+
+import typing as t
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+from twisted.web._newclient import HTTP11ClientProtocol
+from twisted.web.http import _ChunkedTransferDecoder
+
+from .grammar import MAX_ANSWER_HEAD_BYTES, AnswerReader, MalformedAnswerError, read_field
+
+# State of HTTP11ClientProtocol.
+QUIESCENT = "QUIESCENT"
+
+
+class _ChunkedDecoder(_ChunkedTransferDecoder):
+    """Decodes bodies in chunks, and accepts only fields in the trailer."""
+
+    def _dataReceived_TRAILER(self) -> bool:  # noqa: N802
+        end = self._buffer.find(b"\r\n", self._start)
+        if end > 0:
+            read_field(bytes(self._buffer[:end]))
+        return super()._dataReceived_TRAILER()
+
+
+_DECODERS = {b"chunked": _ChunkedDecoder}
+
+
+class AnswerConnection(HTTP11ClientProtocol):
+    """A connection that is reset at the first malformed answer, or at data that nobody requested.
+
+    The request then fails with `~cardamomloft.runtime.answers.grammar.MalformedAnswerError`.
+    """
+
+    _reader: AnswerReader
+
+    def request(self, request: t.Any) -> "Deferred[t.Any]":
+        """Send one request; the Deferred fires with the answer once its head is valid."""
+        self._reader = AnswerReader()
+        answered = super().request(request)
+        if self._parser is not None:
+            self._parser.MAX_LENGTH = MAX_ANSWER_HEAD_BYTES
+            self._parser._transferDecoders = _DECODERS
+        return answered
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Pass on the data of a valid answer; reset the connection otherwise."""
+        if self.state == QUIESCENT:
+            self.abort()
+            self.transport.abortConnection()
+            return
+        if self._parser is None:
+            return
+        try:
+            data = self._reader.feed(data)
+        except MalformedAnswerError:
+            self._giveUp(Failure())
+            # A close would wait until the server has read what is still in the send buffer.
+            self.transport.abortConnection()
+            return
+        if data:
+            super().dataReceived(data)
+
+    def _finishResponse_WAITING(self, rest: bytes) -> None:  # noqa: N802
+        # Data after a complete answer could be mistaken for the answer to the next request.
+        if rest and self._currentRequest is not None:
+            self._currentRequest.persistent = False
+        super()._finishResponse_WAITING(rest)
--- a/packages/upstreams/src/cardamomloft/upstreams/connections.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from cardamomloft.runtime.answers.connections import QUIESCENT, AnswerConnection
 from cardamomloft.runtime.logs import log
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
@@ -14,7 +15,6 @@
     IHalfCloseableProtocol,
 )
 from twisted.python.failure import Failure
-from twisted.web._newclient import HTTP11ClientProtocol, ParseError
 from twisted.web.iweb import IResponse
 from zope.interface import implementer
 
@@ -31,23 +31,16 @@
 connection. It is no shorter than the longest deadline of a request, since an endpoint that reads a
 body slowly may be at work on it; it bounds how long closed connections keep unsent data."""
 
-MAX_ANSWER_HEAD_BYTES = 64 * 1024
-"""Bytes of an answer's head, and of interim answers before it, beyond which it is given up."""
-
 _KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 
 # States of HTTP11ClientProtocol.
-QUIESCENT = "QUIESCENT"
 _TRANSMITTING = "TRANSMITTING"
 _TRANSMITTING_AFTER_RESPONSE = "TRANSMITTING_AFTER_RECEIVING_RESPONSE"
 _WAITING = "WAITING"
 
-_HEAD_STATES = ("STATUS", "HEADER")
-"""States of `HTTPParser` before the body of an answer."""
-
 
 @implementer(IHalfCloseableProtocol)
-class UpstreamConnection(HTTP11ClientProtocol):
+class UpstreamConnection(AnswerConnection):
     """A connection that is used again only after an exchange that is over on both sides.
 
     Parameters
@@ -80,7 +73,6 @@
     request_id = ""
     _upload_stopped = False
     _stored_id = ""
-    _head_bytes = 0
 
     def __init__(
         self,
@@ -108,7 +100,6 @@
     def request(self, request: t.Any) -> "Deferred[t.Any]":
         """Send one request; an error status stops an upload that is still in progress."""
         self.exchange += 1
-        self._head_bytes = 0
         self._exchange_state.begin(has_body=request.bodyProducer is not None)
         if self.target is not None:
             request.uri = self.target
@@ -131,19 +122,10 @@
     # Data from the endpoint.
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Reset the connection if data arrives while no request is in progress.
-
-        Data after a complete answer is ignored while the request's body is still being sent.
-        """
-        if self.transport.lingering is not None:
-            return
-        if self.state == QUIESCENT:
-            self.abort()
-            self.transport.abortConnection()
-        elif self.state != _TRANSMITTING_AFTER_RESPONSE:
+        """Ignore data after a complete answer while the request's body is still being sent."""
+        if self.transport.lingering is None and self.state != _TRANSMITTING_AFTER_RESPONSE:
             super().dataReceived(data)
             self._record_status()
-            self._limit_head(len(data))
 
     def readConnectionLost(self) -> None:  # noqa: N802
         """Go on sending a body to an endpoint that has answered and closed only its side."""
@@ -182,17 +164,6 @@
         self._state = QUIESCENT
         return True
 
-    def _limit_head(self, size: int) -> None:
-        """Give up an answer after `size` more bytes if its head has no end."""
-        if self._parser is None or self._parser.state not in _HEAD_STATES:
-            self._head_bytes = 0
-            return
-        self._head_bytes += size
-        if self._head_bytes > MAX_ANSWER_HEAD_BYTES:
-            detail = f"head of an answer beyond {MAX_ANSWER_HEAD_BYTES} bytes"
-            self._giveUp(Failure(ParseError(detail, b"")))
-            self.transport.abortConnection()
-
     def _record_status(self) -> None:
         response = getattr(self._parser, "response", None)
         if response is not None:
@@ -274,9 +245,6 @@
     # The end of an answer.
 
     def _finishResponse_WAITING(self, rest: bytes) -> None:  # noqa: N802
-        # Data after a complete answer could be mistaken for the answer to the next request.
-        if rest and self._currentRequest is not None:
-            self._currentRequest.persistent = False
         granted = self._parser and self._parser.connHeaders.getRawHeaders(b"keep-alive")
         if granted:
             self.idle_s = usable_idle_s(granted[0])
--- a/packages/upstreams/src/cardamomloft/upstreams/exchange.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/exchange.py
@@ -3,6 +3,7 @@
 import typing as t
 from datetime import timedelta
 
+from cardamomloft.runtime.answers.grammar import MalformedAnswerError
 from expression import Error, Ok, Result
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.error import ConnectionDone, ConnectionLost
@@ -152,6 +153,8 @@
         not_run = self._attempt.connection is None or bool(failure.check(RequestNotSent))
         detail = self._abort_detail or describe(failure)
         cut = not (not_run or self._abort_detail) and _is_connection_loss(failure)
+        if not self._abort_detail and _root_cause(failure).check(MalformedAnswerError):
+            self._ended_by = EndedBy.MALFORMED
         reason = self._failure_reason(failure, cut)
         if reason is not None:
             self._client.observers.failed(self.address, reason)
--- a/packages/upstreams/src/cardamomloft/upstreams/pool.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/pool.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from cardamomloft.runtime.answers.connections import QUIESCENT
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.interfaces import IStreamClientEndpoint
@@ -12,7 +13,7 @@
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
-from .connections import IDLE_TIMEOUT_S, QUIESCENT, UpstreamConnection
+from .connections import IDLE_TIMEOUT_S, UpstreamConnection
 
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 """Default time in which a connection must be established. It covers several round trips between
--- a/packages/upstreams/tests/test_upstreams_client.py
+++ b/packages/upstreams/tests/test_upstreams_client.py
@@ -5,9 +5,10 @@
 
 import pytest
 from cardamomloft.core.model import Endpoint
+from cardamomloft.runtime.answers.grammar import MAX_ANSWER_HEAD_BYTES
 from cardamomloft.upstreams.body import Delivery
 from cardamomloft.upstreams.client import UpstreamClient
-from cardamomloft.upstreams.connections import IDLE_TIMEOUT_S, MAX_ANSWER_HEAD_BYTES
+from cardamomloft.upstreams.connections import IDLE_TIMEOUT_S
 from cardamomloft.upstreams.sends import EndedBy, SendFailure, UpstreamRequest
 from twisted.internet.defer import Deferred
 from twisted.internet.error import (
