Read the store's answers by the same strict grammar, and bound their heads

What users see: the store's client had no bound on heads. An address that sends header lines without end takes about 10 MB a second of each gateway's memory until the call's timeout, then again with the next call; a status of 000 or 2 was taken as the store's. Bytes behind an answer were left out and the connection used again, so that what arrived of them later could be taken for the answer to the next call.

Cause: the client stood on Twisted's bare HTTP11ClientProtocol, beside that of endpoints with its guards. AnswerPool makes the connections; the load generator of the stand-ins uses it too, so that it takes no broken answer for a good one.

Evidence: three of the four new tests in test_exchange failed on (a malformed answer was taken, a head without end ended only when the server stopped after 8 s, the connection was used again). A malformed answer to a write leaves open whether it took effect, as before.

--- a/packages/runtime/src/cardamomloft/runtime/answers/connections.py
+++ b/packages/runtime/src/cardamomloft/runtime/answers/connections.py
@@ -1,13 +1,15 @@
-"""A client's connection to an HTTP server, whose answers are read strictly.
+"""A client's connections to HTTP servers, whose answers are read strictly.
 
 The parser of Twisted gets only heads that are valid, so that its leniency has no effect.
 """
 
+import functools
 import typing as t
 
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 from twisted.web._newclient import HTTP11ClientProtocol
+from twisted.web.client import HTTPConnectionPool
 from twisted.web.http import _ChunkedTransferDecoder
 
 from .grammar import MAX_ANSWER_HEAD_BYTES, AnswerReader, MalformedAnswerError, read_field
@@ -69,3 +71,35 @@
         if rest and self._currentRequest is not None:
             self._currentRequest.persistent = False
         super()._finishResponse_WAITING(rest)
+
+
+class _ConnectionFactory(HTTPConnectionPool._factory):
+    def __init__(self, connection: type[AnswerConnection], *args: t.Any) -> None:
+        super().__init__(*args)
+        self._connection = connection
+
+    def buildProtocol(self, addr: object) -> AnswerConnection:  # noqa: N802
+        return self._connection(self._quiescentCallback)
+
+
+class AnswerPool(HTTPConnectionPool):
+    """Pool of connections that read answers strictly, without automatic retries.
+
+    Parameters
+    ----------
+    reactor
+        Closes connections that are idle for long.
+    max_idle
+        Maximum number of idle connections to a server.
+    connection
+        The class of the connections.
+    """
+
+    retryAutomatically = False  # noqa: N815
+
+    def __init__(
+        self, reactor: t.Any, max_idle: int, connection: type[AnswerConnection] = AnswerConnection
+    ) -> None:
+        super().__init__(reactor)
+        self.maxPersistentPerHost = max_idle
+        self._factory = functools.partial(_ConnectionFactory, connection)
--- a/packages/store/src/cardamomloft/store/exchange.py
+++ b/packages/store/src/cardamomloft/store/exchange.py
@@ -5,14 +5,14 @@
 from collections.abc import Mapping
 from datetime import timedelta
 
+from cardamomloft.runtime.answers.connections import AnswerConnection, AnswerPool
 from cardamomloft.store.failures import AnswerTooLongError, CallFailure, call_failure
 from expression import Error, Ok, Result
 from treq.client import HTTPClient
 from twisted.internet import defer
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
-from twisted.web._newclient import HTTP11ClientProtocol
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.client import Agent, ResponseDone
 from twisted.web.iweb import IAgent, IResponse
 
 CONNECT_TIMEOUT_S = 1.0
@@ -35,7 +35,7 @@
     era: str | None = None
 
 
-class _Connection(HTTP11ClientProtocol):
+class _Connection(AnswerConnection):
     """A connection with TCP keep-alive.
 
     With it, a call that waits for a change on a dead connection fails before its timeout.
@@ -50,15 +50,6 @@
                 handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
-class _ConnectionFactory(HTTPConnectionPool._factory):
-    def buildProtocol(self, addr: object) -> _Connection:  # noqa: N802
-        return _Connection(self._quiescentCallback)
-
-
-class _Pool(HTTPConnectionPool):
-    _factory = _ConnectionFactory
-
-
 class Exchange:
     """HTTP client of one server of the platform.
 
@@ -89,10 +80,8 @@
         self._root = f"http://{address}"
         self._max_answer_bytes = max_answer_bytes
         self._era_header = era_header
-        self._pool = _Pool(reactor)
-        self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
         # Retries, also of GET on a closed connection, are left to the caller.
-        self._pool.retryAutomatically = False
+        self._pool = AnswerPool(reactor, MAX_IDLE_CONNECTIONS, _Connection)
         default_agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
         self._client = HTTPClient(agent or default_agent)
 
--- a/packages/store/tests/test_exchange.py
+++ b/packages/store/tests/test_exchange.py
@@ -1,8 +1,9 @@
-"""Size limit and timeout of calls, over real sockets."""
+"""Size limit and timeout of calls, and malformed answers, over real sockets."""
 
 from datetime import timedelta
 
 from cardamomloft.store.exchange import Exchange
+from cardamomloft_standins.rawanswers import KEEP, RawServer, Script
 from twisted.internet import reactor, task
 from twisted.internet.protocol import Factory, Protocol
 from twisted.trial.unittest import TestCase
@@ -11,6 +12,10 @@
 from zope.interface import implementer
 
 LIMIT = 20
+
+MAX_SENT = 16_000_000
+"""Bytes that fit into the buffers of a connection."""
+
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"
 
 
@@ -82,3 +87,64 @@
         self.assertIn("TimeoutError", outcome.error.detail)
         self.assertTrue(outcome.error.sent)
         await until(lambda: self.factory.lost == 1)
+
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"
+MALFORMED = [
+    *(OK.replace(b"200", code) for code in (b"000", b"2", b"600", b"+200", b"0200")),
+    OK.replace(b"HTTP/1.1", b"HTTP/2.0"),
+    OK.replace(b"\r\n\r\n", b"\r\nX Y: z\r\n\r\n"),
+    OK.replace(b"\r\n\r\n", b"\r\nX: \x00\r\n\r\n"),
+    CHUNKED.replace(b"HTTP/1.1", b"HTTP/1.0"),
+    CHUNKED.replace(b"chunked", b"chunked\r\nContent-Length: 2"),
+    CHUNKED[:-2] + b"no field\r\n\r\n",
+]
+
+
+class MalformedAnswerTest(TestCase):
+    timeout = 60
+
+    def setUp(self):
+        self.server = RawServer(Script(OK, end=KEEP))
+        self.addCleanup(self.server.close)
+        self.exchange = Exchange(reactor, self.server.address, max_answer_bytes=LIMIT)
+        self.addCleanup(self.exchange.close)
+
+    def call(self, path="/", method="GET"):
+        return self.exchange.call(method, path, timeout=timedelta(seconds=10))
+
+    async def test_malformed_answer_fails_the_call_which_may_have_taken_effect(self):
+        for number, data in enumerate(MALFORMED):
+            path = f"/{number}"
+            self.server.scripts[path] = Script(data, end=KEEP)
+            outcome = await self.call(path, "PUT")
+            self.assertTrue(outcome.is_error(), data)
+            self.assertTrue(outcome.error.sent)
+            self.assertIn("MalformedAnswerError", outcome.error.detail)
+
+    async def test_call_after_a_malformed_answer_succeeds(self):
+        self.server.scripts["/bad"] = Script(MALFORMED[0], end=KEEP)
+        await self.call("/bad")
+        self.assertEqual((await self.call()).ok.body, b"{}")
+
+    async def test_head_without_end_is_given_up_before_it_takes_memory(self):
+        for data in (b"X: y\r\n" * 1_000, b"y" * 10_000, b"HTTP/1.1 102 Wait\r\n\r\n" * 500):
+            begin = b"" if data.startswith(b"HTTP") else b"HTTP/1.1 200 OK\r\nX: "
+            self.server.scripts["/endless"] = Script(begin, endless=data)
+            self.server.endless_bytes = 0
+            outcome = await self.call("/endless")
+            self.assertIn("beyond", outcome.error.detail)
+            await until(lambda: not self.server.open_connections)
+            self.assertLess(self.server.endless_bytes, MAX_SENT)
+
+    async def test_bytes_after_an_answer_are_not_taken_for_the_next_one(self):
+        self.server.scripts["/more"] = Script(OK + OK.replace(b"{}", b"no"), end=KEEP)
+        self.server.scripts["/late"] = Script(OK, pause=0.2, late=OK, end=KEEP)
+        for path in ("/more", "/late"):
+            self.assertTrue((await self.call(path)).is_ok())
+            used = self.server.connections
+            await task.deferLater(reactor, 0.5)
+            self.assertEqual((await self.call()).ok.body, b"{}")
+            self.assertEqual(self.server.connections, used + 1)
+            await self.exchange.close()
--- a/standins/src/cardamomloft_standins/load.py
+++ b/standins/src/cardamomloft_standins/load.py
@@ -14,8 +14,9 @@
 from collections import Counter, defaultdict
 
 import treq
+from cardamomloft.runtime.answers.connections import AnswerPool
 from twisted.internet import defer, reactor, task
-from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.client import Agent
 
 _LOOKUP_TTL_S = 1.0
 _MAX_ATTEMPTS = 4
@@ -104,9 +105,7 @@
     def __init__(self, cfg: LoadSettings) -> None:
         self._cfg = cfg
         self._rng = random.Random(cfg.get("seed", 1))
-        self._pool = HTTPConnectionPool(reactor, persistent=True)
-        self._pool.maxPersistentPerHost = 64
-        self._pool.retryAutomatically = False
+        self._pool = AnswerPool(reactor, max_idle=64)
         self._agent = Agent(reactor, connectTimeout=1.0, pool=self._pool)
         self._lookups: dict[str, tuple[float, dict[str, t.Any]]] = {}
         self._unavailable_until: dict[str, float] = {}
--- a/standins/src/cardamomloft_standins/rawanswers.py
+++ b/standins/src/cardamomloft_standins/rawanswers.py
@@ -42,6 +42,8 @@
         Bytes of the request's body after which the server answers; None to read it whole.
     pause
         Time in seconds between the answer and what becomes of the connection.
+    late
+        Sent after the pause.
     end
         `CLOSE`, `RESET` or `KEEP`.
     endless
@@ -51,6 +53,7 @@
     data: bytes
     after: int | None = None
     pause: float = 0.0
+    late: bytes = b""
     end: str = CLOSE
     endless: bytes = b""
 
@@ -68,6 +71,12 @@
         How all others are answered.
     requests
         The paths of the requests that it got.
+    connections
+        Number of connections that it accepted.
+    open_connections
+        Number of those that it has not closed.
+    endless_bytes
+        Number of bytes of endless answers that it has sent.
     """
 
     def __init__(self, default: Script) -> None:
@@ -75,6 +84,8 @@
         self.scripts: dict[str, Script] = {}
         self.default = default
         self.requests: list[str] = []
+        self.connections = self.open_connections = 0
+        self.endless_bytes = 0
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
@@ -87,6 +98,8 @@
         with contextlib.suppress(OSError):
             while True:
                 conn, _ = self._listener.accept()
+                self.connections += 1
+                self.open_connections += 1
                 threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
 
     def _serve(self, conn: socket.socket) -> None:
@@ -94,6 +107,7 @@
         with conn, contextlib.suppress(OSError):
             while self._handle(conn):
                 pass
+        self.open_connections -= 1
 
     def _handle(self, conn: socket.socket) -> bool:
         """Answer one request; return whether another may follow."""
@@ -112,8 +126,9 @@
         conn.sendall(script.data.replace(b"{id}", request_id))
         end = time.monotonic() + MAX_ENDLESS_S
         while script.endless and time.monotonic() < end:
-            conn.sendall(script.endless)
+            self.endless_bytes += conn.send(script.endless)
         time.sleep(script.pause)
+        conn.sendall(script.late)
         if script.end == RESET:
             conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         return script.end == KEEP
