Take no success of the platform's endpoints without their signature

What callers saw: an endpoint sent a 200 without its signature, and the caller got it. On this platform a success counts only with it; without it, it may come from something else that listens on the address.

Cause: nothing looked at the field. Fix: the dialect names the field that every success has (signature, None in our own dialect). A success without it, or with an empty one, is failed or unknown like a malformed answer, and counted with them; other statuses need none. The connection is reset.

test_restored_platform: its endpoints answered without the signature, which the platform's never do, so they send it now; no check changed.

--- a/packages/upstreams/src/cardamomloft/upstreams/dialect.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/dialect.py
@@ -45,6 +45,9 @@
     load
         Answer header with the endpoint's load as ``running,waiting,slots`` or
         ``running,waiting,slots,work_percent``, or None. Further figures are ignored.
+    signature
+        Answer header that every success of an endpoint has, or None. A success without it is not
+        the endpoint's.
     close_ends_body
         Whether a body without a length is complete when its connection is closed cleanly.
     reuse_always
@@ -60,6 +63,7 @@
     leaving: str = LEAVING_HEADER
     rate_limit: str = RATE_LIMIT_HEADER
     load: str | None = None
+    signature: str | None = None
     close_ends_body: bool = False
     reuse_always: bool = False
 
@@ -69,6 +73,10 @@
             return True
         return status in self.refusal_statuses and not_run == "1"
 
+    def is_unsigned(self, status: int, signature: str | None) -> bool:
+        """Return whether an answer is a success that lacks its signature."""
+        return self.signature is not None and 200 <= status < 300 and not signature
+
 
 class HeaderLoad(t.NamedTuple):
     """A load report from a header of an answer.
--- a/packages/upstreams/src/cardamomloft/upstreams/exchange.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/exchange.py
@@ -135,13 +135,11 @@
         self._client.observers.answered(self.address)
         self._end_wait()
         headers = _headers_of(response)
-        echoed = _value_of(headers, self._dialect.request_id)
         body = AnswerBody(response, self._attempt.abort, self._end, self._closed_cleanly)
-        if echoed is not None and echoed != self._req.request_id:
+        rejection = self._rejection(response.code, headers)
+        if rejection is not None:
             body.abort()
-            detail = f"answer to another request: {echoed}"
-            failure = SendFailure(False, detail, ended_by=EndedBy.ANSWER, held=self._held())
-            self._settle(Error(failure))
+            self._settle(Error(rejection))
             return
         not_run = _value_of(headers, self._dialect.not_run)
         refused = self._dialect.is_refusal(response.code, not_run)
@@ -149,6 +147,18 @@
         self._body = body
         self._settle(Ok(UpstreamAnswer(response.code, headers, length, refused, body)))
 
+    def _rejection(self, status: int, headers: tuple[tuple[str, str], ...]) -> SendFailure | None:
+        """Return the failure if an answer is not that of the endpoint to this request."""
+        echoed = _value_of(headers, self._dialect.request_id)
+        if echoed is not None and echoed != self._req.request_id:
+            detail = f"answer to another request: {echoed}"
+            return SendFailure(False, detail, ended_by=EndedBy.ANSWER, held=self._held())
+        name = self._dialect.signature
+        if self._dialect.is_unsigned(status, _value_of(headers, name)):
+            detail = f"status {status} without {name}"
+            return SendFailure(False, detail, ended_by=EndedBy.MALFORMED, held=self._held())
+        return None
+
     def _failed(self, failure: Failure) -> None:
         not_run = self._attempt.connection is None or bool(failure.check(RequestNotSent))
         detail = self._abort_detail or describe(failure)
@@ -243,7 +253,7 @@
     )
 
 
-def _value_of(headers: tuple[tuple[str, str], ...], wanted: str) -> str | None:
+def _value_of(headers: tuple[tuple[str, str], ...], wanted: str | None) -> str | None:
     return next((value for name, value in headers if name == wanted), None)
 
 
--- a/packages/upstreams/src/cardamomloft/upstreams/sends.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/sends.py
@@ -57,8 +57,9 @@
     `CONNECTION`: no connection was established, or it was lost. `DEADLINE`: the time of the request
     was over. `CALLER`: the user of the client cancelled it. `SUSPICION`: the endpoint or the links
     to it seemed not to work, and nothing was sent. `ANSWER`: the answer belonged to another
-    request. `MALFORMED`: the endpoint sent bytes that are no valid answer, and may have run the
-    request. `OTHER_ATTEMPT`: another attempt of the request was answered.
+    request. `MALFORMED`: the endpoint sent bytes that are no valid answer, or a success without its
+    signature, and may have run the request. `OTHER_ATTEMPT`: another attempt of the request was
+    answered.
     """
 
     CONNECTION = "connection"
--- a/packages/upstreams/tests/test_dialect.py
+++ b/packages/upstreams/tests/test_dialect.py
@@ -19,7 +19,7 @@
     parse_retry_after,
     states_work_time,
 )
-from cardamomloft.upstreams.sends import UpstreamRequest
+from cardamomloft.upstreams.sends import EndedBy, UpstreamRequest
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
@@ -202,3 +202,23 @@
 )
 def test_a_malformed_retry_after_is_ignored(text):
     assert parse_retry_after(text) is None
+
+
+@pytest.mark.parametrize(
+    ("status", "field", "is_taken"),
+    [
+        (200, "X-Sig: s1\r\n", True),
+        (200, "", False),
+        (200, "X-Sig:\r\n", False),
+        (299, "", False),
+        (302, "", True),
+        (404, "", True),
+        (500, "", True),
+    ],
+)
+def test_only_a_success_needs_the_signature_of_its_endpoint(status, field, is_taken):
+    raw = f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n{field}\r\n".encode()
+    outcome, _ = Harness(OTHER._replace(signature="x-sig")).answered(raw)
+    assert outcome.is_ok() is is_taken
+    assert is_taken or (outcome.error.ended_by, outcome.error.not_run) == (EndedBy.MALFORMED, False)
+    assert Harness().answered(raw)[0].is_ok()
--- a/tests/adapter/test_restored_platform.py
+++ b/tests/adapter/test_restored_platform.py
@@ -160,6 +160,8 @@
         self.ports = stack.enter_context(restorable.serve(self.store, gateways))
         consul = stack.enter_context(processes.store())
         self.rows, self.arrivals = stack.enter_context(endpoints.service(consul, ENDPOINTS))
+        for row in self.rows:
+            row.headers["X-Cardamomloft-Server-Stamp"] = "1"
         self.environment = Environment(self.store, self.rows)
         self.environment.configure()
         self.environment.heartbeat()
