Refuse requests that come during a stop and would outlast it

What callers saw: in a planned stop a gateway took requests that came after its signal, passed them on and cut them without an answer when it ended, among them requests that may not be repeated.

Cause: it took every request for 3 s after the signal, whatever its deadline, and ended after 0.92 of the stop time. Fix: of the requests that arrive after the signal, it refuses those whose deadline lies after the instant by which requests are to be answered (0.85 of the stop time) and that are likely to take longer than what is left. AnswerTimes (core/stops) knows the longest recent time of each rule; a request in progress for more than twice as long shows that they have become slow; a rule that was never answered counts as unknown and is refused. The check is made at the choice of an endpoint, so nothing was sent: the refusal says "not run" with a Retry-After, and other gateways serve it. It holds for requests of other gateways, too. Requests from before the signal are served as before.

Not covered: an answer above 256 KB that its caller reads slowly, and a request through another gateway while this one's links are down.

--- /dev/null
+++ b/packages/core/src/cardamomloft/core/stops/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a process that stops."""
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -410,6 +410,7 @@
         if not self.plan.replace(plan, source):
             return
         self.selector.policies = plan.services
+        self.forwarder.answer_times.retain({rule.name for rule in plan.rules})
         self.upstream_table.set_cold_times(cold_times(plan), self._clock.monotonic())
         self.account_access.set_accounts(plan.accounts or ())
         self.app.set_idle_timeout(plan.limits.idle_timeout)
--- a/packages/gateway/src/cardamomloft/gateway/requestcontext.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestcontext.py
@@ -1,8 +1,9 @@
 """The components that the requests of a gateway share, and how they are refused."""
 
+import contextlib
 import random
 import typing as t
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from datetime import timedelta
 
 from cardamomloft.callers.exchange import (
@@ -16,7 +17,8 @@
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.retryafter import RetryAfterBounds, RetryAfterPolicy
 from cardamomloft.core.selection import Selector
-from cardamomloft.core.upstreamtable import UpstreamTable
+from cardamomloft.core.stops.answertimes import AnswerTimes
+from cardamomloft.core.upstreamtable import Upstream, UpstreamTable
 from cardamomloft.gateway.calls import Call
 from cardamomloft.gateway.linkmonitor import LinkMonitor
 from cardamomloft.gateway.noticehandler import NoticeHandler
@@ -63,6 +65,8 @@
         Called with each call that is refused.
     queue
         Holds requests for which no endpoint has capacity, if it is enabled.
+    answer_times
+        How long requests take until they are answered.
     links
         Knows whether endpoints can be reached, None if that is not monitored.
     proxy
@@ -100,7 +104,9 @@
         self.notice_handler = notice_handler
         self.on_not_run: Callable[[Call], None] = lambda call: None
         self.queue = RequestQueue(reactor, clock, rng, metrics)
+        self.answer_times = AnswerTimes()
         self._end_timer: IDelayedCall | None = None
+        self._stopping_since = timedelta(0)
         self._retry_after_policies: dict[str, RetryAfterPolicy] = {}
 
     def finish_by(self, instant: timedelta) -> None:
@@ -109,6 +115,7 @@
         Without it they would end without an answer, and their callers could not repeat them.
         """
         self.answer_by = instant
+        self._stopping_since = self.clock.monotonic()
         self.queue.finish_by(instant)
         if self.proxy is not None:
             self.proxy.stop_asking_at(instant)
@@ -123,9 +130,27 @@
             self._end_timer.cancel()
         self.queue.close()
 
-    def is_ending(self) -> bool:
-        """Return whether requests can't be answered any more before the process ends."""
-        return self.answer_by is not None and self.clock.monotonic() >= self.answer_by
+    def outlasts_stop(self, call: Call) -> bool:
+        """Return whether the process may end before a request that is sent now is answered.
+
+        A request that came before the stop is sent as long as it can be answered at all.
+        """
+        if self.answer_by is None:
+            return False
+        now = self.clock.monotonic()
+        if now >= self.answer_by or call.arrived < self._stopping_since:
+            return now >= self.answer_by
+        return self.answer_times.may_outlast(call.rule.name, now, call.deadline, self.answer_by)
+
+    @contextlib.contextmanager
+    def sending(self, call: Call, upstream: Upstream, now: timedelta) -> Iterator[None]:
+        """Count a request as in progress at an endpoint in the with-block."""
+        self.selector.record_sent(upstream, now)
+        with self.answer_times.sending(call.rule.name, now):
+            try:
+                yield
+            finally:
+                self.selector.record_end(upstream)
 
     def record_caller_left(self, call: Call, sends: Sequence[SendRecord | Hop]) -> Answer:
         """Log and count that the caller has disconnected; return an answer that nobody receives."""
--- a/packages/gateway/src/cardamomloft/gateway/requestrun.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestrun.py
@@ -224,7 +224,7 @@
         call, now = self._call, self._now()
         if self._peers.links_are_down():
             return _NO_ENDPOINT
-        if self._context.is_ending():
+        if self._context.outlasts_stop(call):
             return Refusal(RefusalReason.STOPPING, "this entry stops before it could answer")
         if call.deadline - now < MIN_TIME_LEFT:
             return Refusal(RefusalReason.DEADLINE, "the deadline is too close to send the request")
@@ -254,13 +254,10 @@
         self._counts.record_sent(upstream.id)
         load = selector.load_of(upstream, now)
         report_age = None if upstream.report is None else now - upstream.report.at
-        selector.record_sent(upstream, now)
-        try:
+        with self._context.sending(self._call, upstream, now):
             result = await self._answer_head(upstream, now, attempt)
             status = self._feedback.apply_status(upstream, result, now)
             outcome = await read_outcome(result, status, self._dialect, self._is_late)
-        finally:
-            selector.record_end(upstream)
         if attempt.cancelled and isinstance(outcome, Failed) and not self._caller.disconnected:
             outcome = outcome._replace(ended_by=EndedBy.OTHER_ATTEMPT)
         self._record_outcome(upstream, outcome, now, load)
@@ -357,6 +354,8 @@
         self._rejected_with_room = isinstance(outcome, Refused) and outcome.had_room
         ran = not isinstance(outcome, Refused) and not getattr(outcome, "not_run", False)
         answered = duration if isinstance(outcome, Served) else None
+        if answered is not None:
+            self._context.answer_times.record(self._call.rule.name, answered, self._now())
         self._context.queue.record_end(self._call, answered, ran=ran)
 
     def _may_retry(self, outcome: Outcome) -> bool:
