Follow the store beside an item whose key is not text

What users see: one item under a key with a lone surrogate, as another writer may leave it, fails the whole listing: a running gateway follows nothing any more, a starting one is never ready.

Cause: msgspec rejects a document for one string that is not text, and a page was read as a whole. The next page begins after the last readable key; a page without one is a failure, not the last page. An answer with such changes only doesn't count as a wait without changes. The default store's client, which skipped no row, leaves out the same; a record without a valid value still fails its listing, as its tests want.

--- a/packages/store/src/cardamomloft/store/keyvalue.py
+++ b/packages/store/src/cardamomloft/store/keyvalue.py
@@ -13,6 +13,7 @@
 from datetime import timedelta
 from urllib.parse import quote
 
+from cardamomloft.store.documents import ReadableRows
 from cardamomloft.store.exchange import Answer, Exchange
 from cardamomloft.store.failures import CallFailure, StoreFailure, status_failure
 from expression import Error, Ok, Result
@@ -146,6 +147,7 @@
     ) -> None:
         self._exchange = Exchange(reactor, address, max_answer_bytes=MAX_ANSWER_BYTES, agent=agent)
         self._timeout = timeout
+        self._readable = ReadableRows("Key")
         self.calls: Counter[CallKind] = Counter()
         self.failures: Counter[CallKind] = Counter()
 
@@ -155,8 +157,12 @@
 
     def list(self, prefix: str) -> "defer.Deferred[Result[ListResult, StoreFailure]]":
         """Read all records whose keys begin with `prefix`."""
+
+        def read(answer: Answer) -> Result[ListResult, StoreFailure]:
+            return _read_listed(answer, self._readable)
+
         params = {"recurse": "true"}
-        return self._call(CallKind.LIST, "GET", _key_path(prefix), _read_listed, params=params)
+        return self._call(CallKind.LIST, "GET", _key_path(prefix), read, params=params)
 
     def compare_and_swap(
         self, key: str, value: bytes, version: int
@@ -271,14 +277,14 @@
     return Ok(Record(value, version))
 
 
-def _read_listed(answer: Answer) -> Result[ListResult, StoreFailure]:
+def _read_listed(answer: Answer, readable: ReadableRows) -> Result[ListResult, StoreFailure]:
     if answer.status == 404:
         return Ok(ListResult({}, answer.index or 0))
     if answer.status != 200:
         return Error(status_failure(answer.status, answer.body, write=False))
     records: dict[str, Record] = {}
     try:
-        rows = {str(row["Key"]): row for row in json.loads(answer.body)}
+        rows = {row["Key"]: row for row in readable.of(json.loads(answer.body))}
     except (ValueError, KeyError, TypeError) as exc:
         return Error(StoreFailure(False, f"not a list of records: {exc!r}"))
     for key, row in rows.items():
--- a/packages/store/tests/test_listing.py
+++ b/packages/store/tests/test_listing.py
@@ -45,3 +45,14 @@
     results = []
     store.list("g/").addCallback(results.append)
     assert results[0].is_error()
+
+
+@pytest.mark.parametrize("key", [b'"g/\\ud800"', b"7", b"null"])
+def test_record_whose_key_is_no_text_does_not_cost_the_others(key):
+    store = HttpStore(None, "127.0.0.1:1")
+    row = b'{"Key": %b, "Value": null, "ModifyIndex": 3}'
+    body = b"[" + row % key + b"," + row % b'"g/a"' + b"]"
+    store._exchange.call = lambda *args, **kwargs: succeed(Ok(Answer(200, 7, body)))
+    results = []
+    store.list("g/").addCallback(results.append)
+    assert list(results[0].ok.records) == ["g/a"]
--- a/tests/adapter/test_client.py
+++ b/tests/adapter/test_client.py
@@ -320,3 +320,41 @@
 def test_record_fails_if_the_era_changed_since_the_lease():
     store = _store(lease=[_in_era(2, LEASE)], txn=[_in_era(3, WRITTEN)])
     assert _result(store.record(RECORD, timedelta(seconds=3))).is_error()
+
+
+ODD = "servers/\ud800"
+
+
+def test_item_whose_key_is_no_text_does_not_cost_the_others():
+    first = _page(_item("servers/a", REGISTRATION), _item(ODD, REGISTRATION), more=True)
+    second = _page(_item(ODD, REGISTRATION), _item("servers/b", REGISTRATION))
+    empty = _page()
+    store = _store(
+        range_op=[empty],
+        range_servers=[first, second],
+        range_entries=[empty],
+        watch=[_ok({"events": [], "asOf": 60})],
+    )
+    facts = _result(store.read()).ok.facts
+    assert sorted(fact.registration.id for fact in facts) == ["a", "b"]
+    after = [
+        call[2].get("after") for call in store._exchange.calls if call[2]["prefix"] == "servers/"
+    ]
+    assert after == [None, "servers/a"]
+
+
+def test_page_of_which_no_key_is_text_is_a_failure_and_not_the_last_one():
+    pages = {"range_servers": [_page(_item(ODD, REGISTRATION), more=True)]}
+    store = _store(
+        range_op=[_page()],
+        range_entries=[_page()],
+        watch=[_ok({"events": [], "asOf": 60})],
+        **pages,
+    )
+    assert _result(store.read()).is_error()
+
+
+def test_change_whose_key_is_no_text_does_not_count_as_a_wait():
+    events = _ok({"events": [_item(ODD, REGISTRATION)], "asOf": 60})
+    changes = _result(_store(watch=[events]).changes(Position(0, 50), timedelta(seconds=9))).ok
+    assert (changes.facts, changes.waited, changes.index) == ((), NO_WAIT, Position(0, 60))
