--- a/tests/soak/test_cold_fleet.py
+++ b/tests/soak/test_cold_fleet.py
@@ -108,6 +108,16 @@
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("count", [6, 10])
 def test_cold_endpoints_keep_their_limit_through_any_series_of_events(seed, count):
+    check_series(seed, count)
+
+
+@pytest.mark.parametrize(("seed", "count"), [(340, 6)])
+def test_cold_endpoints_cost_few_refusals_in_a_series_that_has_failed(seed, count):
+    check_series(seed, count)
+
+
+def check_series(seed: int, count: int) -> None:
+    """Check the limits of endpoints in a fleet of `count` gateways through a drawn series."""
     fleet = ColdFleet(seed, count)
     disturber = Disturber(fleet, seed)
     for _ in range(EVENTS):
