Take requests that arrive at the beginning of a stop as sent before it

What callers saw: since the refusal of late requests, an upload whose head was sent just before the signal was refused with 503, although its caller goes on to send it and it would be answered in time; its rule had no answer before.

Cause: the signal is handled before what waits in sockets is read, so such a request counted as late. Fix: requests count as late from 0.25 s after the signal on, which covers a connection from another region. The hard end leaves them at least what requests of the last moment before the signal have, less that time.

--- a/packages/gateway/src/cardamomloft/gateway/requestcontext.py
+++ b/packages/gateway/src/cardamomloft/gateway/requestcontext.py
@@ -30,6 +30,10 @@
 from cardamomloft.upstreams.client import UpstreamClient
 from twisted.internet.interfaces import IDelayedCall
 
+CROSSING_TIME = timedelta(milliseconds=250)
+"""Time after the beginning of a stop in which requests arrive that were sent before: it covers a
+connection from another region, and the reading of what waits in sockets."""
+
 _DEFAULT_CALLER_WAIT = timedelta(minutes=1)
 """Assumed remaining time of a caller whose deadline was not read, before this entry is ready or
 while it stops."""
@@ -106,7 +110,7 @@
         self.queue = RequestQueue(reactor, clock, rng, metrics)
         self.answer_times = AnswerTimes()
         self._end_timer: IDelayedCall | None = None
-        self._stopping_since = timedelta(0)
+        self._late_from = timedelta(0)
         self._retry_after_policies: dict[str, RetryAfterPolicy] = {}
 
     def finish_by(self, instant: timedelta) -> None:
@@ -115,7 +119,7 @@
         Without it they would end without an answer, and their callers could not repeat them.
         """
         self.answer_by = instant
-        self._stopping_since = self.clock.monotonic()
+        self._late_from = self.clock.monotonic() + CROSSING_TIME
         self.queue.finish_by(instant)
         if self.proxy is not None:
             self.proxy.stop_asking_at(instant)
@@ -133,12 +137,13 @@
     def outlasts_stop(self, call: Call) -> bool:
         """Return whether the process may end before a request that is sent now is answered.
 
-        A request that came before the stop is sent as long as it can be answered at all.
+        One that its caller has sent before the stop is sent on as long as it can be answered at
+        all.
         """
         if self.answer_by is None:
             return False
         now = self.clock.monotonic()
-        if now >= self.answer_by or call.arrived < self._stopping_since:
+        if now >= self.answer_by or call.arrived < self._late_from:
             return now >= self.answer_by
         return self.answer_times.may_outlast(call.rule.name, now, call.deadline, self.answer_by)
 
