--- a/review/4/case.py
+++ b/review/4/case.py
@@ -29,7 +29,7 @@
 
 CRASHES, FIRST_CRASH_S, CRASH_GAP_S = 8, 3.0, 6.0
 TRAFFIC_S = FIRST_CRASH_S + CRASHES * CRASH_GAP_S + 4.0
-ENDPOINTS, SLOTS, CLIENTS = 7, 5, 35
+ENDPOINTS, SLOTS, CLIENTS = 8, 5, 40
 BODY_BYTES, READ_S, WORK_S = 12_000_000, 2.8, 0.2
 TIMEOUT_S, DEADLINE_S, GIVE_UP_S = 5.0, 6.0, 7.0
 LATE_S = 0.5
@@ -116,7 +116,7 @@
         """Let one endpoint after the other crash; another start of it comes after a while."""
         if not TROUBLE:
             return
-        count = max(1, round(CRASH_SHARE * len(endpoints)))
+        count = int(CRASH_SHARE * len(endpoints))
         for i in range(CRASHES):
             await asyncio.sleep(start + FIRST_CRASH_S + i * CRASH_GAP_S - now())
             crashed = [endpoints.pop(0) for _ in range(count)]
