Read every configuration that the format allows

What callers saw: after a version with a time-out of 3333.3333333333335ms, or with an account whose name holds a blank, all gateways went on with the version before it: its routes, and a key that the new one withdraws.

Cause: parse_duration took at most nine digits and six decimals, and no exponent; the check of accounts took no blank in a name, no name above 200 characters and no key outside the alphabet of our own documents. The format says "a number and its unit", and sets no form for names and keys. One such value made the whole version unreadable.

Each field's reader was compared with the format. Names and keys are what a header can carry.

--- a/packages/gateway/src/cardamomloft/gateway/authentication.py
+++ b/packages/gateway/src/cardamomloft/gateway/authentication.py
@@ -10,13 +10,14 @@
 
 AUTHORIZATION = "authorization"
 
-ACCOUNT_NAME = re.compile(r"[\x21-\x7e]{1,200}\Z")
-"""Form of an account's name, which is sent in a header."""
+ACCOUNT_NAME = re.compile(r"[\x21-\x7e]([\x20-\x7e]*[\x21-\x7e])?\Z")
+"""Form of an account's name: a header value, in which spaces are allowed but not at its ends."""
 
 KEY_PATTERN = r"^[A-Za-z0-9._~+/-]{1,500}=*$"
 """Form of a key (the `token68` of RFC 9110, section 11.2)."""
 
-_KEY = re.compile(KEY_PATTERN)
+_KEY = re.compile(r"[\x21-\x7e]+\Z")
+"""Form of a key that another writer has chosen: what a header can carry after the scheme."""
 
 _BEARER = re.compile(r"bearer +", re.IGNORECASE)
 
@@ -92,8 +93,10 @@
     found = tuple(accounts)
     for account in found:
         if not ACCOUNT_NAME.match(account.name):
-            raise ValueError("an account's name must be 1 to 200 visible ASCII characters")
-        if not all(isinstance(key, str) and _KEY.fullmatch(key) for key in account.keys):
+            raise ValueError(
+                "an account's name must be visible ASCII characters, with spaces only between them"
+            )
+        if not all(isinstance(key, str) and _KEY.match(key) for key in account.keys):
             raise ValueError(f"account {account.name} has a key with characters not allowed in one")
         if not (account.rate_per_s >= 0 and account.burst >= 0):
             raise ValueError(f"account {account.name} has a negative rate or burst")
--- a/tests/adapter/test_configuration_forms.py
+++ b/tests/adapter/test_configuration_forms.py
@@ -120,6 +120,72 @@
     assert _service(plan, "a.example", "/x/new/1") == "menus"
 
 
+def _with_cell(column: str, value: object) -> bytes:
+    row = [
+        value if name == column else cell for name, cell in zip(ROUTE_COLUMNS, ROUTE, strict=True)
+    ]
+    return json.dumps(
+        {**CONFIG, "version": 9, "routes": {"columns": ROUTE_COLUMNS, "rows": [row]}}
+    ).encode()
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        _with_cell("timeout", "3333.3333333333335ms"),
+        _with_cell("timeout", "3.33333333333333s"),
+        _with_cell("timeout", "1e3ms"),
+        _with_cell("targetLatency", "0.30000000000000004s"),
+        _with_cell("kind", "kind-of-later"),
+        _with_cell("priority", 1_000),
+        _with_cell("name", "route of the caf\u00e9"),
+        _with_cell("homeRegions", None),
+        _with_cell("stickySessions", None),
+        _with_cell("split", [{"service": "pay", "weight": 1e-9}, {"service": "b", "weight": 1e9}]),
+        json.dumps({**CONFIG, "version": 9, "later": {"a": [1]}}).encode(),
+        json.dumps(
+            {**CONFIG, "version": 9, "limits": {**CONFIG["limits"], "idleTimeout": "0.1e2s"}}
+        ).encode(),
+        json.dumps(
+            {
+                **CONFIG,
+                "version": 9,
+                "services": {
+                    "columns": ["name", "maxConnections", "coldStart", "coldPerS"],
+                    "rows": [["pay", 5, "2.0000000000000004s", 0.30000000000000004]],
+                },
+            }
+        ).encode(),
+    ],
+)
+def test_configuration_within_its_format_is_put_in_force(document):
+    """Guards against a reader that refuses a whole configuration for one unusual value."""
+    assert _in_force(BEFORE, document).number == 9
+
+
+@pytest.mark.parametrize(
+    ("name", "key"),
+    [
+        ("north", "k-1"),
+        ("North West Ltd.", "k-1"),
+        ("n" * 300, "k" * 600),
+        ("north", "a:b!c%d=e&f#g@h"),
+    ],
+)
+def test_accounts_of_any_name_and_key_that_headers_can_carry_are_put_in_force(name, key):
+    """Guards against a configuration that is refused whole for the name of an account."""
+    columns = ["name", "apiKeys", "priority", "ratePerS", "burst", "homeRegions"]
+    tenants = {"columns": columns, "rows": [[name, [key], None, None, None, []]]}
+    routes = json.loads(ADDED)["routes"]
+    document = {**CONFIG, "version": 9, "routes": routes, "tenants": tenants}
+    plan = _in_force(BEFORE, json.dumps(document).encode())
+    pairs = [("host", "a.example"), (CALLER_HEADERS.request_id, "id-1")]
+    pairs.append(("authorization", f"Bearer {key}"))
+    call = plan.read(RequestHead("GET", "/x/1", "", tuple(pairs), "10.0.0.9", 0, False))
+    assert not isinstance(call, Refusal), call
+    assert (CALLER_HEADERS.account, name) in call.headers
+
+
 def test_shorter_timeout_of_a_new_configuration_applies_to_the_next_request():
     routes = json.loads(ADDED)["routes"]
     for row in routes["rows"]:
