Verify keys by what is in force, not by what has arrived

Cause: an answer of the store recorded the data as verified when it had arrived. Whether the newest configuration could be read, or applied without an exception, didn't matter: the keys in force counted as proved by a version that was known to be replaced.

Now an unreadable configuration says what is known of it (its number, and its accounts if these can be read). A push of an older configuration proves nothing; a readable one from the store ends the state. An answer that raises when it is applied verifies nothing until one has been applied. Relays hand on the readable configuration and the unreadable one, so that subscribers decide by the same facts. The refusal is decided by what a gateway knows, so it takes as long as a change does, not the revocation time. Status page and log say what can't be read.

Weighed: to refuse all keys in any case is simpler, but one odd field of a route would end the whole service; to put the readable routes in force would run requests by a configuration that nobody wrote.

--- a/packages/core/src/cardamomloft/core/registrations.py
+++ b/packages/core/src/cardamomloft/core/registrations.py
@@ -8,7 +8,7 @@
 import typing as t
 from datetime import timedelta
 
-from cardamomloft.core.routes import RoutePlan
+from cardamomloft.core.routes import ClientAccount, RoutePlan
 
 RENEWAL_GRACE = timedelta(milliseconds=2100)
 """Grace period after the store's return in which lapsed registrations may be renewed.
@@ -116,11 +116,31 @@
     name: str
 
 
+class UnreadablePlan(t.NamedTuple):
+    """What is known of a configuration that can't be put in force.
+
+    Attributes
+    ----------
+    number
+        Its number, None if that can't be read.
+    accounts
+        Its client accounts, None if they can't be read.
+    """
+
+    number: int | None = None
+    accounts: tuple[ClientAccount, ...] | None = None
+
+
 class Unreadable(t.NamedTuple):
-    """The item under `key` can't be decoded; its last valid state remains in force."""
+    """The item under `key` can't be decoded; its last valid state remains in force.
+
+    If the item is the configuration, `plan` is what is known of it: the accounts in force may be
+    outdated.
+    """
 
     key: str
     detail: str
+    plan: UnreadablePlan | None = None
 
 
 Fact = (
--- a/packages/feed/src/cardamomloft/feed/changetable.py
+++ b/packages/feed/src/cardamomloft/feed/changetable.py
@@ -40,6 +40,9 @@
     name: str
 
 
+_UNREADABLE_PLAN = FactKey("unreadable-plan", "")
+
+
 class _Row(t.NamedTuple):
     """The latest fact of a key, and the store position at which it became known."""
 
@@ -142,9 +145,11 @@
         """Store a fact; return False if it is the held one or an older configuration."""
         key = key_of(fact)
         previous = self._rows.get(key)
-        if previous is not None and (
-            is_same_fact(previous.fact, fact) or _supersedes(previous.fact, fact)
-        ):
+        if previous is not None and _supersedes(previous.fact, fact):
+            return False
+        # A configuration that is read again must reach the gateways that know it as unreadable.
+        repaired = isinstance(fact, PlanRead) and self._rows.pop(_UNREADABLE_PLAN, None) is not None
+        if previous is not None and is_same_fact(previous.fact, fact) and not repaired:
             return False
         self._rows.pop(key, None)
         self._rows[key] = _Row(index, fact)
@@ -225,7 +230,8 @@
 
 @key_of.register
 def _(fact: Unreadable) -> FactKey:
-    return FactKey("unreadable", fact.key)
+    # Kept beside the configuration that remains in force.
+    return _UNREADABLE_PLAN if fact.plan is not None else FactKey("unreadable", fact.key)
 
 
 @singledispatch
--- a/packages/gateway/src/cardamomloft/gateway/accountaccess.py
+++ b/packages/gateway/src/cardamomloft/gateway/accountaccess.py
@@ -46,6 +46,11 @@
         Knows how recent the configuration is, and exchanges messages.
     is_announced
         Returns whether this gateway is announced to the others.
+
+    Attributes
+    ----------
+    keys_outdated
+        Returns whether the keys are known to be outdated, however recent the data is.
     """
 
     def __init__(
@@ -71,6 +76,7 @@
         self._logged_verified = True
         self._coordinator: QuotaCoordinator | None = None
         self.quotas: QuotaGate | None = None
+        self.keys_outdated: Callable[[], bool] = lambda: False
 
     def build_quotas(self, settings: QuotaSettings | None, metrics: Metrics) -> None:
         """Enforce quotas according to the settings; without any they are not enforced.
@@ -120,6 +126,8 @@
         """Return whether the configuration is recent enough to accept or reject keys."""
         if self._revocation_time is None:
             return True
+        if self.keys_outdated():
+            return False
         age = self._feed.verified_age()
         return age is not None and age < self._revocation_time * MAX_KEY_AGE_FRACTION
 
--- a/packages/gateway/src/cardamomloft/gateway/calls.py
+++ b/packages/gateway/src/cardamomloft/gateway/calls.py
@@ -131,6 +131,13 @@
         """Return the account that holds `key`, or None."""
         return self._authenticator.find(key)
 
+    def use_accounts(self, accounts: tuple[ClientAccount, ...] | None) -> None:
+        """Identify callers by `accounts` in place of those of the configuration."""
+        self._authenticator = Authenticator(
+            self.plan._replace(accounts=accounts), self._headers.account
+        )
+        self._account_rules.clear()
+
     def is_idempotent(self, head: RequestHead) -> bool:
         """Return whether the rule of the request allows running it more than once."""
         rule = self._table.match(dict(head.headers).get("host", ""), head.path)
--- a/packages/gateway/src/cardamomloft/gateway/documents.py
+++ b/packages/gateway/src/cardamomloft/gateway/documents.py
@@ -22,7 +22,7 @@
     ServicePolicy,
     ServiceShare,
 )
-from cardamomloft.core.typedjson import load_typed
+from cardamomloft.core.typedjson import check_typed, load_json, load_typed
 from cardamomloft.gateway.authentication import KEY_PATTERN
 from cardamomloft.gateway.durations import PATTERN, parse_duration
 from cardamomloft.gateway.entryrecords import address_text
@@ -137,6 +137,13 @@
     accounts: NotRequired[dict[Name, AccountRow]]
 
 
+@strict
+class _AccountsOnly(TypedDict):
+    """The accounts of a document of which nothing else is known."""
+
+    accounts: NotRequired[dict[Name, AccountRow]]
+
+
 @strict
 class RegistrationRow(TypedDict):
     """The registration of an upstream endpoint.
@@ -171,6 +178,20 @@
     return Error(mistakes) if mistakes else Ok(_plan(document, number))
 
 
+def load_accounts(text: str | bytes) -> tuple[ClientAccount, ...] | None:
+    """Return the accounts of a document, whatever else it contains; None without valid ones."""
+    match load_json(text).bind(lambda raw: check_typed(_AccountsOnly, _only_accounts(raw))):
+        case Result(tag="ok", ok=document):
+            accounts = _accounts(document)
+            return accounts if find_account_conflict(accounts or ()) is None else None
+        case _:
+            return None
+
+
+def _only_accounts(raw: t.Any) -> dict[str, t.Any]:
+    return {"accounts": raw.get("accounts")} if isinstance(raw, dict) else {}
+
+
 def load_registration(text: bytes, upstream_id: str) -> Result[Registration, tuple[Mistake, ...]]:
     """Parse and check the registration of an upstream endpoint.
 
@@ -253,7 +274,7 @@
     )
 
 
-def _accounts(document: RouteDocument) -> tuple[ClientAccount, ...] | None:
+def _accounts(document: "RouteDocument | _AccountsOnly") -> tuple[ClientAccount, ...] | None:
     if "accounts" not in document:
         return None
     return tuple(_account(name, row) for name, row in document["accounts"].items())
--- a/packages/gateway/src/cardamomloft/gateway/following.py
+++ b/packages/gateway/src/cardamomloft/gateway/following.py
@@ -97,6 +97,8 @@
     ----------
     source
         Where the last answer with facts came from, for the log.
+    applied
+        Whether the last answer could be applied. Data that arrived proves nothing otherwise.
     """
 
     def __init__(
@@ -125,6 +127,7 @@
         self._answered_at = clock.monotonic()
         self._stopped = False
         self.source = ""
+        self.applied = True
         self._faults = 0
         self._running: Deferred[None] | None = None
         self._request: Deferred[Result[Listing | Changes, StoreFailure]] | None = None
@@ -173,6 +176,7 @@
                 if self._stopped:
                     raise
                 on_fault(Failure())
+                self.applied = False
                 self._index = None
                 pause = min(_RETRY_INTERVAL * 2**self._faults, _MAX_FAULT_PAUSE)
                 self._faults = min(self._faults + 1, 10)
@@ -231,6 +235,7 @@
             self._on_listing(Listing(answer.facts, answer.index, answer.source))
         else:
             self._on_changes(answer.facts)
+        self.applied = True
 
     def _record_failure(self, failure: StoreFailure) -> None:
         self._failures += 1
--- a/packages/gateway/src/cardamomloft/gateway/inforce.py
+++ b/packages/gateway/src/cardamomloft/gateway/inforce.py
@@ -7,6 +7,7 @@
 from cardamomloft.callers.exchange import RequestHead
 from cardamomloft.core.clock import Clock
 from cardamomloft.core.model import Refusal, RefusalReason
+from cardamomloft.core.registrations import UnreadablePlan
 from cardamomloft.core.routes import ClientAccount, RoutePlan, RouteRule
 from cardamomloft.gateway.calls import Call, CallerHeaders, RequestReader
 from cardamomloft.gateway.knowledge import Knowledge
@@ -22,6 +23,9 @@
 class PlanInForce:
     """Reads requests according to the configuration in force, which never gets older.
 
+    A newer configuration may be known that can't be put in force. Its accounts are used with the
+    rules in force; if they can't be read either, the keys of callers are outdated.
+
     Parameters
     ----------
     clock, rng
@@ -39,6 +43,8 @@
         Returns the time since this gateway's data was proved to be current, None if it never was.
     source
         Where the configuration came from.
+    unreadable
+        What is known of a newer configuration that can't be put in force, None without one.
     """
 
     def __init__(
@@ -55,6 +61,7 @@
         self.reader: RequestReader | None = None
         self.verified_age: Callable[[], timedelta | None] = lambda: None
         self.source = ""
+        self.unreadable: UnreadablePlan | None = None
 
     def __bool__(self) -> bool:
         return self.reader is not None
@@ -69,6 +76,18 @@
         """The number of the configuration, 0 before the first."""
         return 0 if self.reader is None else self.reader.plan.number
 
+    @property
+    def accounts(self) -> tuple[ClientAccount, ...] | None:
+        """The accounts by which callers are identified, None if they need no keys."""
+        if self.unreadable is not None and self.unreadable.accounts is not None:
+            return self.unreadable.accounts
+        return None if self.plan is None else self.plan.accounts
+
+    @property
+    def keys_outdated(self) -> bool:
+        """Whether a configuration is known to be newer than the accounts in use."""
+        return self.unreadable is not None and self.unreadable.accounts is None
+
     def knowledge(self) -> Knowledge:
         """Return the number of the configuration, and how it is known."""
         return Knowledge(self.number, self.source, self.verified_age())
@@ -95,9 +114,44 @@
         self.log_splits()
         self.reader = RequestReader(plan, self._headers, self._rng, self.reader)
         self.source = source
+        number = None if self.unreadable is None else self.unreadable.number
+        if number is not None and plan.number >= number:
+            self.unreadable = None
+        if self.unreadable is not None:
+            self.reader.use_accounts(self.accounts)
         log("in-force", rules=len(plan.rules), **self.knowledge().fields())
         return True
 
+    def mark_unreadable(self, known: UnreadablePlan) -> bool:
+        """Record that the store holds a configuration that can't be put in force.
+
+        Returns
+        -------
+        bool
+            Whether this has changed what is known.
+        """
+        outdated = known.number is not None and known.number <= self.number
+        return not outdated and self._set_unreadable(known)
+
+    def mark_readable(self) -> bool:
+        """Record that the configuration in the store can be read; return whether that is new."""
+        return self._set_unreadable(None)
+
+    def _set_unreadable(self, known: UnreadablePlan | None) -> bool:
+        if known == self.unreadable:
+            return False
+        self.unreadable = known
+        if self.reader is not None:
+            self.reader.use_accounts(self.accounts)
+        log(
+            "accounts-in-use",
+            configuration=self.number,
+            unreadable=known is not None and known.number,
+            readable_accounts=len(self.accounts or ()),
+            keys_outdated=self.keys_outdated,
+        )
+        return True
+
     def read(self, head: RequestHead) -> Call | Refusal:
         """Parse a request."""
         if self.reader is None:
--- a/packages/gateway/src/cardamomloft/gateway/node.py
+++ b/packages/gateway/src/cardamomloft/gateway/node.py
@@ -8,12 +8,10 @@
 from cardamomloft.callers.body import RequestBody
 from cardamomloft.callers.exchange import Answer, RequestHead
 from cardamomloft.core.clock import Clock
-from cardamomloft.core.coldness.limits import ColdLimit
 from cardamomloft.core.entrytable import EntryTable
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.core.naming import EntryLookup
-from cardamomloft.core.recordlease import LAPSED_SHARE_TIME
-from cardamomloft.core.registrations import EntryRecord, Fact
+from cardamomloft.core.registrations import EntryRecord, Fact, UnreadablePlan
 from cardamomloft.core.routes import RoutePlan, cold_times
 from cardamomloft.core.selection import Preferences, Selector
 from cardamomloft.core.timekeeping import ClockMonitor
@@ -40,8 +38,9 @@
     PRESSURE_FEATURE,
     QUEUE_FEATURE,
     RESTART_SETTINGS,
-    Bounds,
     GatewaySettings,
+    cold_limit,
+    count_window,
     parse_bounds,
 )
 from cardamomloft.gateway.status import GatewayStatus
@@ -118,12 +117,12 @@
         peers = cfg.get("peers", "")
         own = EntryRecord(cfg["name"], cfg["callers"], cfg["zone"], cfg["region"], peers)
         self.upstream_table = UpstreamTable(cfg["zones"])
-        self.entries = EntryTable(own, _count_window(bounds))
+        self.entries = EntryTable(own, count_window(bounds))
         self.selector = Selector(
             self.upstream_table,
             cfg["name"],
             cfg["zone"],
-            _cold_limit(cfg),
+            cold_limit(cfg),
             Preferences(),
             self._rng,
         )
@@ -186,9 +185,10 @@
             self.entries,
             self.selector,
             self._client.close_idle,
-            lambda plan: self._apply_plan(plan, self.follower.source),
+            self._apply_stored_plan,
             self.metrics,
         )
+        self.view.on_unreadable_plan = self._apply_unreadable_plan
         self.feed = ChangeFeed(
             self._reactor,
             clock,
@@ -206,6 +206,9 @@
         self.account_access = AccountAccess(
             self._reactor, clock, self._rng, own, self.entries, self.selector, self.feed, self.ready
         )
+        self.account_access.keys_outdated = (
+            lambda: self.plan.keys_outdated or not self.follower.applied
+        )
         self.account_access.set_revocation_time(bounds.revocation_time)
         self.account_access.build_quotas(cfg.get("quotas"), self.metrics)
         self.selector.shared_loads.counts = self.metrics.counters
@@ -256,9 +259,9 @@
         self._cfg = t.cast(GatewaySettings, {**changeable, **kept})
         self._bounds = parse_bounds(self._cfg)
         self._set_features()
-        self.selector.cold_limit = _cold_limit(self._cfg)
+        self.selector.cold_limit = cold_limit(self._cfg)
         self._budgets.set_limits(self._cfg["retries"])
-        self.entries.count_window = _count_window(self._bounds)
+        self.entries.count_window = count_window(self._bounds)
         self.account_access.set_revocation_time(self._bounds.revocation_time)
         if "quotas" in self._cfg:
             self.account_access.set_quota_settings(self._cfg["quotas"])
@@ -406,13 +409,22 @@
         self.view.apply_changes(facts)
         self.presence.on_changes(facts)
 
+    def _apply_stored_plan(self, plan: RoutePlan) -> None:
+        self._apply_plan(plan, self.follower.source)
+        if self.plan.mark_readable():
+            self.account_access.set_accounts(self.plan.accounts or ())
+
+    def _apply_unreadable_plan(self, known: UnreadablePlan) -> None:
+        if self.plan.mark_unreadable(known):
+            self.account_access.set_accounts(self.plan.accounts or ())
+
     def _apply_plan(self, plan: RoutePlan, source: str = "") -> None:
         if not self.plan.replace(plan, source):
             return
         self.selector.policies = plan.services
         self.forwarder.answer_times.retain({rule.name for rule in plan.rules})
         self.upstream_table.set_cold_times(cold_times(plan), self._clock.monotonic())
-        self.account_access.set_accounts(plan.accounts or ())
+        self.account_access.set_accounts(self.plan.accounts or ())
         self.app.set_idle_timeout(plan.limits.idle_timeout)
         self.app.set_head_limits(plan.limits.head_bytes, plan.limits.head_timeout)
         self.fallback.app.set_head_limits(
@@ -436,11 +448,3 @@
     def _on_fault(self, failure: Failure) -> None:
         self.metrics.count("faults")
         log("fault", detail=failure.getErrorMessage(), trace=failure.getTraceback())
-
-
-def _cold_limit(cfg: GatewaySettings) -> ColdLimit:
-    return ColdLimit(cfg["cold"]["overage"], cfg["cold"]["slack"])
-
-
-def _count_window(bounds: Bounds) -> timedelta:
-    return LAPSED_SHARE_TIME + bounds.retry_window
--- a/packages/gateway/src/cardamomloft/gateway/settings.py
+++ b/packages/gateway/src/cardamomloft/gateway/settings.py
@@ -7,8 +7,10 @@
 from datetime import timedelta
 from typing import NotRequired
 
+from cardamomloft.core.coldness.limits import ColdLimit
 from cardamomloft.core.document import Address, Mistake
 from cardamomloft.core.fields import Limits, strict
+from cardamomloft.core.recordlease import LAPSED_SHARE_TIME
 from cardamomloft.core.typedjson import load_typed
 from cardamomloft.gateway.durations import PATTERN, parse_duration
 from expression import Result
@@ -167,3 +169,13 @@
         retry_window=parse_duration(cfg["retries"]["window"]),
         revocation_time=None if revocation is None else parse_duration(revocation),
     )
+
+
+def cold_limit(cfg: GatewaySettings) -> ColdLimit:
+    """Return the limit on requests to cold endpoints."""
+    return ColdLimit(cfg["cold"]["overage"], cfg["cold"]["slack"])
+
+
+def count_window(bounds: Bounds) -> timedelta:
+    """Return the time for which an entry that is gone counts in the division of limits."""
+    return LAPSED_SHARE_TIME + bounds.retry_window
--- a/packages/gateway/src/cardamomloft/gateway/status.py
+++ b/packages/gateway/src/cardamomloft/gateway/status.py
@@ -75,6 +75,7 @@
         page: dict[str, t.Any] = {
             "state": gateway.lifecycle.state(),
             "configuration": gateway.configuration,
+            "unreadable": gateway.view.unreadable(),
             "store_away": gateway.follower.store_unavailable,
             "store_silence_ms": gateway.follower.time_since_answer // timedelta(milliseconds=1),
             **gateway.feed.status(),
--- a/packages/gateway/src/cardamomloft/gateway/storecontrol.py
+++ b/packages/gateway/src/cardamomloft/gateway/storecontrol.py
@@ -4,7 +4,6 @@
 ``entries/NAME`` an entry's own record. ``drained-zones/ZONE`` drains a zone; its value is ignored.
 """
 
-import typing as t
 from datetime import timedelta
 
 import msgspec
@@ -18,6 +17,7 @@
     PlanRead,
     Registration,
     Unreadable,
+    UnreadablePlan,
     UpstreamRegistered,
     UpstreamUnreadable,
     UpstreamWithdrawn,
@@ -25,7 +25,7 @@
     ZoneRestored,
 )
 from cardamomloft.gateway.control import Changes, Listing
-from cardamomloft.gateway.documents import load_plan, load_registration
+from cardamomloft.gateway.documents import load_accounts, load_plan, load_registration
 from cardamomloft.gateway.entryrecords import encode_entry, read_entry
 from cardamomloft.store.failures import StoreFailure
 from cardamomloft.store.keyvalue import ListResult, Record, Store
@@ -126,7 +126,7 @@
 
 def _read(key: str, record: Record) -> Fact | None:
     if key == DOCUMENT_KEY:
-        return _fact(key, load_plan(record.value, record.version).map(PlanRead))
+        return _plan(key, record)
     if key.startswith(UPSTREAMS):
         loaded = load_registration(record.value, key.removeprefix(UPSTREAMS))
         return _upstream(key.removeprefix(UPSTREAMS), loaded)
@@ -148,12 +148,13 @@
     return None
 
 
-def _fact(key: str, loaded: Result[t.Any, tuple[t.Any, ...]]) -> Fact:
-    match loaded:
-        case Result(tag="ok", ok=fact):
-            return fact
+def _plan(key: str, record: Record) -> Fact:
+    match load_plan(record.value, record.version):
+        case Result(tag="ok", ok=plan):
+            return PlanRead(plan)
         case Result(error=mistakes):
-            return Unreadable(key, "; ".join(map(str, mistakes)))
+            known = UnreadablePlan(record.version, load_accounts(record.value))
+            return Unreadable(key, "; ".join(map(str, mistakes)), known)
 
 
 def _upstream(upstream_id: str, loaded: Result[Registration, tuple[Mistake, ...]]) -> Fact:
--- a/packages/gateway/src/cardamomloft/gateway/storeview.py
+++ b/packages/gateway/src/cardamomloft/gateway/storeview.py
@@ -18,6 +18,7 @@
     Fact,
     PlanRead,
     Unreadable,
+    UnreadablePlan,
     UpstreamRegistered,
     UpstreamUnreadable,
     UpstreamWithdrawn,
@@ -69,6 +70,8 @@
         The drains that are in force.
     listed
         Whether a complete listing has been applied.
+    on_unreadable_plan
+        Called with what is known of a configuration that can't be put in force.
     """
 
     def __init__(
@@ -90,9 +93,11 @@
         self._metrics = metrics
         self.drains = DrainView(clock, upstream_table)
         self._unreadable = ReportedProblems()
+        self._unreadable_plan_key: str | None = None
         self._era: int | None = None
         self._unconfirmed: dict[FactKey, _UnconfirmedFact] = {}
         self.listed = False
+        self.on_unreadable_plan: Callable[[UnreadablePlan], None] = lambda known: None
 
     def apply_listing(self, listing: Listing) -> None:
         """Apply a complete listing: what it does not contain has been removed from the store."""
@@ -169,6 +174,10 @@
             self._apply(fact)
         self._update_selector_entries()
 
+    def unreadable(self) -> dict[str, str]:
+        """Return the items that can't be decoded, by key or endpoint id, with the reasons."""
+        return self._unreadable.details()
+
     def store_recovered(self) -> None:
         """Record that the store has recovered: expired records may be written again."""
         self._entries.start_grace_period(self._clock.monotonic())
@@ -204,6 +213,9 @@
 
     @_apply.register
     def _(self, fact: PlanRead) -> None:
+        if self._unreadable_plan_key is not None:
+            self._unreadable.forget(self._unreadable_plan_key)
+            self._unreadable_plan_key = None
         self._on_plan(fact.plan)
 
     @_apply.register
@@ -265,6 +277,9 @@
     def _(self, fact: Unreadable) -> None:
         if self._unreadable.is_new(fact.key, fact.detail):
             log("unreadable", key=fact.key, detail=fact.detail)
+        if fact.plan is not None:
+            self._unreadable_plan_key = fact.key
+            self.on_unreadable_plan(fact.plan)
 
 
 def _log_gone(ids: Iterable[str]) -> None:
--- a/packages/gateway/tests/test_documents.py
+++ b/packages/gateway/tests/test_documents.py
@@ -7,7 +7,7 @@
 
 import pytest
 from cardamomloft.core.routes import ClientAccount, ServiceShare
-from cardamomloft.gateway.documents import load_plan, load_registration
+from cardamomloft.gateway.documents import load_accounts, load_plan, load_registration
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -162,3 +162,19 @@
 @given(st.binary(max_size=200))
 def test_arbitrary_bytes_are_an_error(value):
     assert load_registration(value, "i-1").is_error()
+
+
+@pytest.mark.parametrize(
+    ("text", "names"),
+    [
+        (b'{"rules": 7, "accounts": {"alpha": {"keys": ["key-a"]}}}', ["alpha"]),
+        (b'{"accounts": {"alpha": {"keys": "key-a"}}}', None),
+        (b'{"accounts": {"a": {"keys": ["k"]}, "b": {"keys": ["k"]}}}', None),
+        (b'{"rules": []}', None),
+        (b"[]", None),
+        (b"{", None),
+    ],
+)
+def test_accounts_of_a_document_with_mistakes_are_read_alone(text, names):
+    found = load_accounts(text)
+    assert (found and [account.name for account in found]) == names
--- a/tests/adapter/test_configuration_forms.py
+++ b/tests/adapter/test_configuration_forms.py
@@ -186,6 +186,33 @@
     assert (CALLER_HEADERS.account, name) in call.headers
 
 
+@pytest.mark.parametrize(
+    ("document", "known"),
+    [
+        (_with_cell("timeout", "soon"), (9, False)),
+        (_with_cell("stickySessions", "false"), (9, False)),
+        (b"{", (None, False)),
+        (json.dumps({**CONFIG, "version": "9"}).encode(), (None, False)),
+    ],
+)
+def test_unreadable_configuration_without_accounts_says_so(document, known):
+    fact = decode_item("op/config", document)
+    assert isinstance(fact, Unreadable)
+    assert (fact.plan.number, fact.plan.accounts is not None) == known
+
+
+def test_accounts_of_an_unreadable_configuration_are_known_if_they_can_be_read():
+    columns = ["name", "apiKeys"]
+    raw = json.loads(_with_cell("timeout", "soon"))
+    good = {**raw, "tenants": {"columns": columns, "rows": [["north", ["k-1"]]]}}
+    fact = decode_item("op/config", json.dumps(good).encode())
+    assert [account.keys for account in fact.plan.accounts] == [("k-1",)]
+    assert "k-1" not in str(fact)
+    odd = {**raw, "tenants": {"columns": columns, "rows": [["north", "k-1"]]}}
+    fact = decode_item("op/config", json.dumps(odd).encode())
+    assert (fact.plan.number, fact.plan.accounts) == (9, None)
+
+
 def test_shorter_timeout_of_a_new_configuration_applies_to_the_next_request():
     routes = json.loads(ADDED)["routes"]
     for row in routes["rows"]:
