Settle every exchange, whatever ending its connection raises

Cause: the connection had carried an upload before, so it counted as carrying a stored body until the next answer. When it was lost with data unsent, Exchange._failed started a lingering close on the closed socket, which raised ValueError before the exchange was settled; nobody saw the exception.

Now a lost connection is never closed again, neither by GuardedTransport nor by LingeringClose, which callers' connections use as well. An exchange gives back its place and its timers first, and is settled even if ending the connection raises; an exception in its handlers is logged, each kind once. AnswerBody, the collector of the store's client and the callers' channel tell those who wait before or whatever closing raises.

Evidence: test_lost_connections, over sockets, 84 cases for each of four losses. On the code before, reset, close and half-close failed (not settled, and in flight until the end); stalls passed.

--- a/packages/callers/src/cardamomloft/callers/channel.py
+++ b/packages/callers/src/cardamomloft/callers/channel.py
@@ -102,8 +102,10 @@
         if self._closing is not None:
             self._closing.cancel()
         self._input_closed = True
-        super().connectionLost(reason)
-        self.factory.remove_channel(self)
+        try:
+            super().connectionLost(reason)
+        finally:
+            self.factory.remove_channel(self)
 
     @property
     def idle(self) -> bool:
--- a/packages/runtime/src/cardamomloft/runtime/lingering.py
+++ b/packages/runtime/src/cardamomloft/runtime/lingering.py
@@ -65,7 +65,9 @@
         self._read_closed = False
 
     def start(self) -> None:
-        """Close the write side once its data is sent, and keep reading."""
+        """Close the write side once its data is sent, and keep reading; nothing if it is lost."""
+        if self._transport.disconnected:
+            return
         self._transport.unregisterProducer()
         self._transport.loseWriteConnection()
         self._transport.resumeProducing()
--- a/packages/store/src/cardamomloft/store/exchange.py
+++ b/packages/store/src/cardamomloft/store/exchange.py
@@ -131,9 +131,9 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._body.extend(data)
         if len(self._body) > self._limit and not self.body_received.called:
-            self._stop()
             detail = f"the answer is longer than {self._limit} bytes"
             self.body_received.errback(AnswerTooLongError(detail))
+            self._stop()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         if self.body_received.called:
--- a/packages/upstreams/src/cardamomloft/upstreams/body.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/body.py
@@ -99,8 +99,10 @@
             return
         self._aborted = True
         self._detail = detail
-        self._abort_connection()
-        self._end(Delivery(False, self._received, detail))
+        try:
+            self._abort_connection()
+        finally:
+            self._end(Delivery(False, self._received, detail))
 
     # Protocol, called by the connection.
 
--- a/packages/upstreams/src/cardamomloft/upstreams/client.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/client.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 
 from cardamomloft.core.model import Endpoint
+from cardamomloft.runtime.logs import ReportedProblems, log
 from expression import Error, Result
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred, succeed
@@ -76,6 +77,7 @@
         self.in_flight: Counter[str] = Counter()
         self._max_in_flight = max_in_flight
         self._control_pool = ConnectionPool(reactor)
+        self._faults = ReportedProblems()
 
     def send(self, req: UpstreamRequest) -> "Deferred[Result[UpstreamAnswer, SendFailure]]":
         """Send `req` and return the head of its answer.
@@ -163,6 +165,12 @@
         while any(conn.is_passing_on() for conn in self.pool.carriers):
             await deferLater(self.reactor, PASSING_INTERVAL_S)
 
+    def report_fault(self, request_id: str, failure: Failure) -> None:
+        """Log an exception in the handlers of an exchange, each kind of it once."""
+        detail = describe(failure)
+        if self._faults.is_new(detail, detail):
+            log("exchange-fault", id=request_id, detail=detail, trace=failure.getTraceback())
+
     def close(self) -> "Deferred[None]":
         """Close all idle connections."""
         done = self.pool.closeCachedConnections()
--- a/packages/upstreams/src/cardamomloft/upstreams/connections.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/connections.py
@@ -146,6 +146,7 @@
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         """Record whether the connection was closed without a reset."""
         self.closed_cleanly = bool(reason.check(ConnectionDone))
+        self.transport.lost = True
         self._carriers.discard(self)
         lingering = self.transport.lingering
         if lingering is not None:
--- a/packages/upstreams/src/cardamomloft/upstreams/exchange.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/exchange.py
@@ -68,6 +68,7 @@
         )
         self._waits = True
         self._freed = False
+        self._ended = False
         client.in_flight[req.endpoint.address] += 1
         client.exchanges.add(self)
         client.observers.sent(self.address)
@@ -81,6 +82,7 @@
             _producer_for(req.body),
         )
         self._pending.addCallbacks(self._answered, self._failed)
+        self._pending.addErrback(self._handler_failed)
         if req.patience is not None and self._attempt.connection is None and not self._settled:
             self._patience_timer = client.reactor.callLater(
                 req.patience.total_seconds(), self._lose_patience
@@ -169,12 +171,29 @@
         if reason is not None:
             self._client.observers.failed(self.address, reason)
         self._end_wait()
-        self._attempt.abort()
         self._end()
         ended_here = self._abort_detail is not None and not self._freed
         unreachable = self._attempt.connection is None and not ended_here
         held = None if not_run else self._held()
-        self._settle(Error(SendFailure(not_run, detail, cut, unreachable, self._ended_by, held)))
+        outcome = SendFailure(not_run, detail, cut, unreachable, self._ended_by, held)
+        try:
+            self._attempt.abort()
+        finally:
+            self._settle(Error(outcome))
+
+    def _handler_failed(self, failure: Failure) -> None:
+        """Settle the exchange after an exception in its own handlers, which nobody else sees."""
+        self._client.report_fault(self._req.request_id, failure)
+        self._end_wait()
+        self._end()
+        not_run = self._attempt.connection is None
+        detail = f"internal error: {describe(failure)}"
+        try:
+            self._attempt.abort()
+        except Exception:
+            self._client.report_fault(self._req.request_id, Failure())
+        finally:
+            self._settle(Error(SendFailure(not_run, detail, ended_by=self._ended_by)))
 
     def _held(self) -> timedelta | None:
         if self._sent_at is None:
@@ -203,13 +222,21 @@
         self._abort("cancelled", EndedBy.CALLER)
 
     def _abort(self, detail: str, ended_by: EndedBy) -> None:
-        if self._body is not None:
-            self._body.abort(detail)
-            return
-        self._abort_detail, self._ended_by = detail, ended_by
-        self._pending.cancel()
+        try:
+            if self._body is not None:
+                self._body.abort(detail)
+            else:
+                self._abort_detail, self._ended_by = detail, ended_by
+                self._pending.cancel()
+        except Exception:
+            # The caller is a timer, or another exchange.
+            self._handler_failed(Failure())
 
     def _end(self) -> None:
+        """Cancel the timers and give back what the exchange holds, the first time."""
+        if self._ended:
+            return
+        self._ended = True
         for timer in (self._timer, self._patience_timer):
             if timer is not None and timer.active():
                 timer.cancel()
--- a/packages/upstreams/src/cardamomloft/upstreams/guardedtransport.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/guardedtransport.py
@@ -33,6 +33,8 @@
     ----------
     lingering
         The close that is in progress, or None.
+    lost
+        Whether the connection is lost, so that there is nothing left to close.
     """
 
     def __init__(
@@ -42,18 +44,19 @@
         self._state = state
         self._call_later = call_later
         self.lingering: LingeringClose | None = None
+        self.lost = False
         directlyProvides(self, providedBy(transport))
 
     def __getattr__(self, name: str) -> t.Any:
         return getattr(self._transport, name)
 
     def unsent(self) -> int:
-        """Return how many bytes the endpoint's host has not received."""
-        return unsent_bytes(self._transport)
+        """Return how many bytes the endpoint's host has not received, 0 if it never will."""
+        return 0 if self.lost else unsent_bytes(self._transport)
 
     def abortConnection(self) -> None:  # noqa: N802
         """Reset the connection, or close it if it carries a stored body."""
-        if self.lingering is not None:
+        if self.lost or self.lingering is not None:
             return
         if self._state.carries_stored_body():
             self.loseConnection()
@@ -62,7 +65,7 @@
 
     def loseConnection(self) -> None:  # noqa: N802
         """Close the connection after its data, and wait for an endpoint that still reads."""
-        if self.lingering is not None:
+        if self.lost or self.lingering is not None:
             return
         is_tcp = ITCPTransport.providedBy(self._transport)
         if is_tcp and self._state.carries_stored_body() and self.unsent():
