Keep answers that were written when the one behind them fails

Cause: an answer above 256 KiB waits for its turn as a stream. Given up meanwhile, it was found to have failed only after its head was written, and the connection was reset in the call that had written the answer before it to the connection's buffer.

Now a streamed answer of which nothing was written when its body fails is replaced, by 504 at its deadline and by 502 if it was cut short; the connection and the requests behind go on. One that breaks later behind other answers ends the connection after its data: the write side is closed, the requests behind are ended at once, and a caller that receives nothing for 2 s is reset, so that no memory is held for it. On a first answer the reset stays. Incomplete streamed answers are logged by the id of their request, which had been logged as served only.

One test of BufferedBody wanted the beginning of a body that is known to be broken; that beginning is what makes a replacement impossible. It wants no byte now, and the same end. The test of a deadline also checks that the delivery says that it expired.

--- a/packages/callers/src/cardamomloft/callers/channel.py
+++ b/packages/callers/src/cardamomloft/callers/channel.py
@@ -15,8 +15,8 @@
 from http import HTTPStatus
 
 from cardamomloft.core.model import Refusal, RefusalReason
-from cardamomloft.runtime.lingering import LingeringClose
-from twisted.internet.error import ConnectionDone
+from cardamomloft.runtime.lingering import LINGER_TIMEOUT_S, LingeringClose
+from twisted.internet.error import ConnectionAborted, ConnectionDone
 from twisted.internet.interfaces import IHalfCloseableProtocol, ITCPTransport
 from twisted.python.failure import Failure
 from twisted.web import http
@@ -364,6 +364,22 @@
         if self._answered_request is None:
             self.loseConnection()
 
+    def break_off(self) -> None:
+        """End the connection in the middle of an answer, but not before the answers ahead of it.
+
+        A reset would discard what the caller has not received yet. Without such answers it is the
+        clearest sign of a truncated one.
+        """
+        if not self._has_answered or not ITCPTransport.providedBy(self.transport):
+            self.transport.abortConnection()
+            return
+        self._cancel_discard_timer()
+        self.persistent = False
+        open_requests, self.requests = self.requests, []
+        self._close_after_data(stall_s=LINGER_TIMEOUT_S)
+        for request in open_requests:
+            request.connectionLost(Failure(ConnectionAborted()))
+
     def loseConnection(self) -> None:  # noqa: N802
         """Close the connection after its data is sent, and its answers are received."""
         if self._closing is not None:
@@ -371,10 +387,13 @@
         if not self._has_answered or not ITCPTransport.providedBy(self.transport):
             super().loseConnection()
             return
+        self._close_after_data()
+
+    def _close_after_data(self, stall_s: float | None = None) -> None:
         self._input_closed = True
         self._cancel_head_timer()
         self.setTimeout(None)
-        self._closing = LingeringClose(self.transport, self.callLater)
+        self._closing = LingeringClose(self.transport, self.callLater, stall_s=stall_s)
         self._closing.start()
 
     def writeConnectionLost(self) -> None:  # noqa: N802
--- a/packages/callers/src/cardamomloft/callers/exchange.py
+++ b/packages/callers/src/cardamomloft/callers/exchange.py
@@ -84,11 +84,15 @@
 
 
 class Delivery(t.NamedTuple):
-    """Result of delivering a streamed body; `received` counts the bytes from its source."""
+    """Result of delivering a streamed body; `received` counts the bytes from its source.
+
+    `expired` tells that the body was given up at its deadline.
+    """
 
     complete: bool
     received: int
     detail: str = ""
+    expired: bool = False
 
 
 class Source(t.Protocol):
@@ -148,6 +152,11 @@
     return _generated_answer(HTTPStatus.GATEWAY_TIMEOUT, UNKNOWN, "deadline-passed", detail)
 
 
+def incomplete(detail: str) -> Answer:
+    """Return 502 in place of an answer that can't be passed on whole; the request may have run."""
+    return _generated_answer(HTTPStatus.BAD_GATEWAY, UNKNOWN, "answer-incomplete", detail)
+
+
 def with_fractional_retry_after(answer: Answer) -> Answer:
     """Return `answer` with Retry-After in decimal seconds, for callers that parse them."""
     wait_ms = next((value for name, value in answer.headers if name == RETRY_MS_HEADER), None)
--- a/packages/callers/src/cardamomloft/callers/request.py
+++ b/packages/callers/src/cardamomloft/callers/request.py
@@ -190,9 +190,9 @@
         return self._disconnected or bool(self.finished)
 
     def abort(self) -> None:
-        """Reset the connection, so that the caller recognizes a truncated answer."""
+        """End the connection, so that the caller recognizes a truncated answer."""
         if not self.ended:
-            self.channel.transport.abortConnection()
+            self.channel.break_off()
 
     def _must_close(self) -> bool:
         if self.channel.has_more(self):
--- a/packages/gateway/src/cardamomloft/gateway/forwarding.py
+++ b/packages/gateway/src/cardamomloft/gateway/forwarding.py
@@ -3,11 +3,12 @@
 from datetime import timedelta
 
 from cardamomloft.callers.body import RequestBody
-from cardamomloft.callers.exchange import Answer, RequestHead
+from cardamomloft.callers.exchange import Answer, Delivery, RequestHead
 from cardamomloft.core.model import Refusal, RefusalReason
 from cardamomloft.gateway.calls import Call, Origin
 from cardamomloft.gateway.requestcontext import RequestContext
 from cardamomloft.gateway.requestrun import CallerState, RequestRun
+from cardamomloft.gateway.streamedanswers import report_incomplete
 from expression import Result
 from twisted.internet.defer import CancelledError, Deferred, TimeoutError, ensureDeferred
 
@@ -38,8 +39,15 @@
             attempt.cancel()
 
         disconnected.addCallback(on_disconnect)
+
+        def on_incomplete(delivery: Delivery) -> None:
+            if not caller.disconnected:
+                now = self.clock.monotonic()
+                detail, received = delivery.detail, delivery.received
+                self.records.write(call, "incomplete", now, detail=detail, received=received)
+
         try:
-            return await attempt
+            return report_incomplete(await attempt, on_incomplete)
         except CancelledError:
             if not caller.disconnected:
                 raise
--- a/packages/runtime/src/cardamomloft/runtime/lingering.py
+++ b/packages/runtime/src/cardamomloft/runtime/lingering.py
@@ -48,6 +48,9 @@
         Schedules a call after a number of seconds.
     timeout_s
         How long the peer may take to close its side while it receives nothing, in seconds.
+    stall_s
+        How long the peer may receive nothing of the data before the connection is reset, in
+        seconds; None for no limit.
     """
 
     def __init__(
@@ -55,10 +58,12 @@
         transport: ITCPTransport,
         call_later: Callable[..., IDelayedCall],
         timeout_s: float = LINGER_TIMEOUT_S,
+        stall_s: float | None = None,
     ) -> None:
         self._transport = t.cast(t.Any, transport)
         self._call_later = call_later
         self._timeout_s = timeout_s
+        self._stall_s = stall_s
         self._timer: IDelayedCall | None = None
         self._left = 0
         self._write_closed = False
@@ -71,9 +76,23 @@
         self._transport.unregisterProducer()
         self._transport.loseWriteConnection()
         self._transport.resumeProducing()
+        self._watch_data()
+
+    def _watch_data(self) -> None:
+        """Check once in a while that the peer receives data, until the write side is closed."""
+        if self._stall_s is not None:
+            left = unsent_bytes(self._transport)
+            self._timer = self._call_later(self._stall_s, self._check_data, left)
+
+    def _check_data(self, left: int) -> None:
+        if unsent_bytes(self._transport) < left:
+            self._watch_data()
+        else:
+            self._transport.abortConnection()
 
     def write_side_closed(self) -> None:
         """Wait for the peer to close its side, as long as it goes on to receive."""
+        self.cancel()
         self._write_closed = True
         if self._read_closed:
             self._transport.loseConnection()
--- a/packages/upstreams/src/cardamomloft/upstreams/body.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/body.py
@@ -15,11 +15,15 @@
 
 
 class Delivery(t.NamedTuple):
-    """Outcome of the delivery of a body; `received` is the number of bytes received."""
+    """Outcome of the delivery of a body; `received` is the number of bytes received.
+
+    `expired` tells that the body was given up at its deadline.
+    """
 
     complete: bool
     received: int
     detail: str = ""
+    expired: bool = False
 
 
 @implementer(IPushProducer)
@@ -59,6 +63,7 @@
         self._received = 0
         self._detail = ""
         self._aborted = False
+        self._expired = False
         self._started = False
 
     def deliver(self, consumer: IConsumer) -> "Deferred[Delivery]":
@@ -74,7 +79,7 @@
         self._started = True
         done: Deferred[Delivery] = Deferred(lambda _: self.abort("cancelled"))
         if self._aborted:
-            done.callback(Delivery(False, 0, self._detail))
+            done.callback(Delivery(False, 0, self._detail, self._expired))
             return done
         self._done = done
         self._consumer = consumer
@@ -93,6 +98,11 @@
         """
         return BufferedBody(self, limit).result
 
+    def expire(self, detail: str) -> None:
+        """Abort the body at its deadline."""
+        self._expired = not self._aborted
+        self.abort(detail)
+
     def abort(self, detail: str = "aborted") -> None:
         """Reset the connection and end the delivery as incomplete; has no effect after the end."""
         if self._aborted or self._on_end is None:
@@ -102,7 +112,7 @@
         try:
             self._abort_connection()
         finally:
-            self._end(Delivery(False, self._received, detail))
+            self._end(Delivery(False, self._received, detail, self._expired))
 
     # Protocol, called by the connection.
 
@@ -204,6 +214,7 @@
         self._received = bytearray()
         self._consumer: IConsumer | None = None
         self._paused = False
+        self._is_broken = False
         self._done: Deferred[Delivery] = Deferred(lambda _: self.abort("cancelled"))
         self.result: Deferred[Result[bytes | BufferedBody, str]] = Deferred(
             lambda _: self.abort("cancelled")
@@ -211,7 +222,13 @@
         body.deliver(self).addCallback(self._end)
 
     def deliver(self, consumer: IConsumer) -> "Deferred[Delivery]":
-        """Write what was read to `consumer`, then the rest; cancelling the result aborts it."""
+        """Write what was read to `consumer`, then the rest; cancelling the result aborts it.
+
+        If the body is known to be incomplete, nothing is written.
+        """
+        if self._is_broken:
+            self._received.clear()
+            return self._done
         consumer.registerProducer(self, True)
         self._consumer = consumer
         received = bytes(self._received)
@@ -264,6 +281,7 @@
         self._body.stopProducing()
 
     def _end(self, delivery: Delivery) -> None:
+        self._is_broken = not delivery.complete
         if self.result.called:
             self._done.callback(delivery)
         elif delivery.complete:
--- a/packages/upstreams/src/cardamomloft/upstreams/exchange.py
+++ b/packages/upstreams/src/cardamomloft/upstreams/exchange.py
@@ -223,7 +223,9 @@
 
     def _abort(self, detail: str, ended_by: EndedBy) -> None:
         try:
-            if self._body is not None:
+            if self._body is not None and ended_by is EndedBy.DEADLINE:
+                self._body.expire(detail)
+            elif self._body is not None:
                 self._body.abort(detail)
             else:
                 self._abort_detail, self._ended_by = detail, ended_by
