Test answers whose endpoint stops inside the head

Operators of similar systems report endpoints that stop inside their answer's head and close, and clients that got a 200 with an empty or short body, framed as whole. Not reproduced here: every cut is a failure.

--- a/packages/store/tests/test_exchange.py
+++ b/packages/store/tests/test_exchange.py
@@ -1,9 +1,10 @@
 """Size limit and timeout of calls, and malformed answers, over real sockets."""
 
+import itertools
 from datetime import timedelta
 
 from cardamomloft.store.exchange import Exchange
-from cardamomloft_standins.rawanswers import KEEP, RawServer, Script
+from cardamomloft_standins.rawanswers import CLOSE, KEEP, RESET, RawServer, Script
 from twisted.internet import reactor, task
 from twisted.internet.protocol import Factory, Protocol
 from twisted.trial.unittest import TestCase
@@ -123,6 +124,15 @@
             self.assertTrue(outcome.error.sent)
             self.assertIn("MalformedAnswerError", outcome.error.detail)
 
+    async def test_answer_that_stops_anywhere_fails_the_call(self):
+        """Guards against answers with an empty or short body whose head never arrived whole."""
+        for data, end in itertools.product((OK, CHUNKED), (CLOSE, RESET)):
+            for size in range(len(data)):
+                path = f"/cut/{len(data)}/{end}/{size}"
+                self.server.scripts[path] = Script(data[:size], end=end)
+                outcome = await self.call(path)
+                self.assertTrue(outcome.is_error(), (data[:size], end))
+
     async def test_call_after_a_malformed_answer_succeeds(self):
         self.server.scripts["/bad"] = Script(MALFORMED[0], end=KEEP)
         await self.call("/bad")
--- a/packages/upstreams/tests/test_lost_connections.py
+++ b/packages/upstreams/tests/test_lost_connections.py
@@ -10,6 +10,7 @@
 from cardamomloft.upstreams.body import AnswerBody
 from cardamomloft.upstreams.client import UpstreamClient
 from cardamomloft.upstreams.sends import UpstreamRequest
+from cardamomloft_standins.rawanswers import CLOSE, RESET, RawServer, Script
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.protocol import Protocol, ServerFactory
@@ -170,6 +171,22 @@
     def test_connection_that_stalls_until_the_deadline_settles_its_exchange(self):
         return self.check("stall")
 
+    @inlineCallbacks
+    def test_control_answer_that_stops_inside_its_head_is_a_failure(self):
+        """Guards against load reports and cancellations by an answer that never arrived whole."""
+        server = RawServer(Script(b""), id_field="x-none")
+        self.addCleanup(server.close)
+        endpoint = Endpoint("u1", "menus", "a", "east", server.address, 4, 360)
+        load = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        found = []
+        for size, end in itertools.product(range(len(load)), (CLOSE, RESET)):
+            server.default = Script(load[:size], end=end)
+            polled = yield self.client.poll(endpoint)
+            cancelled = yield self.client.cancel(endpoint, "r1")
+            if polled.is_ok() or cancelled:
+                found.append((load[:size], end))
+        assert not found
+
     @inlineCallbacks
     def test_exception_while_a_connection_ends_settles_its_exchange_and_is_logged(self):
         """Guards against an exception between a failure and its settling, whatever raises it."""
--- a/standins/src/cardamomloft_standins/rawanswers.py
+++ b/standins/src/cardamomloft_standins/rawanswers.py
@@ -82,6 +82,8 @@
         How all others are answered; see above.
     requests
         The paths of the requests that it got.
+    kept
+        The paths of those that were not the first on their connection.
     connections
         Number of connections that it accepted.
     open_connections
@@ -96,6 +98,7 @@
         self.default = default
         self._id_field = id_field.lower().encode()
         self.requests: list[str] = []
+        self.kept: set[str] = set()
         self.connections = self.open_connections = 0
         self.endless_bytes = 0
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
@@ -117,11 +120,12 @@
     def _serve(self, conn: socket.socket) -> None:
         conn.settimeout(TIMEOUT_S)
         with conn, contextlib.suppress(OSError):
-            while self._handle(conn):
-                pass
+            is_first = True
+            while self._handle(conn, is_first):
+                is_first = False
         self.open_connections -= 1
 
-    def _handle(self, conn: socket.socket) -> bool:
+    def _handle(self, conn: socket.socket, is_first: bool) -> bool:
         """Answer one request; return whether another may follow."""
         received = b""
         while b"\r\n\r\n" not in received:
@@ -132,6 +136,8 @@
         head, _, body = received.partition(b"\r\n\r\n")
         target = head.split(b" ")[1].decode("latin-1")
         self.requests.append(target)
+        if not is_first:
+            self.kept.add(target)
         script = self.scripts.get(target.partition("?")[0], self.default)
         _read_body(conn, head, body, script.after)
         request_id = _field(head, self._id_field)
