Keep one close of a connection, and show only a present problem

Found by reading the diff: an answer that breaks off while its connection is already being closed, as at a stop, started a second close beside the first, whose timer stayed. The status page listed unreadable items of long ago, and up to a thousand of them; it shows the reason why the configuration in the store can't be put in force, while that is so.

The new test of a disconnect passes before, too: the second close did no more than leave a timer.

--- a/packages/callers/src/cardamomloft/callers/channel.py
+++ b/packages/callers/src/cardamomloft/callers/channel.py
@@ -376,7 +376,8 @@
         self._cancel_discard_timer()
         self.persistent = False
         open_requests, self.requests = self.requests, []
-        self._close_after_data(stall_s=LINGER_TIMEOUT_S)
+        if self._closing is None:
+            self._close_after_data(stall_s=LINGER_TIMEOUT_S)
         for request in open_requests:
             request.connectionLost(Failure(ConnectionAborted()))
 
--- a/packages/callers/tests/test_broken_off.py
+++ b/packages/callers/tests/test_broken_off.py
@@ -194,3 +194,18 @@
         assert self.app.connections == 0
         self.app.give(3, b"late")
         yield received
+
+    @inlineCallbacks
+    def test_answer_that_breaks_during_a_disconnect_costs_no_answer_before_it(self):
+        received = deferToThread(self.exchange, 0.5)
+        yield self.arrived()
+        source = Source(first=b"p" * 1000)
+        self.app.give(2, source, LENGTH)
+        self.app.give(1, WHOLE)
+        disconnected = self.app.disconnect()
+        source.done.callback(CUT)
+        found = yield received
+        assert found.count(b"w") == len(WHOLE) and statuses(found) == [200, 200]
+        self.app.give(3, b"late")
+        yield disconnected
+        assert self.app.in_flight == 0
--- a/packages/gateway/src/cardamomloft/gateway/status.py
+++ b/packages/gateway/src/cardamomloft/gateway/status.py
@@ -72,10 +72,11 @@
     def status(self, *, limits: bool = True) -> dict[str, t.Any]:
         """Return the status page's object; `limits` adds a row for each endpoint."""
         gateway = self._gateway
+        problem = gateway.view.unreadable_plan
         page: dict[str, t.Any] = {
             "state": gateway.lifecycle.state(),
             "configuration": gateway.configuration,
-            "unreadable": gateway.view.unreadable(),
+            "configuration_problem": problem and problem.detail,
             "store_away": gateway.follower.store_unavailable,
             "store_silence_ms": gateway.follower.time_since_answer // timedelta(milliseconds=1),
             **gateway.feed.status(),
--- a/packages/gateway/src/cardamomloft/gateway/storeview.py
+++ b/packages/gateway/src/cardamomloft/gateway/storeview.py
@@ -70,6 +70,8 @@
         The drains that are in force.
     listed
         Whether a complete listing has been applied.
+    unreadable_plan
+        Why the configuration in the store can't be put in force, None if it can.
     on_unreadable_plan
         Called with what is known of a configuration that can't be put in force.
     """
@@ -93,10 +95,10 @@
         self._metrics = metrics
         self.drains = DrainView(clock, upstream_table)
         self._unreadable = ReportedProblems()
-        self._unreadable_plan_key: str | None = None
         self._era: int | None = None
         self._unconfirmed: dict[FactKey, _UnconfirmedFact] = {}
         self.listed = False
+        self.unreadable_plan: Unreadable | None = None
         self.on_unreadable_plan: Callable[[UnreadablePlan], None] = lambda known: None
 
     def apply_listing(self, listing: Listing) -> None:
@@ -174,10 +176,6 @@
             self._apply(fact)
         self._update_selector_entries()
 
-    def unreadable(self) -> dict[str, str]:
-        """Return the items that can't be decoded, by key or endpoint id, with the reasons."""
-        return self._unreadable.details()
-
     def store_recovered(self) -> None:
         """Record that the store has recovered: expired records may be written again."""
         self._entries.start_grace_period(self._clock.monotonic())
@@ -213,9 +211,9 @@
 
     @_apply.register
     def _(self, fact: PlanRead) -> None:
-        if self._unreadable_plan_key is not None:
-            self._unreadable.forget(self._unreadable_plan_key)
-            self._unreadable_plan_key = None
+        if self.unreadable_plan is not None:
+            self._unreadable.forget(self.unreadable_plan.key)
+            self.unreadable_plan = None
         self._on_plan(fact.plan)
 
     @_apply.register
@@ -278,7 +276,7 @@
         if self._unreadable.is_new(fact.key, fact.detail):
             log("unreadable", key=fact.key, detail=fact.detail)
         if fact.plan is not None:
-            self._unreadable_plan_key = fact.key
+            self.unreadable_plan = fact
             self.on_unreadable_plan(fact.plan)
 
 
--- a/packages/runtime/src/cardamomloft/runtime/logs.py
+++ b/packages/runtime/src/cardamomloft/runtime/logs.py
@@ -48,10 +48,6 @@
         self._details[key] = detail
         return True
 
-    def details(self) -> dict[str, str]:
-        """Return the problems that are not resolved, by key."""
-        return dict(self._details)
-
     def forget(self, key: str) -> None:
         """Record that the problem of `key` is resolved."""
         self._details.pop(key, None)
